--- /dev/null
+++ b/errors.go
@@ -0,0 +1,104 @@
+package oleandervalve
+
+import (
+	"fmt"
+	"time"
+)
+
+// Outcome says what became of a request.
+type Outcome string
+
+const (
+	// OutcomeAnswered means that the caller received the endpoint's whole answer.
+	OutcomeAnswered Outcome = "answered"
+	// OutcomeNotRun means that the request provably did not run.
+	OutcomeNotRun Outcome = "notRun"
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Reason is a short camelCase code that names why something was refused.
+type Reason string
+
+// NotRunError refuses a request that provably did not run.
+type NotRunError struct {
+	Reason     Reason
+	Remedy     string
+	RetryAfter time.Duration
+}
+
+func (e *NotRunError) Error() string {
+	return fmt.Sprintf("request was not run (%s): %s", e.Reason, e.Remedy)
+}
+
+// UnknownOutcomeError reports an operation that may have taken effect.
+type UnknownOutcomeError struct {
+	Operation string
+	Remedy    string
+	Cause     error
+}
+
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("outcome of %s is unknown: %s", e.Operation, e.Remedy)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// UnavailableError reports a service that could not be reached; the operation had no effect.
+type UnavailableError struct {
+	Service    string
+	Remedy     string
+	RetryAfter time.Duration
+	Cause      error
+}
+
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("%s is unavailable: %s", e.Service, e.Remedy)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// ConflictError reports a transaction whose condition did not hold; it had no effect.
+type ConflictError struct {
+	Key      Key
+	Expected Version
+	Current  Row
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("row %q is at version %d, not %d: read it again and repeat the change on the current version",
+		string(e.Key), e.Current.Version, e.Expected)
+}
+
+// InvalidError reports input that can't be accepted.
+type InvalidError struct {
+	Field  string
+	Value  string
+	Remedy string
+}
+
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("%s: invalid value %q: %s", e.Field, e.Value, e.Remedy)
+}
+
+// NotFoundError reports an object that does not exist.
+type NotFoundError struct {
+	Kind   string
+	Name   string
+	Remedy string
+}
+
+func (e *NotFoundError) Error() string {
+	return fmt.Sprintf("%s %q does not exist: %s", e.Kind, e.Name, e.Remedy)
+}
+
+// ExistsError reports a conditional create of an object that is already there.
+type ExistsError struct {
+	Name string
+}
+
+func (e *ExistsError) Error() string {
+	return fmt.Sprintf("object %q exists already: read it, or use another name", e.Name)
+}
