Add the thin whole path with a demonstration

Cause: interfaces have to meet early. Change: entry and agent processes, callers' HTTP API, endpoint client, stand-ins of table, object store, platform and endpoint with their clients, and the command demo with the scenario steady.

--- /dev/null
+++ b/cmd/oleandervalve/commands.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+
+	"oleandervalve/io/demo"
+)
+
+const (
+	exitError = 1
+	exitUsage = 2
+)
+
+func addCommands(p *flags.Parser) {
+	add(p, "demo", "run the whole system with stand-ins, drive work and print the result",
+		"Example: oleandervalve demo --scenario steady --seconds 10", &demoCommand{})
+}
+
+func add(p *flags.Parser, name, short, long string, command any) {
+	if _, err := p.AddCommand(name, short, long, command); err != nil {
+		panic(err)
+	}
+}
+
+// report prints an error and returns the exit code.
+func report(err error) int {
+	if err == nil {
+		return 0
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			fmt.Println(usage.Message)
+			return 0
+		}
+		fmt.Fprintln(os.Stderr, usage.Message)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "oleandervalve: "+err.Error())
+	return exitError
+}
+
+type demoCommand struct {
+	Scenario string `long:"scenario" default:"steady" choice:"steady" description:"what happens during the run"`
+	Policy   string `long:"policy" default:"fair" choice:"fair" description:"the policy in force"`
+	Seed     uint64 `long:"seed" default:"1" description:"seed of all random choices of the load"`
+	Seconds  int    `long:"seconds" default:"10" description:"how long work is driven"`
+	JSON     bool   `long:"json" description:"print the report as JSON"`
+	Verbose  bool   `long:"verbose" description:"print the processes' logs"`
+}
+
+// Execute runs the demonstration.
+func (c *demoCommand) Execute([]string) error {
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	if !c.Verbose {
+		log.SetLevel(logrus.ErrorLevel)
+	}
+	o := demo.Options{Scenario: c.Scenario, Policy: c.Policy, Seed: c.Seed, Seconds: c.Seconds, Log: logrus.NewEntry(log)}
+	if !c.JSON {
+		o.Progress = os.Stderr
+	}
+	r, err := demo.Run(o)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		err = r.WriteJSON(os.Stdout)
+	} else {
+		err = r.WriteTable(os.Stdout)
+	}
+	if err == nil && r.Violations.Total() > 0 {
+		err = errors.Newf("%d violations: see the table", r.Violations.Total())
+	}
+	return err
+}
--- /dev/null
+++ b/io/agent/agent.go
@@ -0,0 +1,227 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"oleandervalve"
+	"oleandervalve/core/instance"
+	"oleandervalve/io/endpointhttp"
+	"oleandervalve/io/peer"
+)
+
+const tickEvery = 250 * time.Millisecond
+
+// Agent is one agent process.
+type Agent struct {
+	id       oleandervalve.AgentID
+	worker   oleandervalve.WorkerID
+	location oleandervalve.Location
+	clock    oleandervalve.Clock
+	log      *logrus.Entry
+	scope    tally.Scope
+	client   oleandervalve.EndpointClient
+	dialer   *http.Client
+
+	mu        sync.Mutex
+	ledger    *instance.Ledger
+	links     map[oleandervalve.EntryID]*link
+	addresses map[oleandervalve.EndpointID]string
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	stopped sync.WaitGroup
+}
+
+// Option changes an agent.
+type Option func(*Agent)
+
+// WithClock replaces the system clock.
+func WithClock(c oleandervalve.Clock) Option { return func(a *Agent) { a.clock = c } }
+
+// WithLog sets the log.
+func WithLog(l *logrus.Entry) Option { return func(a *Agent) { a.log = l } }
+
+// WithScope sets the metrics scope.
+func WithScope(s tally.Scope) Option { return func(a *Agent) { a.scope = s } }
+
+// WithLocation sets where the agent's instance stands.
+func WithLocation(l oleandervalve.Location) Option { return func(a *Agent) { a.location = l } }
+
+// WithWorker names the worker that the agent looks after.
+func WithWorker(w oleandervalve.WorkerID) Option { return func(a *Agent) { a.worker = w } }
+
+// WithEndpointClient replaces the HTTP client that reaches endpoints.
+func WithEndpointClient(c oleandervalve.EndpointClient) Option {
+	return func(a *Agent) { a.client = c }
+}
+
+// New returns a running agent that connects to the given entry URLs; Close ends it.
+func New(id oleandervalve.AgentID, entries []string, options ...Option) *Agent {
+	a := &Agent{
+		id:        id,
+		clock:     oleandervalve.SystemClock(),
+		log:       logrus.NewEntry(logrus.StandardLogger()),
+		scope:     tally.NoopScope,
+		client:    endpointhttp.NewClient(0),
+		dialer:    &http.Client{},
+		ledger:    instance.NewLedger(),
+		links:     map[oleandervalve.EntryID]*link{},
+		addresses: map[oleandervalve.EndpointID]string{},
+	}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	for _, o := range options {
+		o(a)
+	}
+	for _, url := range entries {
+		a.stopped.Add(1)
+		go a.connect(url)
+	}
+	a.stopped.Add(1)
+	go a.run()
+	return a
+}
+
+func (a *Agent) run() {
+	defer a.stopped.Done()
+	sequence := uint64(0)
+	var beat time.Time
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-a.clock.After(tickEvery):
+		}
+		a.mu.Lock()
+		now := a.clock.Now()
+		before := a.ledger.Endpoints()
+		a.ledger.Tick(now)
+		a.publishChange(before)
+		a.grant(now)
+		if now.Sub(beat) >= heartbeatEvery {
+			beat = now
+			sequence++
+			for _, l := range a.links {
+				l.conn.TrySend(&peer.Heartbeat{Sequence: sequence, SentAt: now})
+			}
+		}
+		a.mu.Unlock()
+	}
+}
+
+// grant sends the credits that the ledger gives out; the caller holds the lock.
+func (a *Agent) grant(now time.Time) {
+	for _, g := range a.ledger.Grants(now) {
+		l := a.links[g.Entry]
+		if l == nil || l.epoch != g.Epoch {
+			continue
+		}
+		l.conn.TrySend(&peer.Credit{Endpoint: g.Endpoint, Class: g.Class, Count: g.Count, ValidFor: g.ValidFor})
+	}
+}
+
+// Announce records an endpoint's announcement.
+func (a *Agent) Announce(n oleandervalve.Announcement) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.ledger.Endpoints()
+	now := a.clock.Now()
+	if err := a.ledger.Announce(now, n); err != nil {
+		return err
+	}
+	a.addresses[n.Endpoint] = n.Address
+	if a.publishChange(before) {
+		a.grant(now)
+	}
+	return nil
+}
+
+// Leave marks an endpoint as leaving.
+func (a *Agent) Leave(id oleandervalve.EndpointID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.ledger.Endpoints()
+	a.ledger.Leave(a.clock.Now(), id)
+	a.publishChange(before)
+}
+
+// publishChange sends the endpoint list to the entries if it differs from
+// before; the caller holds the lock.
+func (a *Agent) publishChange(before []instance.Endpoint) bool {
+	after := a.ledger.Endpoints()
+	if sameEndpoints(before, after) {
+		return false
+	}
+	m := endpointsMessage(after)
+	for _, l := range a.links {
+		l.conn.TrySend(m)
+	}
+	return true
+}
+
+func sameEndpoints(x, y []instance.Endpoint) bool {
+	if len(x) != len(y) {
+		return false
+	}
+	for i := range x {
+		if x[i].Endpoint != y[i].Endpoint || x[i].Leaving != y[i].Leaving || x[i].Slots != y[i].Slots || x[i].Service != y[i].Service {
+			return false
+		}
+	}
+	return true
+}
+
+func endpointsMessage(list []instance.Endpoint) *peer.Endpoints {
+	m := &peer.Endpoints{Full: true}
+	for _, x := range list {
+		s := peer.EndpointStatus{Endpoint: x.Endpoint, Service: x.Service, Slots: x.Slots, State: peer.EndpointReady, Labels: x.Labels}
+		if x.Leaving {
+			s.State = peer.EndpointLeaving
+		}
+		m.Endpoints = append(m.Endpoints, s)
+	}
+	return m
+}
+
+// AnnounceHandler serves the announcement API of endpoints.
+func (a *Agent) AnnounceHandler() http.Handler { return endpointhttp.Handler(a) }
+
+// Drain stops new work and waits until the requests in flight end or the time is over.
+func (a *Agent) Drain(within time.Duration) bool {
+	a.mu.Lock()
+	before := a.ledger.Endpoints()
+	now := a.clock.Now()
+	a.ledger.Drain()
+	for _, x := range before {
+		a.ledger.Leave(now, x.Endpoint)
+	}
+	a.publishChange(before)
+	a.mu.Unlock()
+	end := now.Add(within)
+	for a.clock.Now().Before(end) {
+		a.mu.Lock()
+		idle := a.ledger.Idle()
+		a.mu.Unlock()
+		if idle {
+			return true
+		}
+		a.clock.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+// Close ends the agent and its connections.
+func (a *Agent) Close() {
+	a.cancel()
+	a.mu.Lock()
+	for _, l := range a.links {
+		l.conn.Close()
+	}
+	a.mu.Unlock()
+	a.stopped.Wait()
+}
--- /dev/null
+++ b/io/agent/link.go
@@ -0,0 +1,183 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"oleandervalve"
+	"oleandervalve/core/instance"
+	"oleandervalve/io/peer"
+)
+
+const (
+	heartbeatEvery = time.Second
+	firstRedial    = 100 * time.Millisecond
+	lastRedial     = 5 * time.Second
+)
+
+// link is the connection to one entry.
+type link struct {
+	entry oleandervalve.EntryID
+	epoch oleandervalve.ConnectionEpoch
+	conn  *peer.Conn
+
+	mu     sync.Mutex
+	served map[oleandervalve.RequestID]*served
+}
+
+// connect keeps a connection to one entry until the agent closes.
+func (a *Agent) connect(url string) {
+	defer a.stopped.Done()
+	delay := backoff.NewExponentialBackOff()
+	delay.InitialInterval, delay.MaxInterval = firstRedial, lastRedial
+	for a.ctx.Err() == nil {
+		if a.serveEntry(url) {
+			delay.Reset()
+		}
+		select {
+		case <-a.ctx.Done():
+		case <-a.clock.After(delay.NextBackOff()):
+		}
+	}
+}
+
+// serveEntry runs one connection and reports whether it was established.
+func (a *Agent) serveEntry(url string) bool {
+	epoch := oleandervalve.ConnectionEpoch(rand.Uint64())
+	conn, welcome, err := peer.Dial(a.ctx, url, a.dialer, peer.Hello{
+		Agent: a.id, Worker: a.worker, Location: a.location, Epoch: epoch,
+	})
+	if err != nil {
+		if a.ctx.Err() == nil {
+			a.log.WithError(err).WithField("url", url).Warn("entry could not be reached; retrying with backoff")
+		}
+		return false
+	}
+	l := &link{entry: welcome.Entry, epoch: epoch, conn: conn, served: map[oleandervalve.RequestID]*served{}}
+	a.mu.Lock()
+	if old := a.links[l.entry]; old != nil {
+		old.conn.Close()
+	}
+	a.links[l.entry] = l
+	now := a.clock.Now()
+	a.ledger.Connect(now, l.entry, epoch)
+	_ = conn.Send(endpointsMessage(a.ledger.Endpoints()))
+	a.grant(now)
+	a.mu.Unlock()
+	a.log.WithField("entry", l.entry).WithField("connectionEpoch", epoch).Info("connected to entry")
+	err = a.readLink(l)
+	conn.Close()
+	a.mu.Lock()
+	if a.links[l.entry] == l {
+		delete(a.links, l.entry)
+	}
+	a.ledger.Disconnect(l.entry, epoch)
+	a.grant(a.clock.Now())
+	a.mu.Unlock()
+	l.abortAll()
+	a.log.WithError(err).WithField("entry", l.entry).Info("disconnected from entry")
+	return true
+}
+
+func (a *Agent) readLink(l *link) error {
+	for {
+		m, err := l.conn.Receive(a.ctx)
+		if err != nil {
+			return err
+		}
+		a.handle(l, m)
+	}
+}
+
+func (a *Agent) handle(l *link, m peer.Message) {
+	switch m := m.(type) {
+	case *peer.Request:
+		a.admit(l, m)
+	case *peer.Demand:
+		a.demand(l, m)
+	case *peer.CreditReturn:
+		a.mu.Lock()
+		a.ledger.Return(l.entry, m.Endpoint, m.Count)
+		a.grant(a.clock.Now())
+		a.mu.Unlock()
+	case *peer.Cancel:
+		l.cancel(m.ID)
+	case *peer.Body:
+		if s := l.find(m.ID); s != nil && s.body != nil {
+			s.body.Push(m.Data)
+		}
+	case *peer.End:
+		if s := l.find(m.ID); s != nil && s.body != nil {
+			s.body.Finish(m.Length, m.Failed)
+		}
+	case *peer.Window:
+		if s := l.find(m.ID); s != nil {
+			s.download.Grant(m.Bytes)
+		}
+	}
+}
+
+func (a *Agent) demand(l *link, m *peer.Demand) {
+	d := make([]instance.ClassDemand, 0, len(m.Classes))
+	for _, c := range m.Classes {
+		d = append(d, instance.ClassDemand(c))
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	a.ledger.Demand(now, l.entry, l.epoch, d)
+	a.grant(now)
+}
+
+func (l *link) find(id oleandervalve.RequestID) *served {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.served[id]
+}
+
+func (l *link) add(id oleandervalve.RequestID, s *served) {
+	l.mu.Lock()
+	l.served[id] = s
+	l.mu.Unlock()
+}
+
+func (l *link) remove(id oleandervalve.RequestID) {
+	l.mu.Lock()
+	delete(l.served, id)
+	l.mu.Unlock()
+}
+
+// cancel withdraws a request and tells the entry whether it may have run.
+func (l *link) cancel(id oleandervalve.RequestID) {
+	s := l.find(id)
+	if s == nil {
+		return
+	}
+	withdrawn := s.withdraw()
+	if !withdrawn {
+		s.cancel()
+	}
+	_ = l.conn.Send(&peer.Cancelled{ID: id, Ran: !withdrawn})
+}
+
+// abortAll stops the transfers of a lost connection; requests that run go on to their end.
+func (l *link) abortAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.served {
+		s.download.Abort(peer.ErrClosed)
+		if s.body != nil {
+			s.body.Fail(peer.ErrBodyCut)
+		}
+		s.withdraw()
+	}
+}
+
+// requestContext bounds a request by its remaining time.
+func (a *Agent) requestContext(remaining time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), remaining)
+}
--- /dev/null
+++ b/io/demo/deployment.go
@@ -0,0 +1,72 @@
+package demo
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"oleandervalve"
+)
+
+// traffic is one kind of request of a deployment.
+type traffic struct {
+	class  oleandervalve.ClassName
+	method string
+	path   string
+	// rate is the steady rate in requests a second.
+	rate float64
+	// keyed requests carry an idempotency key and are retried with it.
+	keyed   bool
+	teams   int
+	timeout time.Duration
+}
+
+// deployment is one of the fleets that run today.
+type deployment struct {
+	name        string
+	service     oleandervalve.ServiceName
+	dataCentres []oleandervalve.DataCentreID
+	executors   int
+	slots       int
+	connections int
+	worker      oleandervalve.Resources
+	serviceTime time.Duration
+	traffic     []traffic
+}
+
+const gib = oleandervalve.Bytes(1) << 30
+
+func deployments() []deployment {
+	return []deployment{
+		{
+			name: "kardos", service: "formaro",
+			dataCentres: []oleandervalve.DataCentreID{"kardos-1", "kardos-2", "kardos-3"},
+			executors:   11, slots: 8, connections: 64,
+			worker: oleandervalve.Resources{CPU: 64_000, Memory: 250 * gib}, serviceTime: 20 * time.Millisecond,
+			traffic: []traffic{
+				{class: "pressing", method: http.MethodPost, path: "/instructions", rate: 120, teams: 3, timeout: 2 * time.Second},
+				{class: "cutting", method: http.MethodGet, path: "/patterns", rate: 60, teams: 2, timeout: 2 * time.Second},
+				{class: "dispatch", method: http.MethodGet, path: "/exports", rate: 20, teams: 1, timeout: 4 * time.Second},
+			},
+		},
+		{
+			name: "riviere", service: "tapbook",
+			dataCentres: []oleandervalve.DataCentreID{"riviere-1", "riviere-2", "riviere-3", "riviere-4"},
+			executors:   11, slots: 8, connections: 64,
+			worker: oleandervalve.Resources{CPU: 16_000, Memory: 60 * gib}, serviceTime: 20 * time.Millisecond,
+			traffic: []traffic{
+				{class: "booking", method: http.MethodPost, path: "/bookings", rate: 100, keyed: true, teams: 6, timeout: 3 * time.Second},
+				{class: "hotel", method: http.MethodPost, path: "/bookings", rate: 30, keyed: true, teams: 4, timeout: 3 * time.Second},
+				{class: "routes", method: http.MethodGet, path: "/routes", rate: 30, teams: 2, timeout: 5 * time.Second},
+			},
+		},
+	}
+}
+
+func (d deployment) location(i int) oleandervalve.Location {
+	dc := d.dataCentres[i%len(d.dataCentres)]
+	return oleandervalve.Location{
+		Region: oleandervalve.RegionID(d.name), DataCentre: dc,
+		Rack: oleandervalve.RackID(fmt.Sprintf("%s-rack-%d", d.name, i/3)),
+	}
+}
--- /dev/null
+++ b/io/demo/load.go
@@ -0,0 +1,143 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"oleandervalve"
+	"oleandervalve/io/callerhttp"
+	"oleandervalve/io/standin"
+)
+
+// request is one unit of work and what its caller heard.
+type request struct {
+	id         string
+	idempotent bool
+	outcome    oleandervalve.Outcome
+	wrong      bool
+	cut        bool
+}
+
+// classResult sums up one kind of traffic.
+type classResult struct {
+	Service  oleandervalve.ServiceName `json:"service"`
+	Class    oleandervalve.ClassName   `json:"class"`
+	Sent     int                       `json:"sent"`
+	Answered int                       `json:"answered"`
+	NotRun   int                       `json:"notRun"`
+	Unknown  int                       `json:"unknown"`
+	P50      float64                   `json:"p50Ms"`
+	P99      float64                   `json:"p99Ms"`
+	P999     float64                   `json:"p999Ms"`
+
+	histogram *hdrhistogram.Histogram
+}
+
+// load drives open-loop traffic against the entries.
+type load struct {
+	client  *http.Client
+	entries []string
+	next    atomic.Uint64
+
+	mu       sync.Mutex
+	requests []*request
+	results  map[string]*classResult
+	order    []string
+	pending  sync.WaitGroup
+}
+
+func newLoad(entries []string) *load {
+	return &load{
+		entries: entries, results: map[string]*classResult{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, MaxIdleConns: 4096}},
+	}
+}
+
+// run sends one kind of traffic until the context ends.
+func (l *load) run(ctx context.Context, d deployment, t traffic, rate float64, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 3))
+	key := string(d.service) + "/" + string(t.class)
+	l.mu.Lock()
+	result := l.results[key]
+	if result == nil {
+		result = &classResult{Service: d.service, Class: t.class, histogram: hdrhistogram.New(1, 600_000_000, 3)}
+		l.results[key] = result
+		l.order = append(l.order, key)
+	}
+	l.mu.Unlock()
+	due := time.Now()
+	for i := 0; ; i++ {
+		due = due.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(due)):
+		}
+		q := &request{id: fmt.Sprintf("%s-%d-%d", key, seed, i), idempotent: t.method == http.MethodGet}
+		team := random.IntN(t.teams)
+		l.pending.Add(1)
+		go func() {
+			defer l.pending.Done()
+			l.send(d, t, q, result, team)
+		}()
+	}
+}
+
+func (l *load) send(d deployment, t traffic, q *request, result *classResult, team int) {
+	started := time.Now()
+	q.outcome = l.call(d, t, q, team)
+	took := time.Since(started)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests = append(l.requests, q)
+	result.Sent++
+	switch q.outcome {
+	case oleandervalve.OutcomeAnswered:
+		result.Answered++
+		_ = result.histogram.RecordValue(took.Microseconds())
+	case oleandervalve.OutcomeNotRun:
+		result.NotRun++
+	default:
+		result.Unknown++
+	}
+}
+
+func (l *load) call(d deployment, t traffic, q *request, team int) oleandervalve.Outcome {
+	url := l.entries[l.next.Add(1)%uint64(len(l.entries))] + "/call/" + string(d.service) + t.path
+	ctx, cancel := context.WithTimeout(context.Background(), t.timeout+5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, t.method, url, nil)
+	if err != nil {
+		return oleandervalve.OutcomeUnknown
+	}
+	r.Header.Set(callerhttp.HeaderClass, string(t.class))
+	r.Header.Set(callerhttp.HeaderTeam, fmt.Sprintf("%s-%s-%d", d.name, t.class, team))
+	r.Header.Set(callerhttp.HeaderTimeout, fmt.Sprint(t.timeout.Milliseconds()))
+	r.Header.Set(standin.HeaderTestID, q.id)
+	p, err := l.client.Do(r)
+	if err != nil {
+		return oleandervalve.OutcomeUnknown
+	}
+	defer p.Body.Close()
+	body, err := io.ReadAll(p.Body)
+	outcome := oleandervalve.Outcome(p.Header.Get(callerhttp.HeaderOutcome))
+	switch {
+	case err != nil:
+		q.cut = true
+		return oleandervalve.OutcomeUnknown
+	case outcome == oleandervalve.OutcomeAnswered:
+		q.wrong = !strings.HasPrefix(string(body), standin.Answer(q.id)+" ")
+	case outcome != oleandervalve.OutcomeNotRun:
+		return oleandervalve.OutcomeUnknown
+	}
+	return outcome
+}
--- /dev/null
+++ b/io/demo/system.go
@@ -0,0 +1,173 @@
+package demo
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"oleandervalve"
+	"oleandervalve/io/agent"
+	"oleandervalve/io/callerhttp"
+	"oleandervalve/io/entry"
+	"oleandervalve/io/peer"
+	"oleandervalve/io/standin"
+)
+
+// System is the whole system with its stand-ins.
+type System struct {
+	Table     *standin.Table
+	Objects   *standin.Objects
+	Platform  *standin.Platform
+	Books     *standin.Books
+	Endpoints []*standin.Endpoint
+	entries   []*runningEntry
+	agents    []*runningAgent
+	servers   []*standin.Server
+	log       *logrus.Entry
+	seed      uint64
+}
+
+type runningEntry struct {
+	entry  *entry.Entry
+	server *standin.Server
+}
+
+type runningAgent struct {
+	agent  *agent.Agent
+	server *standin.Server
+}
+
+// Start brings the system up with the given number of entries.
+func Start(entries int, seed uint64, log *logrus.Entry) (*System, error) {
+	clock := oleandervalve.SystemClock()
+	s := &System{
+		Table: standin.NewTable(clock, seed), Objects: standin.NewObjects(seed),
+		Books: standin.NewBooks(), log: log, seed: seed,
+	}
+	workers := map[oleandervalve.WorkerID]oleandervalve.Resources{}
+	for _, d := range deployments() {
+		for i := range d.executors {
+			workers[workerID(d, i)] = d.worker
+		}
+	}
+	s.Platform = standin.NewPlatform(clock, standin.PlatformConfig{
+		Workers: workers, UsageLag: 2 * time.Second, Load: s.Objects.Load, Seed: seed,
+	})
+	for _, h := range []http.Handler{s.Table.Handler(), s.Objects.Handler(), s.Platform.Handler()} {
+		server, err := standin.Serve("127.0.0.1:0", h)
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.servers = append(s.servers, server)
+	}
+	for i := range entries {
+		if err := s.addEntry(i); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	for _, d := range deployments() {
+		for i := range d.executors {
+			if err := s.addExecutor(d, i); err != nil {
+				s.Close()
+				return nil, err
+			}
+		}
+	}
+	return s, s.waitReady(10 * time.Second)
+}
+
+func workerID(d deployment, i int) oleandervalve.WorkerID {
+	return oleandervalve.WorkerID(fmt.Sprintf("%s-worker-%d", d.name, i))
+}
+
+func (s *System) addEntry(i int) error {
+	id := oleandervalve.EntryID(fmt.Sprintf("entry-%d", i))
+	e := entry.New(id, entry.WithLog(s.log.WithField("entry", id)))
+	m := http.NewServeMux()
+	m.Handle(peer.Path, e.PeerHandler())
+	m.Handle("/call/", callerhttp.Handler(e, callerhttp.TrustedHeaders{}))
+	server, err := standin.Serve("127.0.0.1:0", m)
+	if err != nil {
+		e.Close()
+		return err
+	}
+	s.entries = append(s.entries, &runningEntry{entry: e, server: server})
+	return nil
+}
+
+func (s *System) addExecutor(d deployment, i int) error {
+	var urls []string
+	for _, e := range s.entries {
+		urls = append(urls, e.server.URL+peer.Path)
+	}
+	id := oleandervalve.AgentID(fmt.Sprintf("%s-agent-%d", d.name, i))
+	a := agent.New(id, urls, agent.WithLog(s.log.WithField("agent", id)),
+		agent.WithLocation(d.location(i)), agent.WithWorker(workerID(d, i)))
+	server, err := standin.Serve("127.0.0.1:0", a.AnnounceHandler())
+	if err != nil {
+		a.Close()
+		return err
+	}
+	s.agents = append(s.agents, &runningAgent{agent: a, server: server})
+	x, err := standin.StartEndpoint(standin.EndpointConfig{
+		Announcement: oleandervalve.Announcement{
+			Endpoint: oleandervalve.EndpointID(fmt.Sprintf("%s-executor-%d", d.name, i)),
+			Service:  d.service, Slots: d.slots, Connections: d.connections,
+		},
+		Agent: server.URL, Service: d.serviceTime, Sigma: 0.3, Seed: s.seed + uint64(i), Books: s.Books,
+	})
+	if err != nil {
+		return err
+	}
+	s.Endpoints = append(s.Endpoints, x)
+	return nil
+}
+
+// waitReady waits until every entry can reach an endpoint of every service.
+func (s *System) waitReady(within time.Duration) error {
+	end := time.Now().Add(within)
+	for time.Now().Before(end) {
+		ready := true
+		for _, e := range s.entries {
+			for _, d := range deployments() {
+				ready = ready && e.entry.Slots(d.service) == d.executors*d.slots
+			}
+		}
+		if ready {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return &oleandervalve.UnavailableError{Service: "demonstration system", Remedy: "run with --verbose and look for errors in the log"}
+}
+
+// EntryURLs returns the base URLs of the entries.
+func (s *System) EntryURLs() []string {
+	var out []string
+	for _, e := range s.entries {
+		out = append(out, e.server.URL)
+	}
+	return out
+}
+
+// Close ends everything.
+func (s *System) Close() {
+	for _, x := range s.Endpoints {
+		x.Close()
+	}
+	for _, a := range s.agents {
+		a.agent.Close()
+		a.server.Close()
+	}
+	for _, e := range s.entries {
+		e.server.Close()
+		e.entry.Close()
+	}
+	for _, x := range s.servers {
+		x.Close()
+	}
+}
--- /dev/null
+++ b/io/entry/link.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"oleandervalve"
+	"oleandervalve/core/endpoint"
+	"oleandervalve/io/peer"
+)
+
+// link is the connection of one agent.
+type link struct {
+	agent oleandervalve.AgentID
+	epoch oleandervalve.ConnectionEpoch
+	conn  *peer.Conn
+
+	mu    sync.Mutex
+	calls map[oleandervalve.RequestID]*call
+}
+
+// call is one request that was sent over a link.
+type call struct {
+	// events holds the first message of the answer: *peer.Response,
+	// *peer.Refused, *peer.Failed, or nil after the connection was lost.
+	events    chan peer.Message
+	cancelled chan *peer.Cancelled
+	body      *peer.BodyReader
+	upload    *peer.BodyWriter
+}
+
+func (e *Entry) serveLink(conn *peer.Conn, h peer.Hello) {
+	l := &link{agent: h.Agent, epoch: h.Epoch, conn: conn, calls: map[oleandervalve.RequestID]*call{}}
+	log := e.log.WithField("agent", h.Agent).WithField("connectionEpoch", h.Epoch)
+	if err := conn.Send(&peer.Welcome{Version: peer.ProtocolVersion, Entry: e.id}); err != nil {
+		return
+	}
+	e.mu.Lock()
+	if old := e.links[h.Agent]; old != nil {
+		old.conn.Close()
+	}
+	e.links[h.Agent] = l
+	e.directory.Connect(e.clock.Now(), h.Agent, h.Epoch, h.Location)
+	e.mu.Unlock()
+	log.Info("agent connected")
+	err := e.readLink(l)
+	conn.Close()
+	e.mu.Lock()
+	e.directory.Disconnect(h.Agent, h.Epoch)
+	if e.links[h.Agent] == l {
+		delete(e.links, h.Agent)
+	}
+	e.mu.Unlock()
+	l.failCalls()
+	log.WithError(err).Info("agent disconnected")
+}
+
+func (e *Entry) readLink(l *link) error {
+	for {
+		m, err := l.conn.Receive(context.Background())
+		if err != nil {
+			return err
+		}
+		e.handle(l, m)
+	}
+}
+
+func (e *Entry) handle(l *link, m peer.Message) {
+	switch m := m.(type) {
+	case *peer.Heartbeat:
+		e.mu.Lock()
+		e.directory.Heartbeat(e.clock.Now(), l.agent, l.epoch)
+		e.mu.Unlock()
+		l.conn.TrySend(&peer.HeartbeatAck{Sequence: m.Sequence, RenewedFrom: m.SentAt})
+	case *peer.Endpoints:
+		e.updateEndpoints(l, m)
+	case *peer.Credit:
+		e.credit(l, m)
+	case *peer.Response:
+		l.deliver(m.ID, m)
+	case *peer.Refused:
+		l.deliver(m.ID, m)
+	case *peer.Failed:
+		l.deliver(m.ID, m)
+	case *peer.Cancelled:
+		if c := l.call(m.ID); c != nil {
+			select {
+			case c.cancelled <- m:
+			default:
+			}
+		}
+	case *peer.Body:
+		if c := l.call(m.ID); c != nil {
+			c.body.Push(m.Data)
+		}
+	case *peer.End:
+		if c := l.call(m.ID); c != nil {
+			c.body.Finish(m.Length, m.Failed)
+		}
+	case *peer.Window:
+		if c := l.call(m.ID); c != nil && c.upload != nil {
+			c.upload.Grant(m.Bytes)
+		}
+	}
+}
+
+func (e *Entry) updateEndpoints(l *link, m *peer.Endpoints) {
+	list := make([]endpoint.Status, 0, len(m.Endpoints))
+	for _, s := range m.Endpoints {
+		list = append(list, endpoint.Status{
+			Endpoint: s.Endpoint, Service: s.Service, Slots: s.Slots,
+			Leaving: s.State == peer.EndpointLeaving, Gone: s.State == peer.EndpointGone, Labels: s.Labels,
+		})
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.directory.Update(e.clock.Now(), l.agent, l.epoch, m.Full, list)
+	for _, s := range list {
+		e.queue(s.Service).SetCapacity(e.directory.Slots(s.Service))
+	}
+}
+
+func (e *Entry) credit(l *link, m *peer.Credit) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	e.directory.Credit(now, l.agent, l.epoch, m.Endpoint, m.Class, m.Count, m.ValidFor)
+	for s, q := range e.queues {
+		if q.Len() > 0 {
+			e.pump(now, s)
+		}
+	}
+}
+
+func (l *link) open(id oleandervalve.RequestID) *call {
+	c := &call{events: make(chan peer.Message, 1), cancelled: make(chan *peer.Cancelled, 1)}
+	c.body = peer.NewBodyReader(func(n int64) { l.conn.TrySend(&peer.Window{ID: id, Bytes: n}) })
+	l.mu.Lock()
+	l.calls[id] = c
+	l.mu.Unlock()
+	return c
+}
+
+func (l *link) call(id oleandervalve.RequestID) *call {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls[id]
+}
+
+func (l *link) close(id oleandervalve.RequestID) {
+	l.mu.Lock()
+	delete(l.calls, id)
+	l.mu.Unlock()
+}
+
+// deliver hands over the first message of an answer; a message for a request
+// that no longer waits is dropped.
+func (l *link) deliver(id oleandervalve.RequestID, m peer.Message) {
+	c := l.call(id)
+	if c == nil {
+		return
+	}
+	select {
+	case c.events <- m:
+	default:
+	}
+}
+
+// failCalls ends every call after the connection was lost.
+func (l *link) failCalls() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.calls {
+		select {
+		case c.events <- nil:
+		default:
+		}
+		c.body.Fail(peer.ErrBodyCut)
+		if c.upload != nil {
+			c.upload.Abort(peer.ErrClosed)
+		}
+	}
+}
+
+// cancelWait is how long an entry waits to hear whether a withdrawn request ran.
+const cancelWait = 500 * time.Millisecond
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -3,11 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/coder/websocket"
 )
 
--- /dev/null
+++ b/io/tablehttp/doc.go
@@ -0,0 +1,2 @@
+// Package tablehttp is the client of the platform's transactional table service.
+package tablehttp
