--- a/cmd/oleandervalve/commands.go
+++ b/cmd/oleandervalve/commands.go
@@ -19,6 +19,8 @@
 func addCommands(p *flags.Parser) {
 	add(p, "demo", "run the whole system with stand-ins, drive work and print the result",
 		"Example: oleandervalve demo --scenario steady --seconds 10", &demoCommand{})
+	add(p, "latency", "compare direct calls with calls through entry and agent in one run",
+		"Example: oleandervalve latency --callers 1 --callers 64 --callers 512", &latencyCommand{})
 }
 
 func add(p *flags.Parser, name, short, long string, command any) {
--- a/io/endpointhttp/client.go
+++ b/io/endpointhttp/client.go
@@ -23,6 +23,7 @@
 	// An idle connection is closed before a typical server would close it, so
 	// that a request rarely meets a connection that is being closed.
 	idleTimeout = 4 * time.Second
+	maxIdle     = 256
 )
 
 // Client sends requests to endpoints over HTTP/1.1.
@@ -30,13 +31,19 @@
 	transport *http.Transport
 }
 
-// NewClient returns a client that keeps at most the given number of connections per endpoint.
+// NewClient returns a client that opens at most the given number of connections
+// per endpoint; zero sets no limit, because the ledger limits requests anyway.
 func NewClient(connections int) *Client {
+	idle := connections
+	if idle == 0 {
+		// The transport's own default of 2 would dial anew for most requests under load.
+		idle = maxIdle
+	}
 	d := net.Dialer{Timeout: dialTimeout}
 	return &Client{transport: &http.Transport{
 		DialContext:         d.DialContext,
 		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
+		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		ForceAttemptHTTP2:   false,
