--- /dev/null
+++ b/core/job/record.go
@@ -0,0 +1,208 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleandervalve"
+)
+
+// State is the state of a task in the table.
+type State string
+
+const (
+	// StateQueued waits for a worker.
+	StateQueued State = "queued"
+	// StateAssigned is bound to a worker and epoch and may have been started.
+	StateAssigned State = "assigned"
+	// StateRunning has been reported running by its worker.
+	StateRunning State = "running"
+	// StateCheckpointing is being evicted from its worker.
+	StateCheckpointing State = "checkpointing"
+	// StateEvicted has been stopped and waits to resume.
+	StateEvicted State = "evicted"
+	// StateFailed has failed and waits for its next attempt.
+	StateFailed State = "failed"
+	// StateParked is not attempted again until an operator releases it.
+	StateParked State = "parked"
+	// StateFinished has ended with success.
+	StateFinished State = "finished"
+	// StateCancelled has been cancelled and runs nowhere.
+	StateCancelled State = "cancelled"
+)
+
+// Placed reports whether a worker may be running a task in this state.
+func (s State) Placed() bool {
+	return s == StateAssigned || s == StateRunning || s == StateCheckpointing
+}
+
+// Waiting reports whether a task in this state can be assigned to a worker.
+func (s State) Waiting() bool {
+	return s == StateQueued || s == StateEvicted || s == StateFailed
+}
+
+// Terminal reports whether the state is final.
+func (s State) Terminal() bool { return s == StateFinished || s == StateCancelled }
+
+// Run identifies one assignment of a task to a worker.
+type Run struct {
+	Task  oleandervalve.TaskID `json:"task" cbor:"task"`
+	Epoch oleandervalve.Epoch  `json:"epoch" cbor:"epoch"`
+}
+
+// CheckpointName returns the object name of the checkpoint of a run.
+func (r Run) CheckpointName() string { return fmt.Sprintf("checkpoints/%s/%d", r.Task, r.Epoch) }
+
+// Incarnation identifies one life of an agent process; a restarted agent has another.
+type Incarnation uint64
+
+// Record is the value of a task's row. The id of the last mutation is that of the row.
+type Record struct {
+	Job oleandervalve.JobID `json:"job"`
+	// Spec is as submitted; its epoch and checkpoint are filled in at a start.
+	Spec     oleandervalve.TaskSpec `json:"spec"`
+	Priority int                    `json:"priority,omitempty"`
+	// SubmittedAt is the submitting entry's time.
+	SubmittedAt time.Time              `json:"submittedAt"`
+	State       State                  `json:"state"`
+	Epoch       oleandervalve.Epoch    `json:"epoch"`
+	Worker      oleandervalve.WorkerID `json:"worker,omitempty"`
+	// Incarnation and Reservation name the agent's grant under which the epoch may start.
+	Incarnation Incarnation              `json:"incarnation,omitempty"`
+	Reservation oleandervalve.MutationID `json:"reservation,omitempty"`
+	// Checkpoint names the object that the next run resumes from.
+	Checkpoint string `json:"checkpoint,omitempty"`
+	// Attempts counts the failures since submission or release.
+	Attempts  int `json:"attempts,omitempty"`
+	Evictions int `json:"evictions,omitempty"`
+	// NotBefore is the earliest time of the next attempt.
+	NotBefore time.Time            `json:"notBefore,omitzero"`
+	Reason    oleandervalve.Reason `json:"reason,omitempty"`
+	// MayHaveRun is false only if no run of the task has ever started.
+	MayHaveRun bool `json:"mayHaveRun,omitempty"`
+}
+
+// Task returns the id of the task.
+func (r Record) Task() oleandervalve.TaskID { return r.Spec.Task }
+
+// Run returns the newest run of the task.
+func (r Record) Run() Run { return Run{Task: r.Spec.Task, Epoch: r.Epoch} }
+
+// StartSpec returns the specification for starting the current epoch.
+func (r Record) StartSpec() oleandervalve.TaskSpec {
+	s := r.Spec
+	s.Epoch, s.Checkpoint = r.Epoch, r.Checkpoint
+	return s
+}
+
+// Group is the value of a job's row; its cancellation is the one mark for all tasks.
+type Group struct {
+	Job       oleandervalve.JobID   `json:"job"`
+	Team      oleandervalve.TeamID  `json:"team"`
+	Tasks     int                   `json:"tasks"`
+	Cancelled bool                  `json:"cancelled,omitempty"`
+	Reason    oleandervalve.Reason  `json:"reason,omitempty"`
+	By        oleandervalve.EntryID `json:"by,omitempty"`
+}
+
+// Stored is a task's record as read from or written to its row.
+type Stored struct {
+	Record
+	Version    oleandervalve.Version
+	MutationID oleandervalve.MutationID
+}
+
+// StoredGroup is a job's row as read or written.
+type StoredGroup struct {
+	Group
+	Version    oleandervalve.Version
+	MutationID oleandervalve.MutationID
+}
+
+// Shards is the number of task shards.
+const Shards = 16
+
+// ShardOf returns the shard of a job; all tasks of a job share it, so that the
+// job's cancellation mark and its tasks have one owner.
+func ShardOf(j oleandervalve.JobID) oleandervalve.ShardID {
+	return oleandervalve.ShardID(xxhash.Sum64String(string(j)) % Shards)
+}
+
+// TaskPrefix returns the key prefix of the tasks of a shard.
+func TaskPrefix(s oleandervalve.ShardID) oleandervalve.Key {
+	return oleandervalve.Key(fmt.Sprintf("tasks/%02d/", s))
+}
+
+// TaskKey returns the row key of a task.
+func TaskKey(j oleandervalve.JobID, t oleandervalve.TaskID) oleandervalve.Key {
+	return TaskPrefix(ShardOf(j)) + oleandervalve.Key(t)
+}
+
+// GroupKey returns the row key of a job.
+func GroupKey(j oleandervalve.JobID) oleandervalve.Key { return "jobs/" + oleandervalve.Key(j) }
+
+// Parent returns the job part of a task id of the form "<job>/<index>".
+func Parent(t oleandervalve.TaskID) oleandervalve.JobID {
+	s := string(t)
+	if i := strings.LastIndexByte(s, '/'); i >= 0 {
+		s = s[:i]
+	}
+	return oleandervalve.JobID(s)
+}
+
+// ParseTask decodes a task's row.
+func ParseTask(row oleandervalve.Row) (Stored, error) {
+	s := Stored{Version: row.Version, MutationID: row.MutationID}
+	if err := json.Unmarshal(row.Value, &s.Record); err != nil {
+		return Stored{}, &oleandervalve.InvalidError{
+			Field: "row " + string(row.Key), Value: string(row.Value),
+			Remedy: "restore the row from an object written by this version: " + err.Error(),
+		}
+	}
+	return s, nil
+}
+
+// ParseGroup decodes a job's row.
+func ParseGroup(row oleandervalve.Row) (StoredGroup, error) {
+	g := StoredGroup{Version: row.Version, MutationID: row.MutationID}
+	if err := json.Unmarshal(row.Value, &g.Group); err != nil {
+		return StoredGroup{}, &oleandervalve.InvalidError{
+			Field: "row " + string(row.Key), Value: string(row.Value),
+			Remedy: "restore the row from an object written by this version: " + err.Error(),
+		}
+	}
+	return g, nil
+}
+
+// encode marshals a value made only of types that can't fail to marshal.
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// View is the state of a task as its job's cancellation mark leaves it.
+type View struct {
+	State State `json:"state"`
+	// NotRun is true if the task is cancelled and provably never started.
+	NotRun bool                 `json:"notRun,omitempty"`
+	Reason oleandervalve.Reason `json:"reason,omitempty"`
+}
+
+// ViewOf combines a task's record with its job's row. The job's row must have
+// been read before the task's: no task is assigned once the mark is committed,
+// so a task that is seen waiting after the mark never starts again.
+func ViewOf(r Record, g Group) View {
+	v := View{State: r.State, Reason: r.Reason}
+	if g.Cancelled && (r.State.Waiting() || r.State == StateParked) {
+		v.State, v.Reason = StateCancelled, g.Reason
+	}
+	v.NotRun = v.State == StateCancelled && !r.MayHaveRun
+	return v
+}
