--- /dev/null
+++ b/core/scheduler/react.go
@@ -0,0 +1,208 @@
+package scheduler
+
+import (
+	"time"
+
+	"oleandervalve"
+	"oleandervalve/core/interference"
+	"oleandervalve/core/size"
+	"oleandervalve/core/worker"
+)
+
+// saturatedAt is the used share of the processors above which the use of a
+// task says little about its demand.
+const saturatedAt = 0.95
+
+// Sample learns from one lagging measurement; what follows comes with the next Step.
+func (s *Scheduler) Sample(u oleandervalve.UsageSample, now time.Time) {
+	r := s.fleet.Resident(u.Task)
+	if r == nil || r.Epoch != u.Epoch || !u.At.After(r.SampledAt) {
+		return
+	}
+	w := r.Worker
+	if !r.SampledAt.IsZero() {
+		// Half of the newest slope follows a steady growth within a few samples
+		// and does not mistake one allocation for a leak.
+		slope := float64(u.Used.Memory-r.Used.Memory) / u.At.Sub(r.SampledAt).Seconds()
+		r.Growth += (float32(slope) - r.Growth) / 2
+	}
+	r.Used, r.SampledAt = u.Used, u.At
+	if !s.isNew[w] {
+		s.isNew[w] = true
+		s.sampled = append(s.sampled, w)
+	}
+	throttled := r.Share < 1 || u.At.Before(r.SharedAt)
+	s.sizes.Observe(r.Kind, u.Used, size.Context{Throttled: throttled, Saturated: saturated(w)})
+	if u.Slowdown <= 0 {
+		return
+	}
+	// The slowdown of a throttled task is our own doing.
+	if mix, level, ok := w.At(u.At); ok && !throttled {
+		s.model.Observe(s.model.Kind(r.Kind), mix, level, u.Slowdown)
+	}
+	if r.LatencyCritical {
+		w.Response.Observe(s.config.Response, r.ID, u.At, u.Slowdown)
+	}
+}
+
+func saturated(w *worker.Worker) bool {
+	var used oleandervalve.Millicores
+	for _, r := range w.Residents {
+		used += r.Used.CPU
+	}
+	return float64(used) >= saturatedAt*float64(w.Capacity.CPU)
+}
+
+// react handles all workers with new samples: sizes, memory, then slow services.
+func (s *Scheduler) react(now time.Time) {
+	for _, w := range s.sampled {
+		delete(s.isNew, w)
+		if w.State == worker.Gone {
+			continue
+		}
+		if !s.config.FirstFit {
+			s.resize(w)
+		}
+		if !s.config.Guard.Off && s.guard(w, now) {
+			continue
+		}
+		switch s.config.Reaction {
+		case Measured:
+			s.relieve(w, now)
+		case EvictLatest:
+			s.evictLatest(w, now)
+		}
+	}
+	s.sampled = s.sampled[:0]
+}
+
+// resize moves the reservations of running tasks to the learned sizes.
+func (s *Scheduler) resize(w *worker.Worker) {
+	for _, r := range w.Residents {
+		if r.SampledAt.IsZero() || r.Leaving {
+			continue
+		}
+		want := s.sizes.Estimate(r.Kind, r.Declared)
+		// A task that uses more than its kind does keeps what it uses.
+		want.Memory = max(want.Memory, r.Used.Memory)
+		if near(int64(want.CPU), int64(r.Size.CPU)) && near(int64(want.Memory), int64(r.Size.Memory)) {
+			continue
+		}
+		old := r.Size
+		if got := s.fleet.Resize(r.ID, want); got != old {
+			s.ledger.Charge(r.Team, got.Sub(old))
+			s.out = append(s.out, Decision{Action: Resize, Task: r.ID, Epoch: r.Epoch, Job: r.Job, Worker: w.ID, Size: got})
+		}
+	}
+}
+
+// near reports whether two sizes differ by less than a fifth, which is not
+// worth a message to the agent.
+func near(a, b int64) bool { return 5*max(a-b, b-a) < max(a, b) }
+
+// guard evicts a batch task before the worker runs out of memory. Unlike a
+// slow processor, memory can't be relieved by throttling.
+func (s *Scheduler) guard(w *worker.Worker, now time.Time) bool {
+	if w.GuardedAt.Add(s.config.Response.Lag).After(now) {
+		return false
+	}
+	var expected float64
+	for _, r := range w.Residents {
+		if r.Leaving {
+			continue
+		}
+		expected += s.expectedMemory(r, now)
+	}
+	excess := expected - s.config.Guard.Limit*float64(w.Capacity.Memory)
+	if excess <= 0 {
+		return false
+	}
+	var victim *worker.Resident
+	for _, r := range w.Residents {
+		if r.LatencyCritical || r.Leaving {
+			continue
+		}
+		if victim == nil || s.betterVictim(r, victim, excess, now) {
+			victim = r
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	w.GuardedAt = now
+	w.Response.Acted(now)
+	s.evict(victim, ReasonMemory, 0)
+	return true
+}
+
+func (s *Scheduler) expectedMemory(r *worker.Resident, now time.Time) float64 {
+	if r.SampledAt.IsZero() {
+		return float64(r.Size.Memory)
+	}
+	ahead := now.Sub(r.SampledAt) + s.config.Guard.Horizon
+	return float64(r.Used.Memory) + max(0, float64(r.Growth))*ahead.Seconds()
+}
+
+// betterVictim prefers a task whose memory suffices, then one with evictions
+// left in its budget, then the least unsaved work.
+func (s *Scheduler) betterVictim(a, b *worker.Resident, excess float64, now time.Time) bool {
+	ea, eb := s.expectedMemory(a, now), s.expectedMemory(b, now)
+	if (ea >= excess) != (eb >= excess) {
+		return ea >= excess
+	}
+	if ea < excess {
+		return ea > eb
+	}
+	budget := s.config.Response.EvictionBudget
+	if (a.Evictions < budget) != (b.Evictions < budget) {
+		return a.Evictions < budget
+	}
+	return a.Unsaved(now) < b.Unsaved(now)
+}
+
+func (s *Scheduler) relieve(w *worker.Worker, now time.Time) {
+	if w.Response.Waiting(s.config.Response, now) {
+		return
+	}
+	rs := make([]interference.Resident, 0, len(w.Residents))
+	for _, r := range w.Residents {
+		rs = append(rs, interference.Resident{
+			Task: r.ID, Kind: s.model.Kind(r.Kind), LatencyCritical: r.LatencyCritical, Share: float64(r.Share),
+			Unsaved: r.Unsaved(now), Evictions: r.Evictions, Leaving: r.Leaving || r.Probe || !r.Running,
+		})
+	}
+	a, ok := w.Response.Decide(s.config.Response, s.model, rs, w.Mix(), interference.LevelOf(w.Load()), now)
+	if !ok {
+		return
+	}
+	r := s.fleet.Resident(a.Task)
+	if a.Kind == interference.Evict {
+		s.evict(r, ReasonService, a.Slowdown)
+		return
+	}
+	why := ReasonService
+	if a.Share > float64(r.Share) {
+		why = ReasonRestore
+	}
+	s.fleet.SetShare(r.ID, a.Share, now)
+	s.out = append(s.out, Decision{
+		Action: Throttle, Task: r.ID, Epoch: r.Epoch, Job: r.Job, Worker: w.ID, Reason: why, Share: a.Share, Slowdown: a.Slowdown,
+	})
+}
+
+// evictLatest is the baseline: it evicts the newest batch task beside a slow
+// service, and waits for the lag before it does so again.
+func (s *Scheduler) evictLatest(w *worker.Worker, now time.Time) {
+	c := s.config.Response
+	if w.Response.Waiting(c, now) || w.Response.Slowdown() <= c.High {
+		return
+	}
+	for i := len(w.Residents) - 1; i >= 0; i-- {
+		if r := w.Residents[i]; !r.LatencyCritical && !r.Leaving {
+			slow := w.Response.Slowdown()
+			w.Response.Acted(now)
+			s.evict(r, ReasonService, slow)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/worker/place.go
@@ -0,0 +1,339 @@
+package worker
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"oleandervalve"
+	"oleandervalve/core/interference"
+)
+
+// Constraint names a reason for which a worker can't take a task.
+type Constraint string
+
+const (
+	// NotReady excludes workers that are suspect, draining or quarantined.
+	NotReady Constraint = "state"
+	// WhereSelector excludes workers whose labels are not selected.
+	WhereSelector Constraint = "where"
+	// TotalCapacity excludes workers that are too small even when empty.
+	TotalCapacity Constraint = "totalCapacity"
+	// BesideSelector excludes workers because of the tasks that they run.
+	BesideSelector Constraint = "beside"
+	// FreeCapacity excludes workers that have too little free now.
+	FreeCapacity Constraint = "freeCapacity"
+	// ServiceSlowdown excludes workers whose services would become too slow.
+	ServiceSlowdown Constraint = "serviceSlowdown"
+	// StartRate excludes workers that have reached their start-rate cap.
+	StartRate Constraint = "startRate"
+)
+
+// constraints is the order in which constraints are checked and reported.
+var constraints = []Constraint{NotReady, WhereSelector, TotalCapacity, BesideSelector, FreeCapacity, ServiceSlowdown, StartRate}
+
+// Choice is the worker chosen for a task.
+type Choice struct {
+	Worker *Worker
+	// Score is the weighted cost; lower is better.
+	Score float64
+	// Slowdown is the expected extra slowdown of the task itself.
+	Slowdown float64
+	// Scored is the number of workers compared.
+	Scored int
+}
+
+// Choose returns the best worker for a task of the size; false if none can take it now.
+func (f *Fleet) Choose(t Task, size oleandervalve.Resources, now time.Time) (Choice, bool) {
+	return f.choose(t, size, now, nil)
+}
+
+// ChooseOther is Choose without one worker, as when a task moves away from it.
+func (f *Fleet) ChooseOther(t Task, size oleandervalve.Resources, not *Worker, now time.Time) (Choice, bool) {
+	return f.choose(t, size, now, not)
+}
+
+func (f *Fleet) choose(t Task, size oleandervalve.Resources, now time.Time, not *Worker) (Choice, bool) {
+	set := f.index.candidates(t.Spec, size)
+	n := len(f.slots)
+	kind := f.model.Kind(t.Kind)
+	job := f.jobs[t.Job]
+	best := Choice{}
+	// Slots are visited in strides, so that the scored part of a large fleet
+	// covers all racks; the start depends on the task, so that load spreads.
+	stride := strideOf(n)
+	slot := 0
+	if n > 0 {
+		slot = int(hash(string(t.ID)) % uint32(n))
+	}
+	for i := 0; i < n && best.Scored < f.config.Candidates; i++ {
+		slot += stride
+		if slot >= n {
+			slot -= n
+		}
+		if !set.has(slot) {
+			continue
+		}
+		w := f.slots[slot]
+		if w == nil || w == not {
+			continue
+		}
+		if _, ok := f.check(w, t.Spec, kind, size, now); !ok {
+			continue
+		}
+		score, slow := f.score(w, &t, kind, size, job)
+		best.Scored++
+		if best.Worker == nil || score < best.Score || score == best.Score && w.ID < best.Worker.ID {
+			best.Worker, best.Score, best.Slowdown = w, score, slow
+		}
+	}
+	return best, best.Worker != nil
+}
+
+// strideOf returns a step near the golden ratio of n that reaches every slot.
+func strideOf(n int) int {
+	if n < 3 {
+		return 1
+	}
+	s := n * 618 / 1000
+	for s < n && gcd(s, n) != 1 {
+		s++
+	}
+	return s
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+func hash(s string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s))
+	return h.Sum32()
+}
+
+// FirstFit returns the first worker that has the size free and meets the
+// selectors, without regard to interference and spread. It is the baseline.
+func (f *Fleet) FirstFit(t Task, size oleandervalve.Resources, now time.Time) (Choice, bool) {
+	set := f.index.candidates(t.Spec, size)
+	for slot, w := range f.slots {
+		if w == nil || !set.has(slot) || !size.Fits(w.Free()) || !w.besideAllows(t.Spec) || !w.mayStart(f.config, now) {
+			continue
+		}
+		return Choice{Worker: w, Scored: 1}, true
+	}
+	return Choice{}, false
+}
+
+// Allows reports whether a worker that is not ready could take a task
+// otherwise, as a probe of a quarantined worker.
+func (f *Fleet) Allows(w *Worker, t Task, size oleandervalve.Resources) bool {
+	return (t.Where == nil || t.Where.Matches(w.Labels)) && size.Fits(w.Free()) && w.besideAllows(t.Spec)
+}
+
+// Constraints returns all constraints in the order in which they are checked.
+func Constraints() []Constraint { return slices.Clone(constraints) }
+
+// Check returns the first constraint that excludes a worker for a task; true if there is none.
+func (f *Fleet) Check(w *Worker, t Task, size oleandervalve.Resources, now time.Time) (Constraint, bool) {
+	return f.check(w, t.Spec, f.model.Kind(t.Kind), size, now)
+}
+
+// check returns the first constraint that excludes a worker.
+func (f *Fleet) check(w *Worker, s *Spec, kind interference.Kind, size oleandervalve.Resources, now time.Time) (Constraint, bool) {
+	switch {
+	case w.State != Ready:
+		return NotReady, false
+	case s.Where != nil && !f.index.where(s).has(w.slot):
+		return WhereSelector, false
+	case !size.Fits(w.Capacity):
+		return TotalCapacity, false
+	case !w.besideAllows(s):
+		return BesideSelector, false
+	case !size.Fits(w.Free()):
+		return FreeCapacity, false
+	case !s.LatencyCritical && !f.servicesAllow(w, kind, size):
+		return ServiceSlowdown, false
+	case !w.mayStart(f.config, now):
+		return StartRate, false
+	}
+	return "", true
+}
+
+// besideAllows checks the selectors of the newcomer against the residents and the reverse.
+func (w *Worker) besideAllows(s *Spec) bool {
+	if s.Beside == nil && s.NotBeside == nil && w.selective == 0 {
+		return true
+	}
+	for _, r := range w.Residents {
+		if !agrees(s, r.Spec) || !agrees(r.Spec, s) {
+			return false
+		}
+	}
+	return true
+}
+
+func agrees(s, other *Spec) bool {
+	if s.Beside != nil && !s.Beside.Matches(other.Labels) {
+		return false
+	}
+	return s.NotBeside == nil || !s.NotBeside.Matches(other.Labels)
+}
+
+func levelWith(w *Worker, size oleandervalve.Resources) interference.Level {
+	if w.Capacity.CPU <= 0 {
+		return interference.LevelOf(1)
+	}
+	return interference.LevelOf(float64(w.Reserved.CPU+size.CPU) / float64(w.Capacity.CPU))
+}
+
+// servicesAllow reports whether every service on the worker is expected to
+// stay below the limit with the newcomer.
+func (f *Fleet) servicesAllow(w *Worker, kind interference.Kind, size oleandervalve.Resources) bool {
+	l := levelWith(w, size)
+	for i := range w.mix {
+		if !w.mix[i].LatencyCritical {
+			continue
+		}
+		k := w.mix[i].Kind
+		if 1+f.model.Expected(k, w.mix, l)+f.model.Effect(k, kind, l) > f.config.ServiceLimit {
+			return false
+		}
+	}
+	return true
+}
+
+// score returns the cost of a worker for a task and the expected extra slowdown of the task.
+func (f *Fleet) score(w *Worker, t *Task, kind interference.Kind, size oleandervalve.Resources, job *spread) (float64, float64) {
+	c := &f.config.Weights
+	l := levelWith(w, size)
+	var own, services, batch float64
+	for i := range w.mix {
+		n := &w.mix[i]
+		own += float64(n.Weight) * f.model.Effect(kind, n.Kind, l)
+		if e := float64(n.Tasks) * f.model.Effect(n.Kind, kind, l); n.LatencyCritical {
+			services += e
+		} else {
+			batch += e
+		}
+	}
+	ownWeight, spreadWeight := c.BatchSlowdown, c.BatchSpread
+	if t.LatencyCritical {
+		ownWeight, spreadWeight = c.ServiceSlowdown, c.ServiceSpread
+	}
+	score := c.ServiceSlowdown*services + c.BatchSlowdown*batch + ownWeight*own
+	if job != nil && job.tasks > 0 {
+		// The share of the job that one loss would take; the data centre weighs
+		// double, since its loss also takes the rack.
+		tasks := float64(max(t.Tasks, job.tasks))
+		score += spreadWeight * (2*float64(job.dataCentres[w.Location.DataCentre]) + float64(job.racks[w.Location.Rack])) / tasks
+	}
+	if t.From != nil {
+		score += c.Move * distance(*t.From, w.Location)
+	}
+	if size.Accelerators == 0 && w.Capacity.Accelerators > 0 {
+		score += c.Accelerator * float64(w.Capacity.Accelerators-w.Reserved.Accelerators) / float64(w.Capacity.Accelerators)
+	}
+	return score + c.Load*w.Load(), own
+}
+
+// distance orders how far a checkpoint has to travel.
+func distance(a, b oleandervalve.Location) float64 {
+	switch {
+	case a.Region != b.Region:
+		return 1
+	case a.DataCentre != b.DataCentre:
+		return 0.2
+	case a.Rack != b.Rack:
+		return 0.05
+	}
+	return 0
+}
+
+// Excluded is the number of workers that a constraint excludes. Each worker
+// counts for the first constraint that excludes it.
+type Excluded struct {
+	Constraint Constraint `json:"constraint"`
+	Workers    int        `json:"workers"`
+}
+
+// Diagnosis explains on how many workers a task could run.
+type Diagnosis struct {
+	Workers  int        `json:"workers"`
+	Possible int        `json:"possible"`
+	Excluded []Excluded `json:"excluded,omitempty"`
+	// Infeasible means that lasting constraints exclude every worker.
+	Infeasible bool `json:"infeasible"`
+	// Main is the constraint that excludes the most workers; for an infeasible
+	// task it is a lasting one.
+	Main Constraint `json:"main,omitempty"`
+	// Size is the size that was looked for.
+	Size oleandervalve.Resources `json:"size"`
+}
+
+// Diagnose checks a task against every worker.
+func (f *Fleet) Diagnose(t Task, size oleandervalve.Resources, now time.Time) Diagnosis {
+	d := Diagnosis{Size: size}
+	counts := map[Constraint]int{}
+	lasting := map[Constraint]int{}
+	excluded := 0
+	kind := f.model.Kind(t.Kind)
+	for _, w := range f.slots {
+		if w == nil {
+			continue
+		}
+		d.Workers++
+		if c := f.lasting(w, t.Spec, size); c != "" {
+			lasting[c]++
+			excluded++
+		}
+		if c, ok := f.check(w, t.Spec, kind, size, now); ok {
+			d.Possible++
+		} else {
+			counts[c]++
+		}
+	}
+	// A worker that is not ready may return, so a job is infeasible only if the
+	// selector and the total capacity exclude all workers whatever their state.
+	d.Infeasible = d.Workers > 0 && excluded == d.Workers
+	if d.Infeasible {
+		counts = lasting
+	}
+	most := 0
+	for _, c := range constraints {
+		n := counts[c]
+		if n == 0 {
+			continue
+		}
+		d.Excluded = append(d.Excluded, Excluded{c, n})
+		if n > most {
+			most, d.Main = n, c
+		}
+	}
+	return d
+}
+
+// lasting returns the constraint that only a change of the worker itself can lift.
+func (f *Fleet) lasting(w *Worker, s *Spec, size oleandervalve.Resources) Constraint {
+	switch {
+	case s.Where != nil && !f.index.where(s).has(w.slot):
+		return WhereSelector
+	case !size.Fits(w.Capacity):
+		return TotalCapacity
+	}
+	return ""
+}
+
+// Infeasible reports whether no worker could ever take the task as the workers are now.
+func (f *Fleet) Infeasible(t Task, size oleandervalve.Resources) bool {
+	for _, w := range f.slots {
+		if w != nil && f.lasting(w, t.Spec, size) == "" {
+			return false
+		}
+	}
+	// An empty view says nothing about the job.
+	return len(f.byID) > 0
+}
