--- a/core/scheduler/config.go
+++ b/core/scheduler/config.go
@@ -66,7 +66,14 @@
 	UrgentRetry time.Duration
 	// Reclaims bounds the jobs for which room is made in one step.
 	Reclaims int
-	// ReclaimAfter is how long a batch job waits before lent quota is reclaimed for it.
+	// HoldAfter is how long a batch job waits before a worker is held for it.
+	HoldAfter time.Duration
+	// HoldFor bounds the time for which a worker is held.
+	HoldFor time.Duration
+	// HoldShare is the largest share of workers held at once.
+	HoldShare float64
+	// ReclaimAfter is how long a batch job waits before lent quota is reclaimed
+	// for it; by then a hold has run out.
 	ReclaimAfter time.Duration
 	// ReclaimMargin is how far below its quota the claiming team and how far
 	// above its quota the borrowing team must be.
@@ -78,9 +85,12 @@
 	return Config{
 		Fleet: worker.DefaultConfig(), Size: size.DefaultConfig(), Interference: interference.DefaultConfig(),
 		Response: interference.DefaultResponseConfig(), Quarantine: quarantine.DefaultConfig(),
-		Guard:     GuardConfig{Limit: 0.95, Horizon: 30 * time.Second},
-		Replace:   ReplaceConfig{PerWorker: 2, Total: 16, Final: time.Minute},
-		Queue:     QueueConfig{Retry: 250 * time.Millisecond, MaxRetry: 8 * time.Second, UrgentRetry: 100 * time.Millisecond, Reclaims: 4, ReclaimAfter: 30 * time.Second, ReclaimMargin: 0.1},
+		Guard:   GuardConfig{Limit: 0.95, Horizon: 30 * time.Second},
+		Replace: ReplaceConfig{PerWorker: 2, Total: 16, Final: time.Minute},
+		Queue: QueueConfig{
+			Retry: 250 * time.Millisecond, MaxRetry: 8 * time.Second, UrgentRetry: 100 * time.Millisecond, Reclaims: 4,
+			HoldAfter: 20 * time.Second, HoldFor: 3 * time.Minute, HoldShare: 0.1, ReclaimAfter: 4 * time.Minute, ReclaimMargin: 0.1,
+		},
 		Reaction:  Measured,
 		ProbeTime: time.Minute,
 	}
--- a/core/scheduler/queue.go
+++ b/core/scheduler/queue.go
@@ -19,6 +19,9 @@
 	// retryAt is the time before which the job is not tried again.
 	retryAt time.Time
 	tries   int
+	// held is the worker whose free capacity is kept for the job until heldUntil.
+	held      *worker.Worker
+	heldUntil time.Time
 	// making counts the evictions under way that make room for the job.
 	making int
 	// blocked is the reason for the last failed attempt.
@@ -40,6 +43,7 @@
 	order  []*teamQueue // by team id
 	byJob  map[queueKey]*waiting
 	length int
+	holds  int
 }
 
 // queueKey tells the urgent tasks of a job, such as moved services, from the rest.
@@ -111,8 +115,18 @@
 	}
 }
 
+// unhold gives up the worker that is held for a job.
+func (q *queue) unhold(j *waiting) {
+	if j.held != nil {
+		j.held.HeldFor = ""
+		j.held = nil
+		q.holds--
+	}
+}
+
 // drop removes a job and all its waiting tasks.
 func (q *queue) drop(j *waiting) {
+	q.unhold(j)
 	q.length -= len(j.tasks)
 	j.tasks = nil
 	delete(q.byJob, queueKey{j.spec.Job, j.urgent})
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -285,6 +285,11 @@
 			delete(s.movedOf, r.Job)
 		}
 	}
+	if h := r.Worker.HeldFor; h != "" {
+		if j := s.queue.byJob[queueKey{h, false}]; j != nil && j.blocked == BlockedRoom {
+			j.retryAt = time.Time{}
+		}
+	}
 	if j := s.roomFor[r.ID]; j != nil {
 		delete(s.roomFor, r.ID)
 		j.making--
--- a/core/scheduler/step.go
+++ b/core/scheduler/step.go
@@ -75,7 +75,11 @@
 			f.settled()
 			continue
 		}
-		if j.blocked == BlockedRoom && reclaims < s.config.Queue.Reclaims && s.reclaim(j, now) {
+		if j.blocked != BlockedRoom {
+			continue
+		}
+		s.hold(j, now)
+		if reclaims < s.config.Queue.Reclaims && s.reclaim(j, now) {
 			reclaims++
 		}
 	}
@@ -119,6 +123,7 @@
 		s.postpone(j, BlockedRoom, now)
 		return false
 	}
+	s.queue.unhold(j)
 	s.queue.pop(j)
 	s.queue.team(t.Team).servedAt = now
 	j.tries, j.blocked, j.infeasibleAt = 0, BlockedNot, 0
@@ -191,6 +196,55 @@
 	return len(best) > 0
 }
 
+// hold keeps the next free capacity of one worker for a job that has waited
+// long. Without it small tasks take each piece that gets free, and a large
+// task starts only by evicting them.
+func (s *Scheduler) hold(j *waiting, now time.Time) {
+	if j.held != nil && now.After(j.heldUntil) {
+		s.queue.unhold(j)
+	}
+	limit := int(s.config.Queue.HoldShare*float64(s.fleet.Len())) + 1
+	if s.config.FirstFit || j.held != nil || s.queue.holds >= limit || now.Sub(s.waitingSince(j)) < s.config.Queue.HoldAfter {
+		return
+	}
+	t := j.tasks[0]
+	size := s.estimate(t.Spec)
+	var best *worker.Worker
+	var least float64
+	s.fleet.Workers(func(w *worker.Worker) bool {
+		if c, _ := s.fleet.Check(w, t, size, now); c != worker.FreeCapacity || w.HeldFor != "" {
+			return true
+		}
+		if short := shortage(size, w); best == nil || short < least {
+			best, least = w, short
+		}
+		return true
+	})
+	if best != nil {
+		best.HeldFor = t.Job
+		j.held, j.heldUntil = best, now.Add(s.config.Queue.HoldFor)
+		s.queue.holds++
+	}
+}
+
+// shortage returns the largest missing part of the capacity of a worker over all dimensions.
+func shortage(size oleandervalve.Resources, w *worker.Worker) float64 {
+	missing := size.Sub(w.Free())
+	return max(
+		float64(missing.CPU)/float64(max(w.Capacity.CPU, 1)),
+		float64(missing.Memory)/float64(max(w.Capacity.Memory, 1)),
+		float64(missing.Accelerators)/float64(max(w.Capacity.Accelerators, 1)),
+	)
+}
+
+// waitingSince returns the time since when the job waits and its team has not been served.
+func (s *Scheduler) waitingSince(j *waiting) time.Time {
+	if t := s.queue.team(j.spec.Team).servedAt; t.After(j.since) {
+		return t
+	}
+	return j.since
+}
+
 // deprived reports whether a job is worth evicting others for. Near the quota,
 // or soon after its team was last served, the ordinary turnover settles the
 // difference: evicting for each task then exchanged work between teams without
@@ -200,11 +254,7 @@
 	if j.spec.LatencyCritical {
 		return true
 	}
-	since := j.since
-	if t := s.queue.team(j.spec.Team).servedAt; t.After(since) {
-		since = t
-	}
-	return now.Sub(since) >= c.ReclaimAfter && s.ledger.Share(j.spec.Team) < 1-c.ReclaimMargin
+	return now.Sub(s.waitingSince(j)) >= c.ReclaimAfter && s.ledger.Share(j.spec.Team) < 1-c.ReclaimMargin
 }
 
 // lent reports whether a task runs on a loan that is worth reclaiming.
--- a/core/worker/fleet.go
+++ b/core/worker/fleet.go
@@ -80,6 +80,9 @@
 	Response interference.Response
 	// GuardedAt is the time of the last action of the memory guard.
 	GuardedAt time.Time
+	// HeldFor is the job for which capacity that gets free is kept; other
+	// batch jobs are not placed here meanwhile.
+	HeldFor oleandervalve.JobID
 	// StartCap, if positive, replaces the start cap of the configuration.
 	StartCap int
 
--- a/core/worker/place.go
+++ b/core/worker/place.go
@@ -21,6 +21,8 @@
 	TotalCapacity Constraint = "totalCapacity"
 	// BesideSelector excludes workers because of the tasks that they run.
 	BesideSelector Constraint = "beside"
+	// Held excludes workers whose next free capacity is kept for another job.
+	Held Constraint = "held"
 	// FreeCapacity excludes workers that have too little free now.
 	FreeCapacity Constraint = "freeCapacity"
 	// ServiceSlowdown excludes workers whose services would become too slow.
@@ -30,7 +32,7 @@
 )
 
 // constraints is the order in which constraints are checked and reported.
-var constraints = []Constraint{NotReady, WhereSelector, TotalCapacity, BesideSelector, ServiceSlowdown, FreeCapacity, StartRate}
+var constraints = []Constraint{NotReady, WhereSelector, TotalCapacity, BesideSelector, ServiceSlowdown, Held, FreeCapacity, StartRate}
 
 // Choice is the worker chosen for a task.
 type Choice struct {
@@ -155,6 +157,8 @@
 		return BesideSelector, false
 	case !s.LatencyCritical && !f.servicesAllow(w, kind, size):
 		return ServiceSlowdown, false
+	case w.HeldFor != "" && w.HeldFor != s.Job && !s.LatencyCritical && !s.Urgent:
+		return Held, false
 	case !size.Fits(w.Free()):
 		// Checked after everything that evictions of batch work would not change.
 		return FreeCapacity, false
