Wire the task decisions into entry and agent

Cause: Shard, Runner and scheduler had no process that carries out their actions. Change: task messages in io/peer, io/taskowner with shards, worker leases, placer and table budget, the agent's part against platform and object store, per-row versions in the table's stand-in.

--- a/core/job/settle.go
+++ b/core/job/settle.go
@@ -194,7 +194,11 @@
 	case c.Worker != "":
 		t.ask = &askState{id: s.newID(), run: Run{Task: r.Task(), Epoch: r.Epoch + 1}, worker: c.Worker, at: now}
 		s.asks[t.ask.id] = t
-		return append(list, Reserve{Worker: c.Worker, Run: t.ask.run, ID: t.ask.id, Size: r.Spec.Size})
+		size := c.Size
+		if size == (oleandervalve.Resources{}) {
+			size = r.Spec.Size
+		}
+		return append(list, Reserve{Worker: c.Worker, Run: t.ask.run, ID: t.ask.id, Size: size})
 	case c.Infeasible:
 		if p, err := r.Park(s.newID(), c.Reason); err == nil {
 			return append(list, s.commit(t, p.Transaction, table.Configuring))
--- a/core/job/shard.go
+++ b/core/job/shard.go
@@ -16,6 +16,8 @@
 type Choice struct {
 	// Worker is where to reserve; empty if the task has to wait.
 	Worker oleandervalve.WorkerID
+	// Size is what to reserve; zero means the declared size.
+	Size oleandervalve.Resources
 	// Infeasible means that no worker could ever hold the task.
 	Infeasible bool
 	// Reason names the constraint that excludes the task for now or for good.
@@ -434,6 +436,18 @@
 	return list
 }
 
+// Placed returns the tasks that are bound to the worker, or to any worker if it
+// is empty, in order.
+func (s *Shard) Placed(w oleandervalve.WorkerID) []Stored {
+	var list []Stored
+	for _, t := range s.placed() {
+		if w == "" || t.stored.Worker == w {
+			list = append(list, t.stored)
+		}
+	}
+	return list
+}
+
 // placed returns the tasks that are bound to a worker, in order.
 func (s *Shard) placed() []*taskState {
 	var list []*taskState
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -164,6 +164,9 @@
 	return nil
 }
 
+// Forget drops a task that another entry owns and that has left its worker.
+func (s *Scheduler) Forget(t oleandervalve.TaskID, now time.Time) { s.release(t, now) }
+
 // Started records that a placed task runs.
 func (s *Scheduler) Started(t oleandervalve.TaskID, now time.Time) { s.fleet.Start(t, now) }
 
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -30,6 +30,7 @@
 
 	mu        sync.Mutex
 	ledger    *instance.Ledger
+	tasks     *tasks
 	links     map[oleandervalve.EntryID]*link
 	addresses map[oleandervalve.EndpointID]string
 
@@ -103,17 +104,25 @@
 		a.ledger.Tick(now)
 		a.publishChange(before)
 		a.grant(now)
+		a.tickTasks(now)
 		if now.Sub(beat) >= heartbeatEvery {
 			beat = now
 			sequence++
 			for _, l := range a.links {
-				l.conn.TrySend(&peer.Heartbeat{Sequence: sequence, SentAt: now})
+				l.conn.TrySend(&peer.Heartbeat{Sequence: sequence, SentAfter: a.sinceBoot(now), Free: a.ledger.FreeResources()})
 			}
 		}
 		a.mu.Unlock()
 	}
 }
 
+func (a *Agent) sinceBoot(now time.Time) time.Duration {
+	if a.tasks == nil {
+		return 0
+	}
+	return now.Sub(a.tasks.boot)
+}
+
 // grant sends the credits that the ledger gives out; the caller holds the lock.
 func (a *Agent) grant(now time.Time) {
 	for _, g := range a.ledger.Grants(now) {
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -67,6 +67,7 @@
 	a.ledger.Connect(now, l.entry, epoch)
 	_ = conn.Send(endpointsMessage(a.ledger.Endpoints()))
 	a.grant(now)
+	a.connectTasks(now, l)
 	a.mu.Unlock()
 	a.log.WithField("entry", l.entry).WithField("connectionEpoch", epoch).Info("connected to entry")
 	err = a.readLink(l)
@@ -118,6 +119,10 @@
 		if s := l.find(m.ID); s != nil {
 			s.download.Grant(m.Bytes)
 		}
+	default:
+		a.mu.Lock()
+		a.handleTask(l, m)
+		a.mu.Unlock()
 	}
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -40,6 +40,8 @@
 	directory *endpoint.Directory
 	waiting   map[oleandervalve.RequestID]chan acquired
 	links     map[oleandervalve.AgentID]*link
+	workers   map[oleandervalve.WorkerID]*link
+	owner     TaskOwner
 	demandDue time.Time
 	draining  bool
 	inFlight  sync.WaitGroup
@@ -66,6 +68,27 @@
 // WithScope sets the metrics scope.
 func WithScope(s tally.Scope) Option { return func(e *Entry) { e.scope = s } }
 
+// TaskOwner takes what the agents of workers say about tasks.
+type TaskOwner interface {
+	// Connected tells that the agent of a worker has connected.
+	Connected(w oleandervalve.WorkerID, l oleandervalve.Location, labels map[string]string)
+	// Heartbeat records a sign of life.
+	Heartbeat(w oleandervalve.WorkerID, m *peer.Heartbeat)
+	// Handle takes a message about tasks.
+	Handle(w oleandervalve.WorkerID, m peer.Message)
+}
+
+// SetTaskOwner makes the entry pass on messages about tasks; it is set before agents connect.
+func (e *Entry) SetTaskOwner(o TaskOwner) { e.owner = o }
+
+// SendWorker passes a message to the agent of a worker and reports whether it is connected.
+func (e *Entry) SendWorker(w oleandervalve.WorkerID, m peer.Message) bool {
+	e.mu.Lock()
+	l := e.workers[w]
+	e.mu.Unlock()
+	return l != nil && l.conn.TrySend(m)
+}
+
 // New returns a running entry; Close ends it.
 func New(id oleandervalve.EntryID, options ...Option) *Entry {
 	b := make([]byte, 4)
@@ -79,6 +102,7 @@
 		directory: endpoint.NewDirectory(),
 		waiting:   map[oleandervalve.RequestID]chan acquired{},
 		links:     map[oleandervalve.AgentID]*link{},
+		workers:   map[oleandervalve.WorkerID]*link{},
 		stop:      make(chan struct{}),
 	}
 	for _, o := range options {
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -12,7 +12,8 @@
 
 // link is the connection of one agent.
 type link struct {
-	agent oleandervalve.AgentID
+	agent  oleandervalve.AgentID
+	worker oleandervalve.WorkerID
 	epoch oleandervalve.ConnectionEpoch
 	conn  *peer.Conn
 
@@ -31,7 +32,7 @@
 }
 
 func (e *Entry) serveLink(conn *peer.Conn, h peer.Hello) {
-	l := &link{agent: h.Agent, epoch: h.Epoch, conn: conn, calls: map[oleandervalve.RequestID]*call{}}
+	l := &link{agent: h.Agent, worker: h.Worker, epoch: h.Epoch, conn: conn, calls: map[oleandervalve.RequestID]*call{}}
 	log := e.log.WithField("agent", h.Agent).WithField("connectionEpoch", h.Epoch)
 	if err := conn.Send(&peer.Welcome{Version: peer.ProtocolVersion, Entry: e.id}); err != nil {
 		return
@@ -41,9 +42,15 @@
 		old.conn.Close()
 	}
 	e.links[h.Agent] = l
+	if h.Worker != "" {
+		e.workers[h.Worker] = l
+	}
 	e.directory.Connect(e.clock.Now(), h.Agent, h.Epoch, h.Location)
 	e.mu.Unlock()
 	log.Info("agent connected")
+	if e.owner != nil && h.Worker != "" {
+		e.owner.Connected(h.Worker, h.Location, h.Labels)
+	}
 	err := e.readLink(l)
 	conn.Close()
 	e.mu.Lock()
@@ -51,6 +58,9 @@
 	if e.links[h.Agent] == l {
 		delete(e.links, h.Agent)
 	}
+	if e.workers[h.Worker] == l {
+		delete(e.workers, h.Worker)
+	}
 	e.mu.Unlock()
 	l.failCalls()
 	log.WithError(err).Info("agent disconnected")
@@ -72,7 +82,10 @@
 		e.mu.Lock()
 		e.directory.Heartbeat(e.clock.Now(), l.agent, l.epoch)
 		e.mu.Unlock()
-		l.conn.TrySend(&peer.HeartbeatAck{Sequence: m.Sequence, RenewedFrom: m.SentAt})
+		l.conn.TrySend(&peer.HeartbeatAck{Sequence: m.Sequence})
+		if e.owner != nil && l.worker != "" {
+			e.owner.Heartbeat(l.worker, m)
+		}
 	case *peer.Endpoints:
 		e.updateEndpoints(l, m)
 	case *peer.Credit:
@@ -102,6 +115,10 @@
 		if c := l.call(m.ID); c != nil && c.upload != nil {
 			c.upload.Grant(m.Bytes)
 		}
+	case *peer.Residents, *peer.ReservedTask, *peer.TaskReport, *peer.Usage:
+		if e.owner != nil && l.worker != "" {
+			e.owner.Handle(l.worker, m)
+		}
 	}
 }
 
--- a/io/peer/messages.go
+++ b/io/peer/messages.go
@@ -47,8 +47,8 @@
 // Heartbeat tells an entry that an agent is alive.
 type Heartbeat struct {
 	Sequence uint64 `cbor:"sequence"`
-	// SentAt is the agent's own clock reading, echoed in the acknowledgement.
-	SentAt   time.Time               `cbor:"sentAt"`
+	// SentAfter is the time since the agent's start, on its monotonic clock.
+	SentAfter time.Duration           `cbor:"sentAfterNs"`
 	Revision oleandervalve.Revision  `cbor:"revision"`
 	Free     oleandervalve.Resources `cbor:"free"`
 	Digest   uint64                  `cbor:"digest,omitempty"`
@@ -57,8 +57,6 @@
 // HeartbeatAck answers a heartbeat.
 type HeartbeatAck struct {
 	Sequence uint64 `cbor:"sequence"`
-	// RenewedFrom echoes SentAt of the newest heartbeat whose lease renewal is committed.
-	RenewedFrom time.Time `cbor:"renewedFrom"`
 }
 
 // EndpointState says whether an endpoint takes new requests.
@@ -318,5 +316,5 @@
 	case typeDrain:
 		return &Drain{}
 	}
-	return nil
+	return newTaskMessage(t)
 }
--- a/io/standin/table.go
+++ b/io/standin/table.go
@@ -21,14 +21,15 @@
 	clock  oleandervalve.Clock
 	mu     sync.Mutex
 	rows   map[oleandervalve.Key]oleandervalve.Row
-	next   oleandervalve.Version
+	// versions outlives deleted rows, so that no version is used twice.
+	versions map[oleandervalve.Key]oleandervalve.Version
 	reads  int
 	writes int
 }
 
 // NewTable returns an empty table.
 func NewTable(clock oleandervalve.Clock, seed uint64) *Table {
-	return &Table{clock: clock, Faults: NewFaults(seed), rows: map[oleandervalve.Key]oleandervalve.Row{}}
+	return &Table{clock: clock, Faults: NewFaults(seed), rows: map[oleandervalve.Key]oleandervalve.Row{}, versions: map[oleandervalve.Key]oleandervalve.Version{}}
 }
 
 // Operations returns how many rows were read and written so far.
@@ -115,9 +116,10 @@
 	}
 	out := oleandervalve.Committed{At: now, Versions: make([]oleandervalve.Version, 0, len(q.Puts))}
 	for _, p := range q.Puts {
-		t.next++
-		t.rows[p.Key] = oleandervalve.Row{Key: p.Key, Value: p.Value, Version: t.next, MutationID: q.ID, WrittenAt: now}
-		out.Versions = append(out.Versions, t.next)
+		t.versions[p.Key]++
+		v := t.versions[p.Key]
+		t.rows[p.Key] = oleandervalve.Row{Key: p.Key, Value: p.Value, Version: v, MutationID: q.ID, WrittenAt: now}
+		out.Versions = append(out.Versions, v)
 	}
 	for _, k := range q.Deletes {
 		delete(t.rows, k)
--- /dev/null
+++ b/io/taskowner/workers.go
@@ -0,0 +1,248 @@
+package taskowner
+
+import (
+	"time"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"oleandervalve"
+	"oleandervalve/core/job"
+	"oleandervalve/core/lease"
+	"oleandervalve/io/peer"
+)
+
+// Connected tells that the agent of a worker has connected.
+func (o *Owner) Connected(w oleandervalve.WorkerID, l oleandervalve.Location, set map[string]string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock.Now()
+	v := o.workers[w]
+	if v == nil {
+		v = &workerView{}
+		o.workers[w] = v
+	}
+	v.location, v.labels, v.heard = l, labels.Set(set), true
+	o.suspicion.Heard(now, w)
+	for i, s := range o.shards {
+		o.run(now, i, s.WorkerConnected(now, w))
+	}
+}
+
+// Heartbeat records a sign of life, which also asks for a renewal of the worker's lease.
+func (o *Owner) Heartbeat(w oleandervalve.WorkerID, m *peer.Heartbeat) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.suspicion.Heard(o.clock.Now(), w)
+	if r := o.renewals[lease.WorkerShardOf(w)]; r != nil {
+		r.Heartbeat(w, agentEpoch.Add(m.SentAfter))
+	}
+}
+
+// Handle takes a message of a worker's agent about tasks.
+func (o *Owner) Handle(w oleandervalve.WorkerID, m peer.Message) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock.Now()
+	switch m := m.(type) {
+	case *peer.Residents:
+		o.residents(now, w, m)
+	case *peer.ReservedTask:
+		m.Worker = w
+		i := job.ShardOf(job.Parent(m.Run.Task))
+		if s := o.shards[i]; s != nil {
+			o.run(now, i, s.Reserved(now, m.Reserved))
+		}
+	case *peer.TaskReport:
+		m.Worker = w
+		o.report(now, m.Report)
+	case *peer.Usage:
+		for _, u := range m.Samples {
+			o.placer.scheduler.Sample(u, now)
+		}
+	}
+}
+
+func (o *Owner) report(now time.Time, r job.Report) {
+	i := job.ShardOf(job.Parent(r.Run.Task))
+	if s := o.shards[i]; s != nil {
+		o.run(now, i, s.Reported(now, r))
+	}
+}
+
+func (o *Owner) residents(now time.Time, w oleandervalve.WorkerID, m *peer.Residents) {
+	v := o.workers[w]
+	if v == nil {
+		return
+	}
+	if v.capacity != m.Capacity {
+		v.capacity = m.Capacity
+		o.placer.scheduler.UpdateWorker(w, v.location, v.labels, m.Capacity)
+		o.adoptOwned(now, w)
+	}
+	o.placer.residents(now, w, m, func(id oleandervalve.TaskID) bool {
+		s := o.shards[job.ShardOf(job.Parent(id))]
+		if s == nil {
+			return false
+		}
+		_, ok := s.Task(id)
+		return ok
+	})
+}
+
+// adoptOwned tells the scheduler of owned tasks on a worker that it had not known.
+func (o *Owner) adoptOwned(now time.Time, w oleandervalve.WorkerID) {
+	for i, s := range o.shards {
+		for _, t := range s.Placed(w) {
+			o.syncKey(now, s, i, job.TaskKey(t.Job, t.Task()))
+		}
+	}
+}
+
+// checkSuspects asks the platform about silent workers.
+func (o *Owner) checkSuspects() {
+	o.mu.Lock()
+	now := o.clock.Now()
+	var list []oleandervalve.WorkerID
+	for w := range o.workers {
+		if o.suspicion.Suspect(now, w) {
+			list = append(list, w)
+		}
+	}
+	o.mu.Unlock()
+	for _, w := range list {
+		s, err := o.platform.Status(o.ctx, w)
+		if err != nil {
+			continue
+		}
+		o.mu.Lock()
+		o.confirmed(o.clock.Now(), w, s)
+		o.mu.Unlock()
+	}
+}
+
+// confirmed uses what the platform says of a silent worker. A run that the
+// platform lists as ended is over for good, because a repeated start of the
+// same epoch has no effect; a run that it does not list may still be started.
+func (o *Owner) confirmed(now time.Time, w oleandervalve.WorkerID, s oleandervalve.WorkerStatus) {
+	if s.Gone {
+		for i, x := range o.shards {
+			o.run(now, i, x.WorkerGone(now, w))
+		}
+		for _, id := range o.placer.scheduler.Gone(w, now) {
+			if x := o.placer.tasks[id]; x != nil {
+				x.stage = stageQueued
+			}
+		}
+		delete(o.workers, w)
+		delete(o.placer.foreign, w)
+		o.suspicion.Forget(w)
+		o.log.WithField("worker", w).Warn("platform confirmed that the worker is gone")
+		return
+	}
+	for _, t := range s.Tasks {
+		r := job.Report{Worker: w, Run: job.Run{Task: t.Spec.Task, Epoch: t.Spec.Epoch}, Started: true}
+		switch t.State {
+		case oleandervalve.PlatformFinished:
+			r.Status = job.StatusFinished
+		case oleandervalve.PlatformFailed:
+			r.Status, r.Reason = job.StatusFailed, oleandervalve.Reason(t.Reason)
+		case oleandervalve.PlatformStopped:
+			r.Status, r.Reason = job.StatusStopped, job.ReasonPlatform
+		default:
+			continue
+		}
+		o.report(now, r)
+	}
+}
+
+// checkExpired takes tasks over from workers whose lease has expired by the table's clock.
+func (o *Owner) checkExpired() {
+	o.mu.Lock()
+	now := o.clock.Now()
+	byShard := map[oleandervalve.ShardID][]oleandervalve.WorkerID{}
+	for w := range o.placedWorkers() {
+		if o.suspicion.Suspect(now, w) {
+			byShard[lease.WorkerShardOf(w)] = append(byShard[lease.WorkerShardOf(w)], w)
+		}
+	}
+	tableNow := now.Add(o.tableLag)
+	o.mu.Unlock()
+	for shard, workers := range byShard {
+		rows, err := o.store.tryGet(o.ctx, []oleandervalve.Key{lease.RenewalKey(shard)})
+		if err != nil {
+			return
+		}
+		expired, err := lease.ExpiredBy(rows[0], tableNow, lease.WorkerLease, lease.Guard)
+		if err != nil {
+			o.log.WithError(err).Error("row of worker leases can't be read")
+			continue
+		}
+		o.mu.Lock()
+		for _, w := range workers {
+			if isIn(w, expired) {
+				o.lost(w, rows[0])
+			}
+		}
+		o.mu.Unlock()
+	}
+}
+
+func isIn(w oleandervalve.WorkerID, list []oleandervalve.WorkerID) bool {
+	for _, x := range list {
+		if x == w {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *Owner) lost(w oleandervalve.WorkerID, row oleandervalve.Row) {
+	c, err := lease.Expired(row, w, lease.WorkerLease, lease.Guard)
+	if err != nil {
+		return
+	}
+	now := o.clock.Now()
+	o.log.WithField("worker", w).Warn("worker's lease has expired; its tasks are placed again")
+	for i, s := range o.shards {
+		o.run(now, i, s.WorkerLost(now, w, c))
+	}
+}
+
+// placedWorkers returns the workers that the owned tasks are bound to.
+func (o *Owner) placedWorkers() map[oleandervalve.WorkerID]bool {
+	out := map[oleandervalve.WorkerID]bool{}
+	for _, s := range o.shards {
+		for _, t := range s.Placed("") {
+			out[t.Worker] = true
+		}
+	}
+	return out
+}
+
+// scan reads which entries live and which shards they own.
+func (o *Owner) scan() {
+	owned, err := o.store.scan(o.ctx, lease.ShardPrefix(lease.TaskShards))
+	if err != nil {
+		return
+	}
+	leases, err := o.store.scan(o.ctx, lease.ShardPrefix(lease.RenewalShards))
+	if err != nil {
+		return
+	}
+	entries, err := o.store.scan(o.ctx, lease.SessionPrefix)
+	if err != nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.tableLag = entries.At.Sub(o.clock.Now())
+	own := oleandervalve.Row{Key: lease.SessionKey(o.id)}
+	for _, r := range entries.Rows {
+		if r.Key == own.Key {
+			own = r
+		}
+	}
+	o.session.Observe(own)
+	o.owned.Observe(owned, entries)
+	o.leases.Observe(leases, entries)
+}
--- a/platform.go
+++ b/platform.go
@@ -15,6 +15,15 @@
 	Size  Resources `json:"size" cbor:"size"`
 	// LatencyCritical tells services apart from batch tasks.
 	LatencyCritical bool `json:"latencyCritical,omitempty" cbor:"latencyCritical,omitempty"`
+	// Urgent work is placed ahead of the backlog.
+	Urgent bool `json:"urgent,omitempty" cbor:"urgent,omitempty"`
+	// Labels describe the task to the selectors of others.
+	Labels map[string]string `json:"labels,omitempty" cbor:"labels,omitempty"`
+	// Where selects the workers on which the task may run.
+	Where string `json:"where,omitempty" cbor:"where,omitempty"`
+	// Beside must select every other task on the worker, and NotBeside none.
+	Beside    string `json:"beside,omitempty" cbor:"beside,omitempty"`
+	NotBeside string `json:"notBeside,omitempty" cbor:"notBeside,omitempty"`
 	// Checkpoint names the object to resume from; empty for a fresh start.
 	Checkpoint string `json:"checkpoint,omitempty" cbor:"checkpoint,omitempty"`
 	// Work is the declared run time; zero runs until stopped.
