Report all problems of a submitted job at once

Change: joined errors in JobSpec.Check, in a fixed order of fields. Conclusion: a refused job names every field to correct.

--- a/io/jobhttp/handler.go
+++ b/io/jobhttp/handler.go
@@ -124,16 +124,5 @@
 		seconds := max(1, int64((unavailable.RetryAfter+time.Second-1)/time.Second))
 		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
-	writeJSON(w, status, ErrorBody{Reason: reason, Message: allMessages(err)})
-}
-
-// allMessages lists every problem of a combined error.
-func allMessages(err error) string {
-	text := err.Error()
-	for _, more := range errors.UnwrapMulti(err) {
-		if more != nil && more.Error() != text {
-			text += "; " + more.Error()
-		}
-	}
-	return text
+	writeJSON(w, status, ErrorBody{Reason: reason, Message: err.Error()})
 }
--- a/io/taskowner/jobs.go
+++ b/io/taskowner/jobs.go
@@ -50,7 +50,7 @@
 func (j JobSpec) Check() error {
 	var out error
 	bad := func(field, value, remedy string) {
-		out = errors.CombineErrors(out, &oleandervalve.InvalidError{Field: field, Value: value, Remedy: remedy})
+		out = errors.Join(out, &oleandervalve.InvalidError{Field: field, Value: value, Remedy: remedy})
 	}
 	if !jobName.MatchString(string(j.Job)) {
 		bad("job", string(j.Job), "use 1 to 63 lower-case letters, digits, dots and dashes")
@@ -70,9 +70,10 @@
 	if j.RunTime < 0 {
 		bad("runTimeNs", fmt.Sprint(int64(j.RunTime)), "use zero or a positive number of nanoseconds")
 	}
-	for field, s := range map[string]string{"where": j.Where, "beside": j.Beside, "notBeside": j.NotBeside} {
-		if _, err := labels.Parse(s); err != nil {
-			bad(field, s, "use Kubernetes label selector syntax: "+err.Error())
+	selectors := []struct{ field, value string }{{"where", j.Where}, {"beside", j.Beside}, {"notBeside", j.NotBeside}}
+	for _, s := range selectors {
+		if _, err := labels.Parse(s.value); err != nil {
+			bad(s.field, s.value, "use Kubernetes label selector syntax: "+err.Error())
 		}
 	}
 	return out
