Grant credits by floors and weights and keep a full ledger

Cause: the thin ledger granted free slots evenly, whatever waited, kept no record of ended requests and no resources of tasks. Change: core/credit orders the classes of a service (floor, then start-time fair queueing by slot time). The ledger grants free slots to the entry and class that is due, spreads idle slots, revokes and renews credits, keeps a slot 1 s beyond the validity of its credit, counts connections, separates admission from the begin of execution, and reserves resources per task.

--- a/core/instance/ledger.go
+++ b/core/instance/ledger.go
@@ -2,67 +2,64 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
 
 	"oleandervalve"
+	"oleandervalve/core/credit"
 )
 
 const (
-	// CreditValidity is how long a granted credit may be used.
-	CreditValidity = 2 * time.Second
 	// AnnounceEvery is the interval of an endpoint's announcements.
 	AnnounceEvery = time.Second
 	// MissedAnnouncements is how many may be missed before an endpoint counts as leaving.
 	MissedAnnouncements = 3
+	// leaveQuarantine is how long announcements of an endpoint that left are
+	// ignored, so that one that was overtaken by DELETE doesn't bring it back.
+	leaveQuarantine = AnnounceEvery
 )
 
-// ClassDemand counts the requests that wait at one entry.
-type ClassDemand struct {
-	Service oleandervalve.ServiceName
-	Class   oleandervalve.ClassName
-	Waiting int
-}
-
-// Grant gives credits to an entry.
-type Grant struct {
-	Entry    oleandervalve.EntryID
-	Epoch    oleandervalve.ConnectionEpoch
-	Endpoint oleandervalve.EndpointID
-	Class    oleandervalve.ClassName
-	Count    int
-	ValidFor time.Duration
-}
-
-// Admission asks for a slot for one request.
-type Admission struct {
-	ID       oleandervalve.RequestID
-	Entry    oleandervalve.EntryID
-	Epoch    oleandervalve.ConnectionEpoch
-	Endpoint oleandervalve.EndpointID
-	Class    oleandervalve.ClassName
-	Deadline time.Time
-}
-
 // Endpoint is the ledger's view of one announced endpoint.
 type Endpoint struct {
 	oleandervalve.Announcement
 	Leaving bool
 	InUse   int
+	// Credits counts the unused credits of all entries.
+	Credits int
 }
 
-type requestKey struct {
-	entry oleandervalve.EntryID
-	epoch oleandervalve.ConnectionEpoch
-	id    oleandervalve.RequestID
-}
-
-type endpointEntry struct {
+type endpointState struct {
 	announced oleandervalve.Announcement
 	lastHeard time.Time
 	leaving   bool
-	inUse     int
-	// credits holds the expiry times of unused credits by entry.
-	credits map[oleandervalve.EntryID][]time.Time
+	leftAt    time.Time
+	// deleted tells an explicit leave from missed announcements.
+	deleted bool
+	inUse   int
+	// closing counts connections that are open without an admitted request.
+	closing  int
+	held     map[oleandervalve.EntryID][]heldCredit
+	revoking map[oleandervalve.EntryID]time.Time
+}
+
+// capacity is the number of requests that the endpoint may serve at once.
+func (x *endpointState) capacity() int {
+	return max(0, min(x.announced.Slots, x.announced.Connections-x.closing))
+}
+
+func (x *endpointState) outstanding() int {
+	n := 0
+	for _, c := range x.held {
+		n += len(c)
+	}
+	return n
+}
+
+func (x *endpointState) free() int {
+	if x.leaving {
+		return 0
+	}
+	return max(0, x.capacity()-x.inUse-x.outstanding())
 }
 
 type entryView struct {
@@ -72,184 +69,222 @@
 
 // Ledger accounts for what one instance holds.
 type Ledger struct {
-	endpoints map[oleandervalve.EndpointID]*endpointEntry
-	entries   map[oleandervalve.EntryID]*entryView
-	running   map[requestKey]oleandervalve.EndpointID
-	draining  bool
+	endpoints map[oleandervalve.EndpointID]*endpointState
+	// order lists the endpoints by id and entryIDs the connected entries.
+	order    []*endpointState
+	entryIDs []oleandervalve.EntryID
+	entries  map[oleandervalve.EntryID]*entryView
+	shares   map[oleandervalve.ServiceName]*credit.Shares
+	requests requestLog
+	draining bool
+	drained  []Revoke
+	worker   reservations
 }
 
-// NewLedger returns the ledger of an instance with no endpoints.
+// NewLedger returns the ledger of an instance with no endpoints and no worker.
 func NewLedger() *Ledger {
 	return &Ledger{
-		endpoints: map[oleandervalve.EndpointID]*endpointEntry{},
+		endpoints: map[oleandervalve.EndpointID]*endpointState{},
 		entries:   map[oleandervalve.EntryID]*entryView{},
-		running:   map[requestKey]oleandervalve.EndpointID{},
+		shares:    map[oleandervalve.ServiceName]*credit.Shares{},
+		requests:  newRequestLog(),
+		worker:    newReservations(),
 	}
 }
 
-// Announce records an endpoint's announcement.
+// Configure replaces the shares of the classes of one service.
+func (l *Ledger) Configure(s oleandervalve.ServiceName, list []credit.ClassShare) {
+	l.service(s).Configure(list)
+}
+
+func (l *Ledger) service(s oleandervalve.ServiceName) *credit.Shares {
+	v := l.shares[s]
+	if v == nil {
+		v = credit.NewShares()
+		l.shares[s] = v
+	}
+	return v
+}
+
+// capacity is the number of slots of a service's ready endpoints at this instance.
+func (l *Ledger) capacity(s oleandervalve.ServiceName) int {
+	n := 0
+	for _, x := range l.order {
+		if x.announced.Service == s && !x.leaving {
+			n += x.capacity()
+		}
+	}
+	return n
+}
+
+// Announce records an endpoint's announcement; *oleandervalve.InvalidError if it can't be used.
 func (l *Ledger) Announce(now time.Time, a oleandervalve.Announcement) error {
 	if a.Slots <= 0 {
-		return &oleandervalve.InvalidError{Field: "slots", Value: "0", Remedy: "announce at least one slot"}
+		return &oleandervalve.InvalidError{Field: "slots", Value: strconv.Itoa(a.Slots), Remedy: "announce at least one slot"}
+	}
+	if a.Connections <= 0 {
+		return &oleandervalve.InvalidError{Field: "connections", Value: strconv.Itoa(a.Connections), Remedy: "announce at least one connection"}
 	}
 	x := l.endpoints[a.Endpoint]
 	if x == nil {
-		x = &endpointEntry{credits: map[oleandervalve.EntryID][]time.Time{}}
+		x = &endpointState{
+			held:     map[oleandervalve.EntryID][]heldCredit{},
+			revoking: map[oleandervalve.EntryID]time.Time{},
+		}
+		x.announced = a
 		l.endpoints[a.Endpoint] = x
+		l.sortEndpoints()
 	}
-	x.announced, x.lastHeard = a, now
-	return nil
-}
-
-// Leave marks an endpoint as leaving: it finishes its requests and gets no new ones.
-func (l *Ledger) Leave(_ time.Time, id oleandervalve.EndpointID) {
-	if x := l.endpoints[id]; x != nil {
-		x.leaving = true
-		x.credits = map[oleandervalve.EntryID][]time.Time{}
+	if x.announced.Service != a.Service && (x.inUse > 0 || x.outstanding() > 0) {
+		return &oleandervalve.InvalidError{
+			Field: "service", Value: string(a.Service),
+			Remedy: "leave and finish the requests of service " + string(x.announced.Service) + " first",
+		}
 	}
-}
-
-// Connect records an entry's connection.
-func (l *Ledger) Connect(_ time.Time, e oleandervalve.EntryID, c oleandervalve.ConnectionEpoch) {
-	l.dropCredits(e)
-	l.entries[e] = &entryView{epoch: c}
-}
-
-// Disconnect forgets an entry's connection and takes its unused credits back.
-func (l *Ledger) Disconnect(e oleandervalve.EntryID, c oleandervalve.ConnectionEpoch) {
-	if v := l.entries[e]; v != nil && v.epoch == c {
-		delete(l.entries, e)
-		l.dropCredits(e)
+	if x.leaving {
+		if x.deleted && now.Sub(x.leftAt) < leaveQuarantine {
+			return nil
+		}
+		x.leaving, x.deleted = false, false
 	}
+	x.announced, x.lastHeard = a, now
+	return nil
 }
 
-func (l *Ledger) dropCredits(e oleandervalve.EntryID) {
+func (l *Ledger) sortEndpoints() {
+	l.order = l.order[:0]
 	for _, x := range l.endpoints {
-		delete(x.credits, e)
+		l.order = append(l.order, x)
 	}
+	sort.Slice(l.order, func(i, j int) bool {
+		return l.order[i].announced.Endpoint < l.order[j].announced.Endpoint
+	})
 }
 
-// Demand records what waits at an entry.
-func (l *Ledger) Demand(_ time.Time, e oleandervalve.EntryID, c oleandervalve.ConnectionEpoch, d []ClassDemand) {
-	if v := l.entries[e]; v != nil && v.epoch == c {
-		v.demand = d
+// SetClosing tells how many connections to an endpoint are open without an
+// admitted request, such as those of cancelled requests that still close.
+func (l *Ledger) SetClosing(id oleandervalve.EndpointID, n int) {
+	if x := l.endpoints[id]; x != nil {
+		x.closing = max(0, n)
 	}
 }
 
-// Return takes unused credits back from an entry.
-func (l *Ledger) Return(e oleandervalve.EntryID, id oleandervalve.EndpointID, count int) {
+// Leave marks an endpoint as leaving: it finishes its requests and gets no new ones.
+func (l *Ledger) Leave(now time.Time, id oleandervalve.EndpointID) {
 	if x := l.endpoints[id]; x != nil {
-		x.credits[e] = x.credits[e][min(count, len(x.credits[e])):]
+		x.deleted = true
+		l.leave(now, x)
 	}
 }
 
-// Admit takes a slot for a request or refuses with a *oleandervalve.NotRunError.
-func (l *Ledger) Admit(now time.Time, a Admission) error {
-	x := l.endpoints[a.Endpoint]
-	k := requestKey{a.Entry, a.Epoch, a.ID}
-	switch {
-	case x == nil || x.leaving || l.draining:
-		return &oleandervalve.NotRunError{Reason: "endpointLeaving", Remedy: "send the request to another endpoint"}
-	case !a.Deadline.After(now):
-		return &oleandervalve.NotRunError{Reason: "deadlinePassed", Remedy: "send the request with a longer timeout"}
-	case l.running[k] != "":
-		return &oleandervalve.NotRunError{Reason: "duplicateRequest", Remedy: "the first copy of this request is being served"}
-	case x.inUse >= x.announced.Slots:
-		return &oleandervalve.NotRunError{Reason: "noSlot", Remedy: "wait for a credit"}
-	}
-	if c := x.credits[a.Entry]; len(c) > 0 {
-		x.credits[a.Entry] = c[1:]
-	}
-	x.inUse++
-	l.running[k] = a.Endpoint
-	return nil
+func (l *Ledger) leave(now time.Time, x *endpointState) {
+	x.leaving, x.leftAt = true, now
+	for _, e := range l.entryIDs {
+		if n := len(x.held[e]); n > 0 {
+			l.drained = append(l.drained, Revoke{Entry: e, Epoch: l.entries[e].epoch, Endpoint: x.announced.Endpoint, Count: n})
+			l.dropHeld(x, e, n)
+		}
+	}
 }
 
-// Finish frees the slot of an admitted request.
-func (l *Ledger) Finish(_ time.Time, e oleandervalve.EntryID, c oleandervalve.ConnectionEpoch, id oleandervalve.RequestID) {
-	k := requestKey{e, c, id}
-	x := l.endpoints[l.running[k]]
-	if x == nil {
-		return
-	}
-	delete(l.running, k)
-	x.inUse--
-	if x.leaving && x.inUse == 0 {
-		delete(l.endpoints, x.announced.Endpoint)
+// Connect records an entry's connection; it replaces an older one.
+func (l *Ledger) Connect(now time.Time, e oleandervalve.EntryID, c oleandervalve.ConnectionEpoch) {
+	if v := l.entries[e]; v != nil {
+		if v.epoch == c {
+			return
+		}
+		l.Disconnect(now, e, v.epoch)
 	}
+	l.entries[e] = &entryView{epoch: c}
+	l.sortEntries()
 }
 
-// Grants hands free slots out as credits.
-func (l *Ledger) Grants(now time.Time) []Grant {
-	if l.draining || len(l.entries) == 0 {
+// Disconnect forgets an entry's connection, takes its unused credits back and
+// returns its requests that had not begun, which will not run.
+func (l *Ledger) Disconnect(now time.Time, e oleandervalve.EntryID, c oleandervalve.ConnectionEpoch) []oleandervalve.RequestID {
+	v := l.entries[e]
+	if v == nil || v.epoch != c {
 		return nil
 	}
-	ids := make([]oleandervalve.EntryID, 0, len(l.entries))
-	for e := range l.entries {
-		ids = append(ids, e)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	var out []Grant
-	for _, x := range l.sorted() {
-		free := x.announced.Slots - x.inUse - x.outstanding(now)
-		for i := 0; free > 0; i++ {
-			e := ids[i%len(ids)]
-			share := (free + len(ids) - 1 - i%len(ids)) / len(ids)
-			share = max(share, 1)
-			out = append(out, Grant{Entry: e, Epoch: l.entries[e].epoch, Endpoint: x.announced.Endpoint, Count: share, ValidFor: CreditValidity})
-			for range share {
-				x.credits[e] = append(x.credits[e], now.Add(CreditValidity))
-			}
-			free -= share
-		}
+	for _, x := range l.order {
+		l.dropHeld(x, e, len(x.held[e]))
+		delete(x.held, e)
+		delete(x.revoking, e)
 	}
-	return out
-}
-
-func (x *endpointEntry) outstanding(now time.Time) int {
-	n := 0
-	for e, c := range x.credits {
-		for len(c) > 0 && !c[0].After(now) {
-			c = c[1:]
+	delete(l.entries, e)
+	l.sortEntries()
+	var out []oleandervalve.RequestID
+	for k, r := range l.requests.running {
+		if k.entry == e && k.epoch == c && !r.begun {
+			out = append(out, k.id)
 		}
-		x.credits[e] = c
-		n += len(c)
 	}
-	return n
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	for _, id := range out {
+		l.end(now, requestKey{e, c, id}, false)
+	}
+	return out
 }
 
-func (l *Ledger) sorted() []*endpointEntry {
-	var out []*endpointEntry
-	for _, x := range l.endpoints {
-		if !x.leaving {
-			out = append(out, x)
-		}
+func (l *Ledger) sortEntries() {
+	l.entryIDs = l.entryIDs[:0]
+	for e := range l.entries {
+		l.entryIDs = append(l.entryIDs, e)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].announced.Endpoint < out[j].announced.Endpoint })
-	return out
+	sort.Slice(l.entryIDs, func(i, j int) bool { return l.entryIDs[i] < l.entryIDs[j] })
 }
 
-// Tick marks endpoints that stopped announcing as leaving.
+// Tick marks endpoints that stopped announcing as leaving, forgets those that
+// left and drops credits past their validity and margin.
 func (l *Ledger) Tick(now time.Time) {
-	for id, x := range l.endpoints {
+	removed := false
+	for _, x := range l.order {
 		if !x.leaving && now.Sub(x.lastHeard) > MissedAnnouncements*AnnounceEvery {
-			l.Leave(now, id)
+			l.leave(now, x)
 		}
+		if x.leaving && x.inUse == 0 && now.Sub(x.leftAt) > leaveQuarantine {
+			delete(l.endpoints, x.announced.Endpoint)
+			removed = true
+		}
+		l.expireHeld(now, x)
+	}
+	if removed {
+		l.sortEndpoints()
 	}
+	l.requests.forget(now)
+	l.worker.forget(now)
 }
 
 // Endpoints lists the endpoints in the order of their ids.
 func (l *Ledger) Endpoints() []Endpoint {
-	var out []Endpoint
-	for _, x := range l.endpoints {
-		out = append(out, Endpoint{Announcement: x.announced, Leaving: x.leaving, InUse: x.inUse})
+	out := make([]Endpoint, 0, len(l.order))
+	for _, x := range l.order {
+		out = append(out, Endpoint{
+			Announcement: x.announced, Leaving: x.leaving || l.draining,
+			InUse: x.inUse, Credits: x.outstanding(),
+		})
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Endpoint < out[j].Endpoint })
 	return out
 }
 
-// Drain stops all new work at the instance.
-func (l *Ledger) Drain() { l.draining = true }
+// Drain stops all new work at the instance and revokes all credits.
+func (l *Ledger) Drain(now time.Time) {
+	l.draining = true
+	for _, x := range l.order {
+		if !x.leaving {
+			l.leave(now, x)
+		}
+	}
+}
+
+// Draining reports whether the instance takes no new work.
+func (l *Ledger) Draining() bool { return l.draining }
 
 // Idle reports whether no admitted request is left.
-func (l *Ledger) Idle() bool { return len(l.running) == 0 }
+func (l *Ledger) Idle() bool { return len(l.requests.running) == 0 }
+
+// EndpointIdle reports whether an endpoint has no admitted request left.
+func (l *Ledger) EndpointIdle(id oleandervalve.EndpointID) bool {
+	x := l.endpoints[id]
+	return x == nil || x.inUse == 0
+}
