--- /dev/null
+++ b/core/caller/budget.go
@@ -0,0 +1,42 @@
+package caller
+
+const (
+	// DefaultRetryRatio permits one retry per ten successful requests, which
+	// bounds the load that retries add to a failing service.
+	DefaultRetryRatio = 0.1
+	// maxRetryTokens bounds the retries saved up in good times.
+	maxRetryTokens = 100
+	// initialRetryTokens permits a few retries before the first success.
+	initialRetryTokens = 10
+)
+
+// RetryBudget limits the retries of one service at one entry to a ratio of its
+// successful requests, over all callers.
+type RetryBudget struct {
+	ratio  float64
+	tokens float64
+}
+
+// NewRetryBudget returns a budget; a ratio of 0 means DefaultRetryRatio, and a
+// negative one permits no retries.
+func NewRetryBudget(ratio float64) *RetryBudget {
+	switch {
+	case ratio < 0:
+		return &RetryBudget{}
+	case ratio == 0:
+		ratio = DefaultRetryRatio
+	}
+	return &RetryBudget{ratio: ratio, tokens: initialRetryTokens}
+}
+
+// Succeeded records a successful request.
+func (b *RetryBudget) Succeeded() { b.tokens = min(maxRetryTokens, b.tokens+b.ratio) }
+
+// Take uses the budget for one retry and reports whether it allows it.
+func (b *RetryBudget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
