Choose endpoints by latency and eject failing ones

Cause: the thin directory took the endpoint with most credits and forgot health, expiry and surplus credits. Change: choice by latency and own requests in flight, then data centre; ejection of at most a third with growing times and probes; credits renewed, revoked, expired and returned; demand split over the agents. Conclusion: the entry uses every credit or gives it back.

--- a/core/endpoint/directory.go
+++ b/core/endpoint/directory.go
@@ -7,8 +7,14 @@
 	"oleandervalve"
 )
 
-// SuspectAfter is the time without a heartbeat after which an agent gets no new work.
-const SuspectAfter = 3 * time.Second
+const (
+	// SuspectAfter is the time without a heartbeat after which an agent gets no new work.
+	SuspectAfter = 3 * time.Second
+	// rememberHealth is how long the health of an endpoint without a connection is kept.
+	rememberHealth = 15 * time.Minute
+	// equalScore is the ratio of scores within which two endpoints count as equal.
+	equalScore = 1.1
+)
 
 // Status describes one endpoint of an agent.
 type Status struct {
@@ -25,53 +31,104 @@
 	Agent    oleandervalve.AgentID
 	Epoch    oleandervalve.ConnectionEpoch
 	Endpoint oleandervalve.EndpointID
-	Class    oleandervalve.ClassName
-}
-
-// CreditReturn gives credits back to an agent.
-type CreditReturn struct {
-	Agent    oleandervalve.AgentID
-	Epoch    oleandervalve.ConnectionEpoch
-	Endpoint oleandervalve.EndpointID
-	Count    int
+	// Class is the class that the credit was granted for; empty means any. It
+	// is lent to another class only when that class no longer waits.
+	Class   oleandervalve.ClassName
+	expires time.Time
 }
 
 type agentView struct {
+	id        oleandervalve.AgentID
 	epoch     oleandervalve.ConnectionEpoch
+	location  oleandervalve.Location
 	lastHeard time.Time
+	draining  bool
 	endpoints map[oleandervalve.EndpointID]*endpointView
+	// told is the demand that the agent was last told.
+	told []ClassDemand
 }
 
-type credit struct {
+type heldCredit struct {
 	class   oleandervalve.ClassName
 	expires time.Time
 }
 
 type endpointView struct {
-	status  Status
-	agent   oleandervalve.AgentID
-	credits []credit
+	status   Status
+	agent    *agentView
+	health   *health
+	credits  []heldCredit
+	inFlight int
+	// used is the sequence number of the last use, for turns between equals.
+	used uint64
+}
+
+func (x *endpointView) dropExpired(now time.Time) (out []heldCredit) {
+	keep := x.credits[:0]
+	for _, c := range x.credits {
+		if c.expires.After(now) {
+			keep = append(keep, c)
+		} else {
+			out = append(out, c)
+		}
+	}
+	x.credits = keep
+	return out
 }
 
 // Directory is an entry's view of the agents connected to it.
 type Directory struct {
-	agents map[oleandervalve.AgentID]*agentView
+	location oleandervalve.Location
+	agents   map[oleandervalve.AgentID]*agentView
+	order    []*agentView
+	health   map[oleandervalve.EndpointID]*health
+	// services lists the endpoints of each service by id, without leaving ones.
+	services map[oleandervalve.ServiceName][]*endpointView
+	offsets  map[demandKey]*demandOffset
+	uses     uint64
+	scratch  []float64
+}
+
+// Option changes a new directory.
+type Option func(*Directory)
+
+// WithLocation tells where the entry stands, so that it prefers its own data centre.
+func WithLocation(l oleandervalve.Location) Option {
+	return func(d *Directory) { d.location = l }
 }
 
 // NewDirectory returns an empty directory.
-func NewDirectory() *Directory {
-	return &Directory{agents: map[oleandervalve.AgentID]*agentView{}}
+func NewDirectory(options ...Option) *Directory {
+	d := &Directory{
+		agents:   map[oleandervalve.AgentID]*agentView{},
+		health:   map[oleandervalve.EndpointID]*health{},
+		services: map[oleandervalve.ServiceName][]*endpointView{},
+		offsets:  map[demandKey]*demandOffset{},
+	}
+	for _, o := range options {
+		o(d)
+	}
+	return d
 }
 
-// Connect records a new connection of an agent; it replaces an older one.
-func (d *Directory) Connect(now time.Time, a oleandervalve.AgentID, e oleandervalve.ConnectionEpoch, _ oleandervalve.Location) {
-	d.agents[a] = &agentView{epoch: e, lastHeard: now, endpoints: map[oleandervalve.EndpointID]*endpointView{}}
+// Connect records a new connection of an agent; it replaces an older one with
+// its endpoints and credits.
+func (d *Directory) Connect(now time.Time, a oleandervalve.AgentID, e oleandervalve.ConnectionEpoch, l oleandervalve.Location) {
+	if d.current(a, e) != nil {
+		return
+	}
+	d.agents[a] = &agentView{
+		id: a, epoch: e, location: l, lastHeard: now,
+		endpoints: map[oleandervalve.EndpointID]*endpointView{},
+	}
+	d.rebuild()
 }
 
 // Disconnect forgets a connection; an older epoch than the current one is ignored.
 func (d *Directory) Disconnect(a oleandervalve.AgentID, e oleandervalve.ConnectionEpoch) {
-	if v := d.current(a, e); v != nil {
+	if d.current(a, e) != nil {
 		delete(d.agents, a)
+		d.rebuild()
 	}
 }
 
@@ -82,6 +139,29 @@
 	return nil
 }
 
+// rebuild sorts the agents and the endpoints of each service.
+func (d *Directory) rebuild() {
+	d.order = d.order[:0]
+	d.services = map[oleandervalve.ServiceName][]*endpointView{}
+	for _, v := range d.agents {
+		d.order = append(d.order, v)
+		for _, x := range v.endpoints {
+			if !x.status.Leaving {
+				d.services[x.status.Service] = append(d.services[x.status.Service], x)
+			}
+		}
+	}
+	sort.Slice(d.order, func(i, j int) bool { return d.order[i].id < d.order[j].id })
+	for _, list := range d.services {
+		sort.Slice(list, func(i, j int) bool {
+			if a, b := list[i], list[j]; a.status.Endpoint != b.status.Endpoint {
+				return a.status.Endpoint < b.status.Endpoint
+			}
+			return list[i].agent.id < list[j].agent.id
+		})
+	}
+}
+
 // Heartbeat records a sign of life.
 func (d *Directory) Heartbeat(now time.Time, a oleandervalve.AgentID, e oleandervalve.ConnectionEpoch) {
 	if v := d.current(a, e); v != nil {
@@ -89,8 +169,21 @@
 	}
 }
 
+// Draining records that an agent takes no new work; its credits are void.
+func (d *Directory) Draining(a oleandervalve.AgentID, e oleandervalve.ConnectionEpoch) {
+	v := d.current(a, e)
+	if v == nil {
+		return
+	}
+	v.draining = true
+	for _, x := range v.endpoints {
+		x.status.Leaving, x.credits = true, nil
+	}
+	d.rebuild()
+}
+
 // Update records an agent's endpoints; a full list replaces the earlier one.
-func (d *Directory) Update(_ time.Time, a oleandervalve.AgentID, e oleandervalve.ConnectionEpoch, full bool, list []Status) {
+func (d *Directory) Update(now time.Time, a oleandervalve.AgentID, e oleandervalve.ConnectionEpoch, full bool, list []Status) {
 	v := d.current(a, e)
 	if v == nil {
 		return
@@ -102,9 +195,10 @@
 			delete(v.endpoints, s.Endpoint)
 			continue
 		}
+		s.Leaving = s.Leaving || v.draining
 		x := v.endpoints[s.Endpoint]
 		if x == nil {
-			x = &endpointView{agent: a}
+			x = &endpointView{agent: v, health: d.healthOf(now, s.Endpoint)}
 			v.endpoints[s.Endpoint] = x
 		}
 		x.status = s
@@ -112,74 +206,179 @@
 			x.credits = nil
 		}
 	}
-	if !full {
-		return
-	}
 	for id := range v.endpoints {
-		if !listed[id] {
+		if full && !listed[id] {
 			delete(v.endpoints, id)
 		}
 	}
+	d.rebuild()
+}
+
+func (d *Directory) healthOf(now time.Time, id oleandervalve.EndpointID) *health {
+	h := d.health[id]
+	if h == nil {
+		h = &health{}
+		d.health[id] = h
+	}
+	h.lastSeen = now
+	return h
 }
 
-// Credit adds credits granted by an agent.
+// Credit adds credits granted by an agent; a count of 0 renews the unexpired
+// credits held for the endpoint. Credits for an endpoint that the agent has not
+// listed are returned, so that the agent grants them again later.
 func (d *Directory) Credit(now time.Time, a oleandervalve.AgentID, e oleandervalve.ConnectionEpoch,
 	id oleandervalve.EndpointID, class oleandervalve.ClassName, count int, validFor time.Duration,
-) {
+) []CreditReturn {
 	v := d.current(a, e)
-	if v == nil || v.endpoints[id] == nil || v.endpoints[id].status.Leaving {
-		return
+	if v == nil {
+		return nil
 	}
 	x := v.endpoints[id]
+	switch {
+	case x == nil && count > 0:
+		return []CreditReturn{{Agent: a, Epoch: e, Endpoint: id, Class: class, Count: count}}
+	case x == nil || x.status.Leaving:
+		return nil
+	}
 	for range count {
-		x.credits = append(x.credits, credit{class: class, expires: now.Add(validFor)})
+		x.credits = append(x.credits, heldCredit{class: class, expires: now.Add(validFor)})
+	}
+	for i := range x.credits {
+		if c := &x.credits[i]; count == 0 && c.expires.After(now) {
+			c.expires = now.Add(validFor)
+		}
 	}
+	return nil
 }
 
 // Take uses one credit for a service and returns where the request goes.
 func (d *Directory) Take(now time.Time, service oleandervalve.ServiceName) (Assignment, bool) {
-	var best *endpointView
-	for _, x := range d.usable(now, service) {
-		if best == nil || len(x.credits) > len(best.credits) {
-			best = x
+	lowest := 0.0
+	found := false
+	for _, x := range d.services[service] {
+		if s := x.score(); d.usable(now, x) && (!found || s < lowest) {
+			lowest, found = s, true
 		}
 	}
-	if best == nil {
+	if !found {
 		return Assignment{}, false
 	}
+	var best *endpointView
+	for _, x := range d.services[service] {
+		if x.score() <= lowest*equalScore && d.usable(now, x) && (best == nil || d.preferred(x, best)) {
+			best = x
+		}
+	}
 	c := best.credits[0]
-	best.credits = best.credits[1:]
+	best.credits = append(best.credits[:0], best.credits[1:]...)
+	best.inFlight++
+	d.uses++
+	best.used = d.uses
+	if best.health.state == ejected {
+		best.health.state = probing
+	}
 	return Assignment{
-		Agent: best.agent, Epoch: d.agents[best.agent].epoch,
-		Endpoint: best.status.Endpoint, Class: c.class,
+		Agent: best.agent.id, Epoch: best.agent.epoch,
+		Endpoint: best.status.Endpoint, Class: c.class, expires: c.expires,
 	}, true
 }
 
-// usable lists the endpoints of a service with unexpired credits, in a fixed order.
-func (d *Directory) usable(now time.Time, service oleandervalve.ServiceName) []*endpointView {
-	var out []*endpointView
-	for _, v := range d.agents {
-		if now.Sub(v.lastHeard) >= SuspectAfter {
-			continue
-		}
-		for _, x := range v.endpoints {
-			for len(x.credits) > 0 && !x.credits[0].expires.After(now) {
-				x.credits = x.credits[1:]
-			}
-			if x.status.Service == service && !x.status.Leaving && len(x.credits) > 0 {
-				out = append(out, x)
+// usable reports whether an endpoint has an unexpired credit and may get work.
+func (d *Directory) usable(now time.Time, x *endpointView) bool {
+	if len(x.credits) == 0 || x.status.Leaving || now.Sub(x.agent.lastHeard) >= SuspectAfter || !x.health.allows(now, x.inFlight) {
+		return false
+	}
+	if !x.credits[0].expires.After(now) {
+		// Expire returns the credits; here they only must not be used.
+		for i, c := range x.credits {
+			if c.expires.After(now) {
+				x.credits[0], x.credits[i] = c, x.credits[0]
+				return true
 			}
 		}
+		return false
+	}
+	return true
+}
+
+// score is the expected cost of one more request: the measured latency, more
+// for each of the entry's own requests in flight there.
+func (x *endpointView) score() float64 {
+	latency := slowFloor.Seconds()
+	if x.health.samples > 0 {
+		latency = max(x.health.latency, 0.0001)
+	}
+	return latency * (1 + float64(x.inFlight)/float64(max(1, x.status.Slots)))
+}
+
+func (d *Directory) preferred(x, o *endpointView) bool {
+	if near, other := x.agent.location.DataCentre == d.location.DataCentre, o.agent.location.DataCentre == d.location.DataCentre; near != other {
+		return near
+	}
+	if len(x.credits) != len(o.credits) {
+		return len(x.credits) > len(o.credits)
+	}
+	return x.used < o.used
+}
+
+func (d *Directory) find(a Assignment) *endpointView {
+	if v := d.current(a.Agent, a.Epoch); v != nil {
+		return v.endpoints[a.Endpoint]
+	}
+	return nil
+}
+
+// Restore puts back a credit that was taken and not used.
+func (d *Directory) Restore(now time.Time, a Assignment) {
+	x := d.find(a)
+	if x == nil {
+		return
+	}
+	x.inFlight = max(0, x.inFlight-1)
+	if x.health.state == probing && x.health.succeeded == 0 && x.inFlight == 0 {
+		x.health.state = ejected
+	}
+	if !x.status.Leaving && a.expires.After(now) {
+		x.credits = append(x.credits, heldCredit{class: a.Class, expires: a.expires})
+	}
+}
+
+// Refused records that the agent refused a request or confirmed its withdrawal
+// before it ran, which says nothing about the endpoint's health.
+func (d *Directory) Refused(a Assignment) {
+	if x := d.find(a); x != nil {
+		x.inFlight = max(0, x.inFlight-1)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].status.Endpoint < out[j].status.Endpoint })
-	return out
 }
 
-// Available counts the unexpired credits for a service.
+// Result records the end of a request at an endpoint.
+func (d *Directory) Result(now time.Time, a Assignment, ok bool, latency time.Duration) {
+	x := d.find(a)
+	if x == nil {
+		return
+	}
+	x.inFlight = max(0, x.inFlight-1)
+	x.health.observe(now, ok, latency)
+	d.judge(now, x, x.health, ok)
+}
+
+// Available counts the unexpired credits for a service that may be used now.
 func (d *Directory) Available(now time.Time, service oleandervalve.ServiceName) int {
 	n := 0
-	for _, x := range d.usable(now, service) {
-		n += len(x.credits)
+	for _, x := range d.services[service] {
+		if !d.usable(now, x) {
+			continue
+		}
+		if x.health.state != healthy {
+			n++
+			continue
+		}
+		for _, c := range x.credits {
+			if c.expires.After(now) {
+				n++
+			}
+		}
 	}
 	return n
 }
@@ -187,18 +386,8 @@
 // Slots counts the slots of a service's ready endpoints.
 func (d *Directory) Slots(service oleandervalve.ServiceName) int {
 	n := 0
-	for _, v := range d.agents {
-		for _, x := range v.endpoints {
-			if x.status.Service == service && !x.status.Leaving {
-				n += x.status.Slots
-			}
-		}
+	for _, x := range d.services[service] {
+		n += x.status.Slots
 	}
 	return n
 }
-
-// Result records the end of a request at an endpoint.
-func (d *Directory) Result(_ time.Time, _ oleandervalve.EndpointID, _ bool, _ time.Duration) {}
-
-// Expire drops credits past their validity and returns those to give back.
-func (d *Directory) Expire(_ time.Time) []CreditReturn { return nil }
