--- a/core/caller/queue.go
+++ b/core/caller/queue.go
@@ -151,7 +151,7 @@
 // Requeue puts back a request that was popped but provably not run; it keeps
 // its turn and no bound applies. It is refused only after its deadline.
 func (q *Queue) Requeue(now time.Time, r Request) error {
-	q.Abandoned(r.Class)
+	q.Abandoned(now, r.Class)
 	if !r.Deadline.After(now) {
 		return &oleandervalve.NotRunError{Reason: "deadlinePassed", Remedy: "send the request with a longer timeout"}
 	}
@@ -220,13 +220,27 @@
 		return full("teamQueueFull", "retry after the given time, or spread the team's requests over time", retry)
 	case size(leaf) >= callerLimit:
 		return full("callerQueueFull", "retry after the given time, or send fewer requests at once", retry)
-	case c.flow.size > 0 && measured && now.Add(wait+q.shares.Mean(r.Class)).After(r.Deadline):
-		late := wait + q.shares.Mean(r.Class) - r.Deadline.Sub(now)
+	case c.flow.size > 0 && measured && now.Add(q.needed(r.Class, wait)).After(r.Deadline):
+		late := q.needed(r.Class, wait) - r.Deadline.Sub(now)
 		return full("deadlineTooShort", "retry after the given time or with a longer timeout", late)
 	}
 	return nil
 }
 
+// needed is the time in which a request is answered with fair certainty: the
+// estimated wait with a tenth for its error, and twice the mean service time,
+// because requests served just before their deadline waste their slots.
+func (q *Queue) needed(class oleandervalve.ClassName, wait time.Duration) time.Duration {
+	return wait + wait/10 + 2*q.shares.Mean(class)
+}
+
+// hopeless reports whether a request that has waited has less time left than
+// its class needs on average.
+func (q *Queue) hopeless(now time.Time, r Request) bool {
+	mean := q.shares.Mean(r.Class)
+	return r.Deadline.Sub(now) < mean && r.Deadline.Sub(r.Arrived) >= 2*mean
+}
+
 func full(reason oleandervalve.Reason, remedy string, retry time.Duration) error {
 	return &oleandervalve.NotRunError{
 		Reason: reason, Remedy: remedy,
@@ -277,7 +291,11 @@
 // Pop removes the request to serve next; an empty class means any.
 func (q *Queue) Pop(now time.Time, class oleandervalve.ClassName) (Request, bool) {
 	q.sweep(now)
-	c := q.next(class)
+	c := q.next(now, class)
+	for c != nil && q.hopeless(now, c.flow.head().request) {
+		q.setAside(now, c.flow.head())
+		c = q.next(now, class)
+	}
 	if c == nil {
 		return Request{}, false
 	}
@@ -286,7 +304,7 @@
 	it.leaf.serve()
 	q.remove(it)
 	q.running++
-	q.shares.Take(r.Class, q.running)
+	q.shares.Take(now, r.Class, q.running)
 	c.rate.advance(now, c.flow.size)
 	c.rate.served++
 	return r, true
@@ -294,7 +312,7 @@
 
 // next chooses the class to serve. The floors are relative to the slots that
 // this entry uses itself; over all entries the agents' grants make them hold.
-func (q *Queue) next(class oleandervalve.ClassName) *classQueue {
+func (q *Queue) next(now time.Time, class oleandervalve.ClassName) *classQueue {
 	if class != "" {
 		if c := q.classes[class]; c != nil && c.flow.size > 0 {
 			return c
@@ -308,7 +326,7 @@
 			q.indices = append(q.indices, c)
 		}
 	}
-	if i := q.shares.Next(q.running+1, q.candidates); i >= 0 {
+	if i := q.shares.Next(now, q.running+1, q.candidates); i >= 0 {
 		return q.indices[i]
 	}
 	return nil
@@ -340,15 +358,19 @@
 // sweep sets the requests past their deadline aside for Expire.
 func (q *Queue) sweep(now time.Time) {
 	for len(q.expiry) > 0 && !q.expiry[0].request.Deadline.After(now) {
-		it := q.expiry[0]
-		c := q.classes[it.request.Class]
-		q.expired = append(q.expired, it.request)
-		q.remove(it)
-		c.rate.advance(now, c.flow.size)
+		q.setAside(now, q.expiry[0])
 	}
 }
 
-// Expire removes and returns the requests whose deadline has passed.
+func (q *Queue) setAside(now time.Time, it *item) {
+	c := q.classes[it.request.Class]
+	q.expired = append(q.expired, it.request)
+	q.remove(it)
+	c.rate.advance(now, c.flow.size)
+}
+
+// Expire removes and returns the requests whose deadline has passed, and those
+// that Pop passed over because too little of their time was left.
 func (q *Queue) Expire(now time.Time) []Request {
 	q.sweep(now)
 	out := q.expired
@@ -369,15 +391,15 @@
 }
 
 // Finished records how long a popped request of a class held its slot.
-func (q *Queue) Finished(_ time.Time, class oleandervalve.ClassName, held time.Duration) {
+func (q *Queue) Finished(now time.Time, class oleandervalve.ClassName, held time.Duration) {
 	q.running = max(0, q.running-1)
-	q.shares.Done(class, held)
+	q.shares.Done(now, class, held)
 }
 
 // Abandoned records that a popped request of a class did not run and is not put back.
-func (q *Queue) Abandoned(class oleandervalve.ClassName) {
+func (q *Queue) Abandoned(now time.Time, class oleandervalve.ClassName) {
 	q.running = max(0, q.running-1)
-	q.shares.Undo(class, 0)
+	q.shares.Undo(now, class, 0)
 }
 
 // Waiting counts the waiting requests by class, in the order of their names.
--- a/core/credit/shares.go
+++ b/core/credit/shares.go
@@ -20,23 +20,54 @@
 // measurement; it only sets the unit of virtual time, equal for all classes.
 const initialMean = 10 * time.Millisecond
 
+// lagServices bounds, in mean service times of one slot, how much unused or
+// overused floor is remembered: enough to average the fraction of a floor that
+// isn't a whole slot, too little for a long burst.
+const lagServices = 4
+
 type class struct {
 	share    ClassShare
 	used     int
 	virtual  float64
 	mean     float64
 	measured bool
+	// lag is the slot time, in seconds, by which the use stayed below the floor.
+	lag float64
+	at  time.Time
+}
+
+// advance sums up the difference between floor and use since the last event.
+func (c *class) advance(now time.Time, capacity int) {
+	if d := now.Sub(c.at).Seconds(); d > 0 && !c.at.IsZero() {
+		limit := lagServices * c.mean
+		c.lag += d * (c.share.Floor*float64(capacity) - float64(c.used))
+		c.lag = min(max(c.lag, -limit), limit)
+	}
+	c.at = now
+}
+
+// fill tells how much of its floor a class uses, 1 from the floor on. The last
+// slot counts if it lies within the floor as a whole, or if the class used less
+// than its floor lately: with few slots, rounding all floors up would promise
+// more than there is.
+func (c *class) fill(capacity int) float64 {
+	floor := c.share.Floor * float64(capacity)
+	if used := float64(c.used); used+1 <= floor || (used < floor && c.lag > 0) {
+		return used / floor
+	}
+	return 1
 }
 
 // Shares accounts for the slots that the classes of one service use.
 //
-// A class below its floor is served first. Slots beyond the floors are shared
+// A class below its floor, in whole slots or on average, is served first. Slots beyond the floors are shared
 // by start-time fair queueing: a class pays its mean service time divided by
 // its weight for each of them, so classes with long requests get no more slot
 // time than their weight.
 type Shares struct {
-	classes map[oleandervalve.ClassName]*class
-	clock   float64
+	classes  map[oleandervalve.ClassName]*class
+	clock    float64
+	capacity int
 }
 
 // NewShares returns shares in which every class has weight 1 and no floor.
@@ -66,11 +97,15 @@
 	return c
 }
 
-// Take counts one slot for a class and returns the virtual time charged for it.
-func (s *Shares) Take(n oleandervalve.ClassName, capacity int) float64 {
+// Take counts one slot of capacity for a class and returns the virtual time
+// charged for it.
+func (s *Shares) Take(now time.Time, n oleandervalve.ClassName, capacity int) float64 {
+	s.capacity = capacity
 	c := s.class(n)
+	c.advance(now, capacity)
+	free := c.fill(capacity) < 1
 	c.used++
-	if float64(c.used-1) < c.share.Floor*float64(capacity) {
+	if free {
 		return 0
 	}
 	start := max(c.virtual, s.clock)
@@ -81,15 +116,17 @@
 }
 
 // Undo gives back a slot that was taken but not used, with its charge.
-func (s *Shares) Undo(n oleandervalve.ClassName, charge float64) {
+func (s *Shares) Undo(now time.Time, n oleandervalve.ClassName, charge float64) {
 	c := s.class(n)
+	c.advance(now, s.capacity)
 	c.used = max(0, c.used-1)
 	c.virtual -= charge
 }
 
 // Done gives back a slot after use and records how long it was held.
-func (s *Shares) Done(n oleandervalve.ClassName, held time.Duration) {
+func (s *Shares) Done(now time.Time, n oleandervalve.ClassName, held time.Duration) {
 	c := s.class(n)
+	c.advance(now, s.capacity)
 	c.used = max(0, c.used-1)
 	if held <= 0 {
 		return
@@ -119,18 +156,15 @@
 
 // Next returns the index of the waiting class that the next of capacity slots
 // belongs to, or -1 if none waits; equal claims go to the earlier index.
-func (s *Shares) Next(capacity int, waiting []oleandervalve.ClassName) int {
-	best, bestFloor, bestVirtual := -1, 0.0, 0.0
+func (s *Shares) Next(now time.Time, capacity int, waiting []oleandervalve.ClassName) int {
+	s.capacity = capacity
+	best, bestFill, bestVirtual := -1, 0.0, 0.0
 	for i, n := range waiting {
 		c := s.class(n)
-		// fill is 1 for every class at or above its floor.
-		fill := 1.0
-		if f := c.share.Floor * float64(capacity); float64(c.used) < f {
-			fill = float64(c.used) / f
-		}
-		virtual := max(c.virtual, s.clock)
-		if best < 0 || fill < bestFloor || (fill == bestFloor && virtual < bestVirtual) {
-			best, bestFloor, bestVirtual = i, fill, virtual
+		c.advance(now, capacity)
+		fill, virtual := c.fill(capacity), max(c.virtual, s.clock)
+		if best < 0 || fill < bestFill || (fill == bestFill && virtual < bestVirtual) {
+			best, bestFill, bestVirtual = i, fill, virtual
 		}
 	}
 	return best
--- a/core/instance/admission.go
+++ b/core/instance/admission.go
@@ -107,8 +107,8 @@
 		return err
 	}
 	x := l.endpoints[a.Endpoint]
-	l.useCredit(x, a.Entry, a.Class)
-	l.service(x.announced.Service).Take(a.Class, l.capacity(x.announced.Service))
+	l.useCredit(now, x, a.Entry, a.Class)
+	l.service(x.announced.Service).Take(now, a.Class, l.capacity(x.announced.Service))
 	x.inUse++
 	l.requests.running[k] = &admitted{endpoint: x, class: a.Class, deadline: a.Deadline, at: now}
 	return nil
@@ -191,6 +191,6 @@
 	if ran {
 		held = now.Sub(r.at)
 	}
-	l.service(r.endpoint.announced.Service).Done(r.class, held)
+	l.service(r.endpoint.announced.Service).Done(now, r.class, held)
 	l.requests.record(now, k, ran)
 }
--- a/core/instance/grants.go
+++ b/core/instance/grants.go
@@ -75,7 +75,7 @@
 // Return takes unused credits back from an entry; it also answers a revocation.
 // An entry returns credits granted for a class only when nothing waits that
 // could use them, so its demand for that class ends.
-func (l *Ledger) Return(e oleandervalve.EntryID, c oleandervalve.ConnectionEpoch,
+func (l *Ledger) Return(now time.Time, e oleandervalve.EntryID, c oleandervalve.ConnectionEpoch,
 	id oleandervalve.EndpointID, class oleandervalve.ClassName, count int,
 ) {
 	x, v := l.endpoints[id], l.entries[e]
@@ -89,12 +89,12 @@
 		}
 	}
 	for ; count > 0 && len(x.held[e]) > 0; count-- {
-		l.dropOne(x, e, class)
+		l.dropOne(now, x, e, class)
 	}
 }
 
 // dropOne removes a credit of the class, or else the oldest one.
-func (l *Ledger) dropOne(x *endpointState, e oleandervalve.EntryID, class oleandervalve.ClassName) {
+func (l *Ledger) dropOne(now time.Time, x *endpointState, e oleandervalve.EntryID, class oleandervalve.ClassName) {
 	list := x.held[e]
 	at := 0
 	for i, h := range list {
@@ -106,19 +106,19 @@
 	h := list[at]
 	x.held[e] = append(list[:at], list[at+1:]...)
 	if h.class != "" {
-		l.service(x.announced.Service).Undo(h.class, h.charge)
+		l.service(x.announced.Service).Undo(now, h.class, h.charge)
 	}
 }
 
-func (l *Ledger) dropHeld(x *endpointState, e oleandervalve.EntryID, n int) {
+func (l *Ledger) dropHeld(now time.Time, x *endpointState, e oleandervalve.EntryID, n int) {
 	for range n {
-		l.dropOne(x, e, x.held[e][0].class)
+		l.dropOne(now, x, e, x.held[e][0].class)
 	}
 }
 
-func (l *Ledger) useCredit(x *endpointState, e oleandervalve.EntryID, class oleandervalve.ClassName) {
+func (l *Ledger) useCredit(now time.Time, x *endpointState, e oleandervalve.EntryID, class oleandervalve.ClassName) {
 	if len(x.held[e]) > 0 {
-		l.dropOne(x, e, class)
+		l.dropOne(now, x, e, class)
 	}
 }
 
@@ -128,7 +128,7 @@
 			if h := x.held[e][i]; h.lapsed(now) {
 				x.held[e] = append(x.held[e][:i], x.held[e][i+1:]...)
 				if h.class != "" {
-					l.service(x.announced.Service).Undo(h.class, h.charge)
+					l.service(x.announced.Service).Undo(now, h.class, h.charge)
 				}
 				continue
 			}
@@ -268,7 +268,7 @@
 	classes, claims := l.claims(s)
 	capacity := l.capacity(s)
 	for ; free != nil; free = l.freeEndpoint(s) {
-		i := l.service(s).Next(capacity, classes)
+		i := l.service(s).Next(now, capacity, classes)
 		if i < 0 {
 			return out
 		}
@@ -333,7 +333,7 @@
 func (l *Ledger) grant(now time.Time, x *endpointState, e oleandervalve.EntryID, class oleandervalve.ClassName, out []Grant) []Grant {
 	h := heldCredit{class: class, sent: now}
 	if class != "" {
-		h.charge = l.service(x.announced.Service).Take(class, l.capacity(x.announced.Service))
+		h.charge = l.service(x.announced.Service).Take(now, class, l.capacity(x.announced.Service))
 	}
 	x.held[e] = append(x.held[e], h)
 	for i := range out {
--- a/core/instance/ledger.go
+++ b/core/instance/ledger.go
@@ -182,7 +182,7 @@
 	for _, e := range l.entryIDs {
 		if n := len(x.held[e]); n > 0 {
 			l.drained = append(l.drained, Revoke{Entry: e, Epoch: l.entries[e].epoch, Endpoint: x.announced.Endpoint, Count: n})
-			l.dropHeld(x, e, n)
+			l.dropHeld(now, x, e, n)
 		}
 	}
 }
@@ -207,7 +207,7 @@
 		return nil
 	}
 	for _, x := range l.order {
-		l.dropHeld(x, e, len(x.held[e]))
+		l.dropHeld(now, x, e, len(x.held[e]))
 		delete(x.held, e)
 		delete(x.revoking, e)
 	}
--- a/core/instance/property_test.go
+++ b/core/instance/property_test.go
@@ -210,7 +210,7 @@
 func (w *world) giveBack(e *testEntry, list []endpoint.CreditReturn) {
 	for _, r := range list {
 		a := w.agent(r.Agent)
-		w.send(func() { a.ledger.Return(e.id, r.Epoch, r.Endpoint, r.Class, r.Count) })
+		w.send(func() { a.ledger.Return(w.now, e.id, r.Epoch, r.Endpoint, r.Class, r.Count) })
 	}
 }
 
