--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
+	"oleandervalve/core/credit"
 	"oleandervalve/core/instance"
 	"oleandervalve/io/endpointhttp"
 	"oleandervalve/io/peer"
@@ -61,6 +62,11 @@
 	return func(a *Agent) { a.client = c }
 }
 
+// WithShares sets the shares of the classes of a service.
+func WithShares(s oleandervalve.ServiceName, list []credit.ClassShare) Option {
+	return func(a *Agent) { a.ledger.Configure(s, list) }
+}
+
 // New returns a running agent that connects to the given entry URLs; Close ends it.
 func New(id oleandervalve.AgentID, entries []string, options ...Option) *Agent {
 	a := &Agent{
@@ -123,6 +129,12 @@
 		}
 		l.conn.TrySend(&peer.Credit{Endpoint: g.Endpoint, Class: g.Class, Count: g.Count, ValidFor: g.ValidFor})
 	}
+	for _, r := range a.ledger.Revokes(now) {
+		l := a.links[r.Entry]
+		if l != nil && l.epoch == r.Epoch {
+			l.conn.TrySend(&peer.CreditRevoke{Endpoint: r.Endpoint, Count: r.Count})
+		}
+	}
 }
 
 // Announce records an endpoint's announcement.
@@ -196,10 +208,11 @@
 	a.mu.Lock()
 	before := a.ledger.Endpoints()
 	now := a.clock.Now()
-	a.ledger.Drain()
-	for _, x := range before {
-		a.ledger.Leave(now, x.Endpoint)
+	a.ledger.Drain(now)
+	for _, l := range a.links {
+		l.conn.TrySend(&peer.Drain{Reason: "plannedStop", Within: within})
 	}
+	a.grant(now)
 	a.publishChange(before)
 	a.mu.Unlock()
 	end := now.Add(within)
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -75,7 +75,7 @@
 	if a.links[l.entry] == l {
 		delete(a.links, l.entry)
 	}
-	a.ledger.Disconnect(l.entry, epoch)
+	a.ledger.Disconnect(a.clock.Now(), l.entry, epoch)
 	a.grant(a.clock.Now())
 	a.mu.Unlock()
 	l.abortAll()
@@ -101,11 +101,12 @@
 		a.demand(l, m)
 	case *peer.CreditReturn:
 		a.mu.Lock()
-		a.ledger.Return(l.entry, m.Endpoint, m.Count)
-		a.grant(a.clock.Now())
+		now := a.clock.Now()
+		a.ledger.Return(now, l.entry, l.epoch, m.Endpoint, m.Class, m.Count)
+		a.grant(now)
 		a.mu.Unlock()
 	case *peer.Cancel:
-		l.cancel(m.ID)
+		a.withdraw(l, m.ID)
 	case *peer.Body:
 		if s := l.find(m.ID); s != nil && s.body != nil {
 			s.body.Push(m.Data)
@@ -151,17 +152,16 @@
 	l.mu.Unlock()
 }
 
-// cancel withdraws a request and tells the entry whether it may have run.
-func (l *link) cancel(id oleandervalve.RequestID) {
-	s := l.find(id)
-	if s == nil {
-		return
-	}
-	withdrawn := s.withdraw()
-	if !withdrawn {
-		s.cancel()
-	}
-	_ = l.conn.Send(&peer.Cancelled{ID: id, Ran: !withdrawn})
+// withdraw cancels a request and tells the entry whether it may have run. A
+// request that runs keeps its slot until the endpoint has ended it, because the
+// endpoint works on it either way.
+func (a *Agent) withdraw(l *link, id oleandervalve.RequestID) {
+	a.mu.Lock()
+	now := a.clock.Now()
+	ran := a.ledger.Cancel(now, l.entry, l.epoch, id)
+	a.grant(now)
+	a.mu.Unlock()
+	_ = l.conn.Send(&peer.Cancelled{ID: id, Ran: ran})
 }
 
 // abortAll stops the transfers of a lost connection; requests that run go on to their end.
@@ -173,11 +173,14 @@
 		if s.body != nil {
 			s.body.Fail(peer.ErrBodyCut)
 		}
-		s.withdraw()
 	}
 }
 
-// requestContext bounds a request by its remaining time.
+// overrun is how long an endpoint may work past a request's deadline before the
+// agent gives the connection up and frees the slot.
+const overrun = 30 * time.Second
+
+// requestContext bounds a request by its remaining time and the permitted overrun.
 func (a *Agent) requestContext(remaining time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), remaining)
+	return context.WithTimeout(context.Background(), remaining+overrun)
 }
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"oleandervalve"
 	"oleandervalve/core/endpoint"
@@ -77,6 +76,12 @@
 		e.updateEndpoints(l, m)
 	case *peer.Credit:
 		e.credit(l, m)
+	case *peer.CreditRevoke:
+		e.revoke(l, m)
+	case *peer.Drain:
+		e.mu.Lock()
+		e.directory.Draining(l.agent, l.epoch)
+		e.mu.Unlock()
 	case *peer.Response:
 		l.deliver(m.ID, m)
 	case *peer.Refused:
@@ -99,7 +104,7 @@
 			c.body.Finish(m.Length, m.Failed)
 		}
 	case *peer.Window:
-		if c := l.call(m.ID); c != nil && c.upload != nil {
+		if c := l.call(m.ID); c != nil {
 			c.upload.Grant(m.Bytes)
 		}
 	}
@@ -115,9 +120,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.directory.Update(e.clock.Now(), l.agent, l.epoch, m.Full, list)
+	now := e.clock.Now()
+	e.directory.Update(now, l.agent, l.epoch, m.Full, list)
 	for _, s := range list {
-		e.queue(s.Service).SetCapacity(e.directory.Slots(s.Service))
+		e.service(s.Service).queue.SetCapacity(e.directory.Slots(s.Service))
 	}
 }
 
@@ -125,16 +131,23 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
-	e.directory.Credit(now, l.agent, l.epoch, m.Endpoint, m.Class, m.Count, m.ValidFor)
-	for s, q := range e.queues {
-		if q.Len() > 0 {
-			e.pump(now, s)
+	e.giveBack(e.directory.Credit(now, l.agent, l.epoch, m.Endpoint, m.Class, m.Count, m.ValidFor))
+	for name, s := range e.services {
+		if s.queue.Len() > 0 {
+			e.pump(now, name)
 		}
 	}
 }
 
+func (e *Entry) revoke(l *link, m *peer.CreditRevoke) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.giveBack(e.directory.Revoke(e.clock.Now(), l.agent, l.epoch, m.Endpoint, m.Count))
+}
+
 func (l *link) open(id oleandervalve.RequestID) *call {
 	c := &call{events: make(chan peer.Message, 1), cancelled: make(chan *peer.Cancelled, 1)}
+	c.upload = peer.NewBodyWriter(l.conn, id)
 	c.body = peer.NewBodyReader(func(n int64) { l.conn.TrySend(&peer.Window{ID: id, Bytes: n}) })
 	l.mu.Lock()
 	l.calls[id] = c
@@ -150,8 +163,13 @@
 
 func (l *link) close(id oleandervalve.RequestID) {
 	l.mu.Lock()
+	c := l.calls[id]
 	delete(l.calls, id)
 	l.mu.Unlock()
+	if c != nil {
+		c.upload.Abort(peer.ErrClosed)
+		c.body.Fail(peer.ErrBodyCut)
+	}
 }
 
 // deliver hands over the first message of an answer; a message for a request
@@ -177,11 +195,6 @@
 		default:
 		}
 		c.body.Fail(peer.ErrBodyCut)
-		if c.upload != nil {
-			c.upload.Abort(peer.ErrClosed)
-		}
+		c.upload.Abort(peer.ErrClosed)
 	}
 }
-
-// cancelWait is how long an entry waits to hear whether a withdrawn request ran.
-const cancelWait = 500 * time.Millisecond
--- a/io/peer/messages.go
+++ b/io/peer/messages.go
@@ -93,6 +93,8 @@
 	Service oleandervalve.ServiceName `cbor:"service"`
 	Class   oleandervalve.ClassName   `cbor:"class"`
 	Waiting int                       `cbor:"waiting"`
+	// Teams counts the teams of the waiting requests.
+	Teams int `cbor:"teams"`
 }
 
 // Demand tells an agent what waits at an entry.
@@ -109,8 +111,15 @@
 	ValidFor time.Duration `cbor:"validForNs"`
 }
 
-// CreditReturn gives unused credits back.
+// CreditReturn gives unused credits back; it also answers a CreditRevoke.
 type CreditReturn struct {
+	Endpoint oleandervalve.EndpointID `cbor:"endpoint"`
+	Class    oleandervalve.ClassName  `cbor:"class,omitempty"`
+	Count    int                      `cbor:"count"`
+}
+
+// CreditRevoke asks an entry to return unused credits.
+type CreditRevoke struct {
 	Endpoint oleandervalve.EndpointID `cbor:"endpoint"`
 	Count    int                      `cbor:"count"`
 }
@@ -207,6 +216,7 @@
 	typeDemand       Type = "demand"
 	typeCredit       Type = "credit"
 	typeCreditReturn Type = "creditReturn"
+	typeCreditRevoke Type = "creditRevoke"
 	typeRequest      Type = "request"
 	typeResponse     Type = "response"
 	typeBody         Type = "body"
@@ -243,6 +253,9 @@
 // Type returns "credit".
 func (*Credit) Type() Type { return typeCredit }
 
+// Type returns "creditRevoke".
+func (*CreditRevoke) Type() Type { return typeCreditRevoke }
+
 // Type returns "creditReturn".
 func (*CreditReturn) Type() Type { return typeCreditReturn }
 
@@ -295,6 +308,8 @@
 		return &Demand{}
 	case typeCredit:
 		return &Credit{}
+	case typeCreditRevoke:
+		return &CreditRevoke{}
 	case typeCreditReturn:
 		return &CreditReturn{}
 	case typeRequest:
