--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
+	"oleandervalve/core/credit"
 	"oleandervalve/core/instance"
 	"oleandervalve/io/endpointhttp"
 	"oleandervalve/io/peer"
@@ -21,6 +22,7 @@
 type Agent struct {
 	id       oleandervalve.AgentID
 	worker   oleandervalve.WorkerID
+	labels   map[string]string
 	location oleandervalve.Location
 	clock    oleandervalve.Clock
 	log      *logrus.Entry
@@ -54,6 +56,9 @@
 // WithLocation sets where the agent's instance stands.
 func WithLocation(l oleandervalve.Location) Option { return func(a *Agent) { a.location = l } }
 
+// WithLabels sets the labels of the worker, which selectors refer to.
+func WithLabels(l map[string]string) Option { return func(a *Agent) { a.labels = l } }
+
 // WithWorker names the worker that the agent looks after.
 func WithWorker(w oleandervalve.WorkerID) Option { return func(a *Agent) { a.worker = w } }
 
@@ -62,6 +67,11 @@
 	return func(a *Agent) { a.client = c }
 }
 
+// WithShares sets the shares of the classes of a service.
+func WithShares(s oleandervalve.ServiceName, list []credit.ClassShare) Option {
+	return func(a *Agent) { a.ledger.Configure(s, list) }
+}
+
 // New returns a running agent that connects to the given entry URLs; Close ends it.
 func New(id oleandervalve.AgentID, entries []string, options ...Option) *Agent {
 	a := &Agent{
@@ -79,6 +89,7 @@
 	for _, o := range options {
 		o(a)
 	}
+	a.startTasks()
 	for _, url := range entries {
 		a.stopped.Add(1)
 		go a.connect(url)
@@ -132,6 +143,12 @@
 		}
 		l.conn.TrySend(&peer.Credit{Endpoint: g.Endpoint, Class: g.Class, Count: g.Count, ValidFor: g.ValidFor})
 	}
+	for _, r := range a.ledger.Revokes(now) {
+		l := a.links[r.Entry]
+		if l != nil && l.epoch == r.Epoch {
+			l.conn.TrySend(&peer.CreditRevoke{Endpoint: r.Endpoint, Count: r.Count})
+		}
+	}
 }
 
 // Announce records an endpoint's announcement.
@@ -205,10 +222,11 @@
 	a.mu.Lock()
 	before := a.ledger.Endpoints()
 	now := a.clock.Now()
-	a.ledger.Drain()
-	for _, x := range before {
-		a.ledger.Leave(now, x.Endpoint)
+	a.ledger.Drain(now)
+	for _, l := range a.links {
+		l.conn.TrySend(&peer.Drain{Reason: "plannedStop", Within: within})
 	}
+	a.grant(now)
 	a.publishChange(before)
 	a.mu.Unlock()
 	end := now.Add(within)
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,27 +21,6 @@
 type served struct {
 	body     *peer.BodyReader
 	download *peer.BodyWriter
-	cancel   context.CancelFunc
-
-	mu        sync.Mutex
-	began     bool
-	withdrawn bool
-}
-
-// begin marks the start of execution and reports whether the request may run.
-func (s *served) begin() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.began = !s.withdrawn
-	return s.began
-}
-
-// withdraw keeps a request from starting and reports whether it had not begun.
-func (s *served) withdraw() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.withdrawn = !s.began
-	return s.withdrawn
 }
 
 func (a *Agent) admit(l *link, m *peer.Request) {
@@ -55,12 +33,11 @@
 	address := a.addresses[m.Endpoint]
 	a.mu.Unlock()
 	if err != nil {
-		refuse(l, m.ID, err)
+		a.refuse(l, m.ID, err)
 		return
 	}
 	s := &served{download: peer.NewBodyWriter(l.conn, m.ID)}
 	ctx, cancel := a.requestContext(m.Remaining)
-	s.cancel = cancel
 	var body io.Reader = bytes.NewReader(m.Inline)
 	if !m.Whole {
 		s.body = peer.NewBodyReader(func(n int64) { l.conn.TrySend(&peer.Window{ID: m.ID, Bytes: n}) })
@@ -85,7 +62,13 @@
 	a.grant(now)
 }
 
-func refuse(l *link, id oleandervalve.RequestID, err error) {
+// refuse answers a request that did not run; a frame that must not be answered is dropped.
+func (a *Agent) refuse(l *link, id oleandervalve.RequestID, err error) {
+	var drop *instance.DropError
+	if errors.As(err, &drop) {
+		a.scope.Tagged(map[string]string{"reason": string(drop.Reason)}).Counter("droppedRequests").Inc(1)
+		return
+	}
 	m := &peer.Refused{ID: id, Reason: "refused", Remedy: err.Error()}
 	var notRun *oleandervalve.NotRunError
 	if errors.As(err, &notRun) {
@@ -94,10 +77,16 @@
 	_ = l.conn.Send(m)
 }
 
+func (a *Agent) begin(l *link, id oleandervalve.RequestID) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ledger.Begin(a.clock.Now(), l.entry, l.epoch, id)
+}
+
 // serve sends one request to its endpoint and the answer back to the entry.
 func (a *Agent) serve(ctx context.Context, l *link, s *served, address string, m *peer.Request, body io.Reader, deadline time.Time) {
-	if !s.begin() {
-		refuse(l, m.ID, &oleandervalve.NotRunError{Reason: "withdrawn", Remedy: "the request was withdrawn before it ran"})
+	if err := a.begin(l, m.ID); err != nil {
+		a.refuse(l, m.ID, err)
 		return
 	}
 	p, err := a.client.Do(ctx, address, oleandervalve.EndpointRequest{
@@ -140,7 +129,7 @@
 func (a *Agent) reportFailure(l *link, id oleandervalve.RequestID, err error) {
 	var notSent *oleandervalve.NotSentError
 	if errors.As(err, &notSent) {
-		refuse(l, id, &oleandervalve.NotRunError{Reason: "endpointUnreachable", Remedy: notSent.Error()})
+		a.refuse(l, id, &oleandervalve.NotRunError{Reason: "endpointUnreachable", Remedy: notSent.Error()})
 		return
 	}
 	_ = l.conn.Send(&peer.Failed{ID: id, Reason: "endpointFailed", Remedy: "the endpoint gave no whole answer; check its log"})
--- a/io/agent/tasks.go
+++ b/io/agent/tasks.go
@@ -40,23 +40,24 @@
 
 // WithPlatform makes the agent run the tasks of its worker.
 func WithPlatform(p oleandervalve.Platform, o oleandervalve.ObjectStore) Option {
-	return func(a *Agent) {
-		l := lease.NewWorker(lease.WorkerLease)
-		a.tasks = &tasks{
-			worker: a.worker, platform: p, objects: o, lease: l, boot: a.clock.Now(),
-			checkpoints: map[job.Run][]byte{}, shares: map[job.Run]float64{}, usageEvery: usageEvery,
-			runner: job.NewRunner(a.worker, job.Incarnation(rand.Uint64()), l, taskLedger{a}),
-		}
-	}
+	return func(a *Agent) { a.tasks = &tasks{platform: p, objects: o, usageEvery: usageEvery} }
 }
 
-// WithUsageEvery sets the interval at which measurements are passed on.
+// WithUsageEvery sets the interval at which measurements are passed on; it
+// follows WithPlatform.
 func WithUsageEvery(d time.Duration) Option {
-	return func(a *Agent) {
-		if a.tasks != nil {
-			a.tasks.usageEvery = d
-		}
+	return func(a *Agent) { a.tasks.usageEvery = d }
+}
+
+// startTasks completes the part in tasks once all options are known.
+func (a *Agent) startTasks() {
+	t := a.tasks
+	if t == nil {
+		return
 	}
+	t.worker, t.boot, t.lease = a.worker, a.clock.Now(), lease.NewWorker(lease.WorkerLease)
+	t.checkpoints, t.shares = map[job.Run][]byte{}, map[job.Run]float64{}
+	t.runner = job.NewRunner(a.worker, job.Incarnation(rand.Uint64()), t.lease, taskLedger{a})
 }
 
 // taskLedger lets the runner reserve resources in the agent's ledger.
--- a/io/callerhttp/handler.go
+++ b/io/callerhttp/handler.go
@@ -21,6 +21,8 @@
 	HeaderOutcome = "Oleandervalve-Outcome"
 	// HeaderReason names why a request was not answered.
 	HeaderReason = "Oleandervalve-Reason"
+	// HeaderRequestID carries the request id that logs show.
+	HeaderRequestID = "Oleandervalve-Request-Id"
 	// HeaderTimeout is the time in milliseconds within which the caller wants its answer.
 	HeaderTimeout = "Oleandervalve-Timeout-Ms"
 	// HeaderClass names the class of the request.
--- /dev/null
+++ b/io/demo/batch.go
@@ -0,0 +1,144 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"oleandervalve"
+	"oleandervalve/core/job"
+	"oleandervalve/io/callerhttp"
+	"oleandervalve/io/standin"
+	"oleandervalve/io/taskowner"
+)
+
+const mib = oleandervalve.Bytes(1) << 20
+
+// behaviours is what the kinds of tasks really do on the platform's stand-in.
+func behaviours() map[oleandervalve.KindName]standin.Behaviour {
+	return map[oleandervalve.KindName]standin.Behaviour{
+		"routeSheet": {Pressure: 0.02},
+		"nesting":    {Pressure: 0.05},
+		"noisy":      {Pressure: 0.4},
+	}
+}
+
+// jobsFor returns the batch jobs of a deployment.
+func (d deployment) jobsFor(seed uint64, jobs, tasks int) []taskowner.JobSpec {
+	kind := oleandervalve.KindName("nesting")
+	if d.service == "tapbook" {
+		kind = "routeSheet"
+	}
+	var out []taskowner.JobSpec
+	for i := range jobs {
+		out = append(out, taskowner.JobSpec{
+			Job:  oleandervalve.JobID(fmt.Sprintf("%s-%s-%d-%d", d.name, lower(kind), seed, i)),
+			Team: oleandervalve.TeamID(d.name), Kind: kind, Tasks: tasks,
+			Size: oleandervalve.Resources{CPU: 1000, Memory: 512 * mib}, RunTime: time.Second,
+			Where: "site=" + d.name,
+		})
+	}
+	return out
+}
+
+func lower(k oleandervalve.KindName) string {
+	if k == "routeSheet" {
+		return "route-sheet"
+	}
+	return string(k)
+}
+
+// batchResult sums up the batch tasks of a run.
+type batchResult struct {
+	Submitted int `json:"submitted"`
+	Refused   int `json:"refused"`
+	Finished  int `json:"finished"`
+	Other     int `json:"other"`
+	Evictions int `json:"evictions"`
+	// Waiting counts unfinished tasks by state and reason.
+	Waiting  map[string]int         `json:"waiting,omitempty"`
+	Platform standin.PlatformCounts `json:"platform"`
+}
+
+// batch submits jobs and follows them.
+type batch struct {
+	client  *http.Client
+	entries []string
+	mu      sync.Mutex
+	jobs    []taskowner.JobSpec
+	result  batchResult
+}
+
+func newBatch(entries []string) *batch {
+	return &batch{entries: entries, client: &http.Client{Timeout: 10 * time.Second}}
+}
+
+func (b *batch) submit(i int, s taskowner.JobSpec) {
+	body, _ := json.Marshal(s)
+	p, err := b.client.Post(b.entries[i%len(b.entries)]+"/v1/jobs", "application/json", bytes.NewReader(body))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err != nil {
+		b.result.Refused += s.Tasks
+		return
+	}
+	defer p.Body.Close()
+	if p.StatusCode != http.StatusCreated {
+		b.result.Refused += s.Tasks
+		return
+	}
+	b.result.Submitted += s.Tasks
+	b.jobs = append(b.jobs, s)
+}
+
+func (b *batch) status(j taskowner.JobSpec) (taskowner.JobStatus, error) {
+	var s taskowner.JobStatus
+	q, err := http.NewRequest(http.MethodGet, b.entries[0]+"/v1/jobs/"+string(j.Job), nil)
+	if err != nil {
+		return s, err
+	}
+	q.Header.Set(callerhttp.HeaderTeam, string(j.Team))
+	p, err := b.client.Do(q)
+	if err != nil {
+		return s, err
+	}
+	defer p.Body.Close()
+	return s, json.NewDecoder(p.Body).Decode(&s)
+}
+
+// wait follows the accepted jobs until all tasks have ended or the context has.
+func (b *batch) wait(ctx context.Context) {
+	for {
+		finished, other, evictions := 0, 0, 0
+		waiting := map[string]int{}
+		for _, j := range b.jobs {
+			s, err := b.status(j)
+			if err != nil {
+				other += j.Tasks
+				continue
+			}
+			for _, t := range s.Tasks {
+				evictions += t.Evictions
+				if t.State == job.StateFinished {
+					finished++
+				} else {
+					other++
+					waiting[string(t.State)+" "+string(t.Reason)]++
+				}
+			}
+		}
+		b.result.Finished, b.result.Other, b.result.Evictions = finished, other, evictions
+		b.result.Waiting = waiting
+		if other == 0 || ctx.Err() != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(250 * time.Millisecond):
+		}
+	}
+}
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -14,6 +14,9 @@
 	"oleandervalve"
 )
 
+// batchWithin is how long tasks that were accepted may take beyond the run.
+const batchWithin = 20 * time.Second
+
 // Options choose what a demonstration does.
 type Options struct {
 	Scenario string
@@ -32,6 +35,7 @@
 	Seed     uint64        `json:"seed"`
 	Seconds  int           `json:"seconds"`
 	Classes  []classResult `json:"classes"`
+	Batch    batchResult   `json:"batch"`
 	// Violations counts what must never happen, as seen by callers and stand-ins.
 	Violations Violations `json:"violations"`
 }
@@ -54,7 +58,7 @@
 // Run drives one scenario to its end.
 func Run(o Options) (Report, error) {
 	r := Report{Scenario: o.Scenario, Policy: o.Policy, Seed: o.Seed, Seconds: o.Seconds}
-	s, err := Start(2, o.Seed, o.Log)
+	s, err := Start(entriesInDemo, o.Seed, Policy(o.Policy), o.Log)
 	if err != nil {
 		return r, err
 	}
@@ -72,9 +76,20 @@
 			}()
 		}
 	}
+	b := newBatch(s.EntryURLs())
+	for i, d := range deployments() {
+		for k, j := range d.jobsFor(o.Seed, 4, 6) {
+			b.submit(i+k, j)
+		}
+	}
 	l.progress(ctx, o.Progress)
 	sources.Wait()
 	l.pending.Wait()
+	last, stop := context.WithTimeout(context.Background(), batchWithin)
+	defer stop()
+	b.wait(last)
+	r.Batch = b.result
+	r.Batch.Platform = s.Platform.Counts()
 	r.Classes = l.summary()
 	r.Violations = l.violations(s)
 	return r, nil
@@ -135,6 +150,9 @@
 		}
 	}
 	_, v.OverCapacity = s.Books.Totals()
+	p := s.Platform.Counts()
+	v.OverCapacity += p.OverCapacity
+	v.DoubleRuns += p.DoubleRuns + p.DoubleResume
 	return v
 }
 
@@ -154,6 +172,12 @@
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\n",
 			c.Service, c.Class, c.Sent, c.Answered, c.NotRun, c.Unknown, c.P50, c.P99, c.P999)
 	}
+	b := r.Batch
+	_, _ = fmt.Fprintf(t, "\nbatch tasks: submitted %d, finished %d, unfinished %d, refused %d; starts %d, evictions %d, throttles %d\n",
+		b.Submitted, b.Finished, b.Other, b.Refused, b.Platform.Started, b.Evictions, b.Platform.Throttles)
+	for reason, n := range b.Waiting {
+		_, _ = fmt.Fprintf(t, "  unfinished: %s: %d\n", reason, n)
+	}
 	v := r.Violations
 	_, _ = fmt.Fprintf(t, "\nviolations: double runs %d, over capacity %d, lost %d, wrong answers %d, false not run %d, cut requests %d\n",
 		v.DoubleRuns, v.OverCapacity, v.Lost, v.WrongAnswers, v.FalseNotRun, v.CutRequests)
--- a/io/demo/deployment.go
+++ b/io/demo/deployment.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"oleandervalve"
+	"oleandervalve/core/caller"
+	"oleandervalve/core/credit"
 )
 
 // traffic is one kind of request of a deployment.
@@ -15,6 +17,8 @@
 	path   string
 	// rate is the steady rate in requests a second.
 	rate float64
+	// weight and floor are the class's share of the service's capacity.
+	weight, floor float64
 	// keyed requests carry an idempotency key and are retried with it.
 	keyed   bool
 	teams   int
@@ -44,9 +48,9 @@
 			executors:   11, slots: 8, connections: 64,
 			worker: oleandervalve.Resources{CPU: 64_000, Memory: 250 * gib}, serviceTime: 20 * time.Millisecond,
 			traffic: []traffic{
-				{class: "pressing", method: http.MethodPost, path: "/instructions", rate: 120, teams: 3, timeout: 2 * time.Second},
-				{class: "cutting", method: http.MethodGet, path: "/patterns", rate: 60, teams: 2, timeout: 2 * time.Second},
-				{class: "dispatch", method: http.MethodGet, path: "/exports", rate: 20, teams: 1, timeout: 4 * time.Second},
+				{class: "pressing", weight: 8, floor: 0.5, method: http.MethodPost, path: "/instructions", rate: 120, teams: 3, timeout: 2 * time.Second},
+				{class: "cutting", weight: 4, floor: 0.2, method: http.MethodGet, path: "/patterns", rate: 60, teams: 2, timeout: 2 * time.Second},
+				{class: "dispatch", weight: 2, floor: 0.1, method: http.MethodGet, path: "/exports", rate: 20, teams: 1, timeout: 4 * time.Second},
 			},
 		},
 		{
@@ -55,14 +59,32 @@
 			executors:   11, slots: 8, connections: 64,
 			worker: oleandervalve.Resources{CPU: 16_000, Memory: 60 * gib}, serviceTime: 20 * time.Millisecond,
 			traffic: []traffic{
-				{class: "booking", method: http.MethodPost, path: "/bookings", rate: 100, keyed: true, teams: 6, timeout: 3 * time.Second},
-				{class: "hotel", method: http.MethodPost, path: "/bookings", rate: 30, keyed: true, teams: 4, timeout: 3 * time.Second},
-				{class: "routes", method: http.MethodGet, path: "/routes", rate: 30, teams: 2, timeout: 5 * time.Second},
+				{class: "booking", weight: 4, floor: 0.4, method: http.MethodPost, path: "/bookings", rate: 100, keyed: true, teams: 6, timeout: 3 * time.Second},
+				{class: "hotel", weight: 4, floor: 0.25, method: http.MethodPost, path: "/bookings", rate: 30, keyed: true, teams: 4, timeout: 3 * time.Second},
+				{class: "routes", weight: 2, floor: 0.15, method: http.MethodGet, path: "/routes", rate: 30, teams: 2, timeout: 5 * time.Second},
 			},
 		},
 	}
 }
 
+// policies are the class policies of the deployment's service at the entries.
+func (d deployment) policies() []caller.ClassPolicy {
+	var out []caller.ClassPolicy
+	for _, t := range d.traffic {
+		out = append(out, caller.ClassPolicy{Class: t.class, Weight: t.weight, Floor: t.floor})
+	}
+	return out
+}
+
+// shares are the class shares of the deployment's service at the agents.
+func (d deployment) shares() []credit.ClassShare {
+	var out []credit.ClassShare
+	for _, t := range d.traffic {
+		out = append(out, credit.ClassShare{Class: t.class, Weight: t.weight, Floor: t.floor})
+	}
+	return out
+}
+
 func (d deployment) location(i int) oleandervalve.Location {
 	dc := d.dataCentres[i%len(d.dataCentres)]
 	return oleandervalve.Location{
--- a/io/demo/system.go
+++ b/io/demo/system.go
@@ -8,11 +8,22 @@
 	"github.com/sirupsen/logrus"
 
 	"oleandervalve"
+	"oleandervalve/core/table"
 	"oleandervalve/io/agent"
 	"oleandervalve/io/callerhttp"
 	"oleandervalve/io/entry"
+	"oleandervalve/io/jobhttp"
+	"oleandervalve/io/objecthttp"
 	"oleandervalve/io/peer"
+	"oleandervalve/io/platformhttp"
 	"oleandervalve/io/standin"
+	"oleandervalve/io/tablehttp"
+	"oleandervalve/io/taskowner"
+)
+
+const (
+	tableTimeout  = 2 * time.Second
+	entriesInDemo = 2
 )
 
 // System is the whole system with its stand-ins.
@@ -27,10 +38,16 @@
 	servers   []*standin.Server
 	log       *logrus.Entry
 	seed      uint64
+	policy    Policy
+
+	table    oleandervalve.Table
+	objects  oleandervalve.ObjectStore
+	platform oleandervalve.Platform
 }
 
 type runningEntry struct {
 	entry  *entry.Entry
+	owner  *taskowner.Owner
 	server *standin.Server
 }
 
@@ -40,11 +57,11 @@
 }
 
 // Start brings the system up with the given number of entries.
-func Start(entries int, seed uint64, log *logrus.Entry) (*System, error) {
+func Start(entries int, seed uint64, policy Policy, log *logrus.Entry) (*System, error) {
 	clock := oleandervalve.SystemClock()
 	s := &System{
 		Table: standin.NewTable(clock, seed), Objects: standin.NewObjects(seed),
-		Books: standin.NewBooks(), log: log, seed: seed,
+		Books: standin.NewBooks(), log: log, seed: seed, policy: policy,
 	}
 	workers := map[oleandervalve.WorkerID]oleandervalve.Resources{}
 	for _, d := range deployments() {
@@ -53,7 +70,7 @@
 		}
 	}
 	s.Platform = standin.NewPlatform(clock, standin.PlatformConfig{
-		Workers: workers, UsageLag: 2 * time.Second, Load: s.Objects.Load, Seed: seed,
+		Workers: workers, Behaviour: behaviours(), UsageLag: 2 * time.Second, Load: s.Objects.Load, Seed: seed,
 	})
 	for _, h := range []http.Handler{s.Table.Handler(), s.Objects.Handler(), s.Platform.Handler()} {
 		server, err := standin.Serve("127.0.0.1:0", h)
@@ -63,6 +80,9 @@
 		}
 		s.servers = append(s.servers, server)
 	}
+	s.table = tablehttp.NewClient(s.servers[0].URL, tableTimeout)
+	s.objects = objecthttp.NewClient(s.servers[1].URL, tableTimeout)
+	s.platform = platformhttp.NewClient(s.servers[2].URL, tableTimeout)
 	for i := range entries {
 		if err := s.addEntry(i); err != nil {
 			s.Close()
@@ -86,45 +106,71 @@
 
 func (s *System) addEntry(i int) error {
 	id := oleandervalve.EntryID(fmt.Sprintf("entry-%d", i))
-	e := entry.New(id, entry.WithLog(s.log.WithField("entry", id)))
+	log := s.log.WithField("entry", id)
+	options := []entry.Option{entry.WithLog(log)}
+	for _, d := range deployments() {
+		options = append(options, entry.WithPolicy(d.service, d.policies()))
+	}
+	e := entry.New(id, options...)
+	owner := taskowner.New(id, string(id), s.table, s.platform, e, taskowner.WithLog(log),
+		taskowner.WithScheduler(s.policy.scheduler()), taskowner.WithLimits(table.DefaultLimits.Share(entriesInDemo)))
+	e.SetTaskOwner(owner)
 	m := http.NewServeMux()
 	m.Handle(peer.Path, e.PeerHandler())
 	m.Handle("/call/", callerhttp.Handler(e, callerhttp.TrustedHeaders{}))
+	m.Handle("/v1/jobs", jobhttp.Handler(owner, callerhttp.TrustedHeaders{}))
+	m.Handle("/v1/jobs/", jobhttp.Handler(owner, callerhttp.TrustedHeaders{}))
 	server, err := standin.Serve("127.0.0.1:0", m)
 	if err != nil {
+		owner.Close()
 		e.Close()
 		return err
 	}
-	s.entries = append(s.entries, &runningEntry{entry: e, server: server})
+	s.entries = append(s.entries, &runningEntry{entry: e, owner: owner, server: server})
 	return nil
 }
 
 func (s *System) addExecutor(d deployment, i int) error {
+	a, err := s.startAgent(d, i)
+	if err != nil {
+		return err
+	}
+	s.agents = append(s.agents, a)
+	x, err := s.startEndpoint(d, i, a)
+	if err != nil {
+		return err
+	}
+	s.Endpoints = append(s.Endpoints, x)
+	return nil
+}
+
+func (s *System) startAgent(d deployment, i int) (*runningAgent, error) {
 	var urls []string
 	for _, e := range s.entries {
 		urls = append(urls, e.server.URL+peer.Path)
 	}
 	id := oleandervalve.AgentID(fmt.Sprintf("%s-agent-%d", d.name, i))
 	a := agent.New(id, urls, agent.WithLog(s.log.WithField("agent", id)),
-		agent.WithLocation(d.location(i)), agent.WithWorker(workerID(d, i)))
+		agent.WithLocation(d.location(i)), agent.WithWorker(workerID(d, i)),
+		agent.WithLabels(map[string]string{"site": d.name, "dataCentre": string(d.location(i).DataCentre)}),
+		agent.WithPlatform(s.platform, s.objects), agent.WithUsageEvery(time.Second),
+		agent.WithShares(d.service, d.shares()))
 	server, err := standin.Serve("127.0.0.1:0", a.AnnounceHandler())
 	if err != nil {
 		a.Close()
-		return err
+		return nil, err
 	}
-	s.agents = append(s.agents, &runningAgent{agent: a, server: server})
-	x, err := standin.StartEndpoint(standin.EndpointConfig{
+	return &runningAgent{agent: a, server: server}, nil
+}
+
+func (s *System) startEndpoint(d deployment, i int, a *runningAgent) (*standin.Endpoint, error) {
+	return standin.StartEndpoint(standin.EndpointConfig{
 		Announcement: oleandervalve.Announcement{
 			Endpoint: oleandervalve.EndpointID(fmt.Sprintf("%s-executor-%d", d.name, i)),
 			Service:  d.service, Slots: d.slots, Connections: d.connections,
 		},
-		Agent: server.URL, Service: d.serviceTime, Sigma: 0.3, Seed: s.seed + uint64(i), Books: s.Books,
+		Agent: a.server.URL, Service: d.serviceTime, Sigma: 0.3, Seed: s.seed + uint64(i), Books: s.Books,
 	})
-	if err != nil {
-		return err
-	}
-	s.Endpoints = append(s.Endpoints, x)
-	return nil
 }
 
 // waitReady waits until every entry can reach an endpoint of every service.
@@ -165,6 +211,7 @@
 	}
 	for _, e := range s.entries {
 		e.server.Close()
+		e.owner.Close()
 		e.entry.Close()
 	}
 	for _, x := range s.servers {
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -18,11 +18,41 @@
 
 const (
 	defaultClass = oleandervalve.ClassName("default")
-	maxAttempts  = 3
+	// maxAttempts bounds the attempts of one call, whatever its deadline allows.
+	maxAttempts = 5
+	// cancelWait is how long an entry waits to hear whether a withdrawn request ran.
+	cancelWait = 500 * time.Millisecond
+
+	reasonUnreachable = oleandervalve.Reason("endpointUnreachable")
 )
 
-// errRetry marks an attempt that may be repeated.
-var errRetry = errors.New("attempt may be repeated")
+// errAnswerCut ends a call whose answer broke off after its status was sent.
+var errAnswerCut = errors.New("answer was cut off after its start")
+
+// attemptResult says what became of one attempt of a call.
+type attemptResult int
+
+const (
+	// attemptAnswered means that the caller has its answer.
+	attemptAnswered attemptResult = iota
+	// attemptNotRun means that the attempt provably did not run.
+	attemptNotRun
+	// attemptLost means that the attempt may have run and has no whole answer.
+	attemptLost
+)
+
+// exchange is one call on its way through the entry.
+type exchange struct {
+	call     callerhttp.Call
+	request  caller.Request
+	w        http.ResponseWriter
+	attempts int
+	// failed is set once an answer with a server error was passed on.
+	failed bool
+}
+
+// repeatable reports whether the whole body is still at hand.
+func (x *exchange) repeatable() bool { return x.call.Rest == nil && x.attempts < maxAttempts }
 
 // Dispatch runs a call: it waits for a place, sends the request and passes the answer on.
 func (e *Entry) Dispatch(ctx context.Context, c callerhttp.Call, w http.ResponseWriter) error {
@@ -37,70 +67,112 @@
 	if c.Class == "" {
 		c.Class = defaultClass
 	}
-	arrived := e.clock.Now()
-	deadline := arrived.Add(c.Timeout)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	now := e.clock.Now()
+	x := &exchange{call: c, w: w, request: caller.Request{
+		ID: e.newRequestID(), Class: c.Class, Team: c.Team, Caller: c.Caller, Arrived: now, Deadline: now.Add(c.Timeout),
+	}}
+	ctx, cancel := context.WithDeadline(ctx, x.request.Deadline)
 	defer cancel()
-	var err error
-	for range maxAttempts {
-		if err = e.attempt(ctx, c, arrived, deadline, w); !errors.Is(err, errRetry) {
+	err := e.exchange(ctx, x)
+	e.count(c, err)
+	if errors.Is(err, errAnswerCut) {
+		// The status is sent already, so only an aborted connection tells the
+		// caller that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	return err
+}
+
+// exchange makes attempts until the call has its outcome.
+func (e *Entry) exchange(ctx context.Context, x *exchange) error {
+	enter := e.queue(x.call.Service).Push
+	for {
+		place, err := e.acquire(ctx, x, enter)
+		if err != nil {
 			return err
 		}
-		if c.Rest != nil {
-			break
+		x.attempts++
+		started := e.clock.Now()
+		result, err := e.attempt(ctx, x, place)
+		again := e.settle(ctx, x, place, result, err, started)
+		switch again {
+		case attemptNotRun:
+			enter = e.queue(x.call.Service).Requeue
+		case attemptLost:
+			enter = e.queue(x.call.Service).Push
+		default:
+			return err
+		}
+	}
+}
+
+// settle accounts for an attempt and says how the call goes on: attemptAnswered
+// ends it, attemptNotRun puts it back in its turn, attemptLost queues it anew.
+func (e *Entry) settle(ctx context.Context, x *exchange, place acquired, result attemptResult, err error, started time.Time) attemptResult {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	s := e.service(x.call.Service)
+	switch result {
+	case attemptNotRun:
+		return e.settleNotRun(ctx, x, place, err, now.Sub(started))
+	case attemptLost:
+		e.directory.Result(now, place.assignment, false, now.Sub(started))
+		s.queue.Finished(now, x.call.Class, now.Sub(started))
+		if x.call.Idempotent && x.repeatable() && ctx.Err() == nil && !errors.Is(err, errAnswerCut) && s.retries.Take() {
+			return attemptLost
 		}
+	case attemptAnswered:
+		e.directory.Result(now, place.assignment, !x.failed, now.Sub(started))
+		s.queue.Finished(now, x.call.Class, now.Sub(started))
+		s.retries.Succeeded()
 	}
-	return unmark(err)
+	return attemptAnswered
 }
 
-// unmark removes the retry mark from the last attempt's error.
-func unmark(err error) error {
+func (e *Entry) settleNotRun(ctx context.Context, x *exchange, place acquired, err error, took time.Duration) attemptResult {
+	now := e.clock.Now()
+	s := e.service(x.call.Service)
 	var notRun *oleandervalve.NotRunError
-	if errors.As(err, &notRun) {
-		return notRun
+	if errors.As(err, &notRun) && notRun.Reason == reasonUnreachable {
+		e.directory.Result(now, place.assignment, false, took)
+	} else {
+		e.directory.Refused(place.assignment)
 	}
-	var unknown *oleandervalve.UnknownOutcomeError
-	if errors.As(err, &unknown) {
-		return unknown
+	if x.repeatable() && ctx.Err() == nil && now.Before(x.request.Deadline) {
+		return attemptNotRun
 	}
-	return err
+	s.queue.Abandoned(now, x.call.Class)
+	return attemptAnswered
 }
 
-func (e *Entry) attempt(ctx context.Context, c callerhttp.Call, arrived, deadline time.Time, w http.ResponseWriter) error {
-	id := e.newRequestID()
-	place, err := e.acquire(ctx, id, c, arrived, deadline)
-	if err != nil {
-		return err
-	}
-	started := e.clock.Now()
-	x := place.link.open(id)
-	defer place.link.close(id)
-	answered := false
-	defer func() { e.finish(place, c, started, answered) }()
-	if err := e.send(place.link, x, id, place, c, deadline); err != nil {
-		return e.lost(c, err)
+// attempt sends the request once and passes its answer on.
+func (e *Entry) attempt(ctx context.Context, x *exchange, place acquired) (attemptResult, error) {
+	id := oleandervalve.RequestID(string(x.request.ID) + "." + strconv.Itoa(x.attempts))
+	l := place.link
+	c := l.open(id)
+	defer l.close(id)
+	if err := e.send(l, c, id, place, x); err != nil {
+		return lost(err)
 	}
 	select {
-	case m := <-x.events:
-		err = e.answer(x, id, c, m, w)
+	case m := <-c.events:
+		return e.answer(c, x, m)
 	case <-ctx.Done():
-		err = e.withdraw(ctx, place.link, x, id, w)
+		return e.withdraw(ctx, l, c, id, x)
 	}
-	answered = err == nil
-	return err
 }
 
 // acquire waits in the queue until the request has a place.
-func (e *Entry) acquire(ctx context.Context, id oleandervalve.RequestID, c callerhttp.Call, arrived, deadline time.Time) (acquired, error) {
+func (e *Entry) acquire(ctx context.Context, x *exchange, enter func(time.Time, caller.Request) error) (acquired, error) {
 	ready := make(chan acquired, 1)
+	id := x.request.ID
 	e.mu.Lock()
 	now := e.clock.Now()
-	err := e.queue(c.Service).Push(now, caller.Request{
-		ID: id, Class: c.Class, Team: c.Team, Caller: c.Caller, Arrived: arrived, Deadline: deadline,
-	})
+	err := enter(now, x.request)
 	if err == nil {
 		e.waiting[id] = ready
-		e.pump(now, c.Service)
+		e.pump(now, x.call.Service)
 	}
 	e.mu.Unlock()
 	if err != nil {
@@ -112,121 +184,120 @@
 			return a, nil
 		}
 	case <-ctx.Done():
-		if a, ok := e.abandon(id, c.Service, ready); ok {
-			e.mu.Lock()
-			e.giveBack(a.assignment)
-			e.mu.Unlock()
-		}
+		e.abandon(x, ready)
 	}
 	return acquired{}, &oleandervalve.NotRunError{
 		Reason: "deadlinePassed", Remedy: "no endpoint was free in time; retry later or with a longer timeout", RetryAfter: time.Second,
 	}
 }
 
-// abandon withdraws a waiting request; it returns the place that crossed with the withdrawal.
-func (e *Entry) abandon(id oleandervalve.RequestID, s oleandervalve.ServiceName, ready chan acquired) (acquired, bool) {
+// abandon withdraws a waiting request and puts back a place that crossed with the withdrawal.
+func (e *Entry) abandon(x *exchange, ready chan acquired) {
 	e.mu.Lock()
-	delete(e.waiting, id)
-	e.queue(s).Remove(id)
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	delete(e.waiting, x.request.ID)
+	s := e.service(x.call.Service)
+	s.queue.Remove(x.request.ID)
 	select {
 	case a, ok := <-ready:
-		return a, ok
+		if ok {
+			s.queue.Abandoned(now, x.call.Class)
+			e.directory.Restore(now, a.assignment)
+			e.pump(now, x.call.Service)
+		}
 	default:
-		return acquired{}, false
 	}
 }
 
-func (e *Entry) send(l *link, x *call, id oleandervalve.RequestID, place acquired, c callerhttp.Call, deadline time.Time) error {
+func (e *Entry) send(l *link, c *call, id oleandervalve.RequestID, place acquired, x *exchange) error {
+	q := x.call
 	m := &peer.Request{
-		ID: id, Service: c.Service, Endpoint: place.assignment.Endpoint, Class: c.Class, Team: c.Team, Caller: c.Caller,
-		Remaining: deadline.Sub(e.clock.Now()), Idempotent: c.Idempotent,
-		Method: c.Method, Path: c.Path, Header: c.Header,
+		ID: id, Service: q.Service, Endpoint: place.assignment.Endpoint, Class: q.Class, Team: q.Team, Caller: q.Caller,
+		Remaining: x.request.Deadline.Sub(e.clock.Now()), Idempotent: q.Idempotent,
+		Method: q.Method, Path: q.Path, Header: q.Header,
 	}
-	if c.Rest == nil {
-		m.Whole, m.Inline = true, c.Inline
+	if q.Rest == nil {
+		m.Whole, m.Inline = true, q.Inline
 		return l.conn.Send(m)
 	}
-	x.upload = peer.NewBodyWriter(l.conn, id)
 	if err := l.conn.Send(m); err != nil {
 		return err
 	}
-	go func() { _, _ = x.upload.Copy(c.Inline, c.Rest) }()
+	upload := c.upload
+	go func() { _, _ = upload.Copy(q.Inline, q.Rest) }()
 	return nil
 }
 
 // answer passes on the first message of an answer and what follows it.
-func (e *Entry) answer(x *call, id oleandervalve.RequestID, c callerhttp.Call, m peer.Message, w http.ResponseWriter) error {
+func (e *Entry) answer(c *call, x *exchange, m peer.Message) (attemptResult, error) {
 	switch m := m.(type) {
 	case *peer.Response:
-		e.pass(x, id, m, w)
-		return nil
+		return e.pass(c, x, m)
 	case *peer.Refused:
-		return errors.Mark(&oleandervalve.NotRunError{Reason: m.Reason, Remedy: m.Remedy, RetryAfter: time.Second}, errRetry)
+		return attemptNotRun, &oleandervalve.NotRunError{Reason: m.Reason, Remedy: m.Remedy, RetryAfter: time.Second}
 	case *peer.Failed:
-		return e.lost(c, errors.Newf("%s: %s", m.Reason, m.Remedy))
+		return lost(errors.Newf("%s: %s", m.Reason, m.Remedy))
 	}
-	return e.lost(c, peer.ErrClosed)
+	return lost(peer.ErrClosed)
 }
 
-// lost reports an attempt that may have run; only an idempotent request is tried again.
-func (e *Entry) lost(c callerhttp.Call, cause error) error {
-	err := error(&oleandervalve.UnknownOutcomeError{
+// lost reports an attempt that may have run.
+func lost(cause error) (attemptResult, error) {
+	return attemptLost, &oleandervalve.UnknownOutcomeError{
 		Operation: "request", Remedy: "ask the service whether it ran before sending it again", Cause: cause,
-	})
-	if c.Idempotent {
-		return errors.Mark(err, errRetry)
 	}
-	return err
 }
 
-// pass writes an answer to the caller; a cut answer aborts the caller's connection.
-func (e *Entry) pass(x *call, id oleandervalve.RequestID, m *peer.Response, w http.ResponseWriter) {
-	h := w.Header()
+// pass writes an answer to the caller.
+func (e *Entry) pass(c *call, x *exchange, m *peer.Response) (attemptResult, error) {
+	h := x.w.Header()
 	callerhttp.CopyHeader(h, m.Header)
 	h.Set(callerhttp.HeaderOutcome, string(oleandervalve.OutcomeAnswered))
-	h.Set("Oleandervalve-Request-Id", string(id))
+	h.Set(callerhttp.HeaderRequestID, string(x.request.ID))
+	x.failed = m.Status >= http.StatusInternalServerError
 	if m.Whole {
 		h.Set("Content-Length", strconv.Itoa(len(m.Inline)))
-		w.WriteHeader(m.Status)
-		_, _ = w.Write(m.Inline)
-		return
+		x.w.WriteHeader(m.Status)
+		_, _ = x.w.Write(m.Inline)
+		return attemptAnswered, nil
 	}
-	w.WriteHeader(m.Status)
-	if _, err := io.Copy(w, io.MultiReader(bytes.NewReader(m.Inline), x.body)); err != nil {
-		// The status is sent already, so only an aborted connection tells the
-		// caller that the answer is not whole.
-		panic(http.ErrAbortHandler)
+	x.w.WriteHeader(m.Status)
+	if _, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(m.Inline), c.body)); err != nil {
+		return attemptLost, errAnswerCut
 	}
+	return attemptAnswered, nil
 }
 
 // withdraw cancels a request whose deadline passed or whose caller went away.
-func (e *Entry) withdraw(ctx context.Context, l *link, x *call, id oleandervalve.RequestID, w http.ResponseWriter) error {
+func (e *Entry) withdraw(ctx context.Context, l *link, c *call, id oleandervalve.RequestID, x *exchange) (attemptResult, error) {
 	_ = l.conn.Send(&peer.Cancel{ID: id})
 	select {
-	case m := <-x.cancelled:
+	case m := <-c.cancelled:
 		if !m.Ran {
-			return &oleandervalve.NotRunError{Reason: "deadlinePassed", Remedy: "the request was withdrawn before it ran; retry with a longer timeout"}
-		}
-	case m := <-x.events:
-		if r, ok := m.(*peer.Response); ok {
-			e.pass(x, id, r, w)
-			return nil
-		}
-		if r, ok := m.(*peer.Refused); ok {
-			return &oleandervalve.NotRunError{Reason: r.Reason, Remedy: r.Remedy}
+			return attemptNotRun, &oleandervalve.NotRunError{
+				Reason: "deadlinePassed", Remedy: "the request was withdrawn before it ran; retry with a longer timeout",
+			}
 		}
+	case m := <-c.events:
+		return e.answer(c, x, m)
 	case <-e.clock.After(cancelWait):
 	}
-	return &oleandervalve.UnknownOutcomeError{
-		Operation: "request", Remedy: "ask the service whether it ran before sending it again", Cause: ctx.Err(),
-	}
+	return lost(ctx.Err())
 }
 
-func (e *Entry) finish(place acquired, c callerhttp.Call, started time.Time, answered bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.clock.Now()
-	e.directory.Result(now, place.assignment.Endpoint, answered, now.Sub(started))
-	e.queue(c.Service).Finished(now, c.Class, now.Sub(started))
+// count records the outcome of a call.
+func (e *Entry) count(c callerhttp.Call, err error) {
+	outcome, reason := oleandervalve.OutcomeAnswered, oleandervalve.Reason("none")
+	var notRun *oleandervalve.NotRunError
+	switch {
+	case err == nil:
+	case errors.As(err, &notRun):
+		outcome, reason = oleandervalve.OutcomeNotRun, notRun.Reason
+	default:
+		outcome = oleandervalve.OutcomeUnknown
+	}
+	e.scope.Tagged(map[string]string{
+		"service": string(c.Service), "class": string(c.Class), "outcome": string(outcome), "reason": string(reason),
+	}).Counter("requests").Inc(1)
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -21,8 +21,6 @@
 const (
 	// tickEvery bounds how late an expired request is noticed.
 	tickEvery = 10 * time.Millisecond
-	// demandEvery bounds how often demand is repeated to agents.
-	demandEvery = 20 * time.Millisecond
 )
 
 // Entry is one entry process.
@@ -36,13 +34,14 @@
 	sequence atomic.Uint64
 
 	mu        sync.Mutex
-	queues    map[oleandervalve.ServiceName]*caller.Queue
+	services  map[oleandervalve.ServiceName]*service
+	policies  map[oleandervalve.ServiceName][]caller.ClassPolicy
+	location  oleandervalve.Location
 	directory *endpoint.Directory
 	waiting   map[oleandervalve.RequestID]chan acquired
 	links     map[oleandervalve.AgentID]*link
 	workers   map[oleandervalve.WorkerID]*link
 	owner     TaskOwner
-	demandDue time.Time
 	draining  bool
 	inFlight  sync.WaitGroup
 
@@ -50,6 +49,12 @@
 	stopped sync.WaitGroup
 }
 
+// service is what the entry keeps for one service.
+type service struct {
+	queue   *caller.Queue
+	retries *caller.RetryBudget
+}
+
 // acquired is a place for a request at an endpoint.
 type acquired struct {
 	link       *link
@@ -68,6 +73,14 @@
 // WithScope sets the metrics scope.
 func WithScope(s tally.Scope) Option { return func(e *Entry) { e.scope = s } }
 
+// WithLocation tells where the entry stands, so that it prefers its own data centre.
+func WithLocation(l oleandervalve.Location) Option { return func(e *Entry) { e.location = l } }
+
+// WithPolicy sets the class policies of a service.
+func WithPolicy(s oleandervalve.ServiceName, list []caller.ClassPolicy) Option {
+	return func(e *Entry) { e.policies[s] = list }
+}
+
 // TaskOwner takes what the agents of workers say about tasks.
 type TaskOwner interface {
 	// Connected tells that the agent of a worker has connected.
@@ -95,19 +108,20 @@
 	_, _ = rand.Read(b)
 	e := &Entry{
 		id: id, boot: hex.EncodeToString(b),
-		clock:     oleandervalve.SystemClock(),
-		log:       logrus.NewEntry(logrus.StandardLogger()),
-		scope:     tally.NoopScope,
-		queues:    map[oleandervalve.ServiceName]*caller.Queue{},
-		directory: endpoint.NewDirectory(),
-		waiting:   map[oleandervalve.RequestID]chan acquired{},
-		links:     map[oleandervalve.AgentID]*link{},
-		workers:   map[oleandervalve.WorkerID]*link{},
-		stop:      make(chan struct{}),
+		clock:    oleandervalve.SystemClock(),
+		log:      logrus.NewEntry(logrus.StandardLogger()),
+		scope:    tally.NoopScope,
+		services: map[oleandervalve.ServiceName]*service{},
+		policies: map[oleandervalve.ServiceName][]caller.ClassPolicy{},
+		waiting:  map[oleandervalve.RequestID]chan acquired{},
+		links:    map[oleandervalve.AgentID]*link{},
+		workers:  map[oleandervalve.WorkerID]*link{},
+		stop:     make(chan struct{}),
 	}
 	for _, o := range options {
 		o(e)
 	}
+	e.directory = endpoint.NewDirectory(endpoint.WithLocation(e.location))
 	e.stopped.Add(1)
 	go e.run()
 	return e
@@ -129,17 +143,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
-	for _, q := range e.queues {
-		for _, r := range q.Expire(now) {
+	for _, s := range e.services {
+		for _, r := range s.queue.Expire(now) {
 			e.expire(r.ID)
 		}
 	}
-	for _, r := range e.directory.Expire(now) {
-		if l := e.links[r.Agent]; l != nil && l.epoch == r.Epoch {
-			l.conn.TrySend(&peer.CreditReturn{Endpoint: r.Endpoint, Count: r.Count})
-		}
-	}
-	for s := range e.queues {
+	e.giveBack(e.directory.Expire(now))
+	for s := range e.services {
 		e.pump(now, s)
 	}
 }
@@ -152,14 +162,12 @@
 	}
 }
 
-// pump gives waiting requests their places while credits last.
-func (e *Entry) pump(now time.Time, s oleandervalve.ServiceName) {
-	q := e.queues[s]
-	if q == nil {
-		return
-	}
+// pump gives waiting requests their places while credits last, and tells the
+// agents what still waits.
+func (e *Entry) pump(now time.Time, name oleandervalve.ServiceName) {
+	q := e.service(name).queue
 	for q.Len() > 0 {
-		a, ok := e.directory.Take(now, s)
+		a, ok := e.directory.Take(now, name)
 		if !ok {
 			break
 		}
@@ -168,48 +176,64 @@
 			r, ok = q.Pop(now, "")
 		}
 		if !ok {
-			e.giveBack(a)
+			e.directory.Restore(now, a)
 			break
 		}
 		c := e.waiting[r.ID]
 		delete(e.waiting, r.ID)
 		c <- acquired{link: e.links[a.Agent], assignment: a}
 	}
-	if q.Len() > 0 {
-		e.sendDemand(now)
-	}
+	e.giveBack(e.directory.Surplus(name))
+	e.sendDemand(now)
 }
 
-func (e *Entry) giveBack(a endpoint.Assignment) {
-	if l := e.links[a.Agent]; l != nil {
-		l.conn.TrySend(&peer.CreditReturn{Endpoint: a.Endpoint, Count: 1})
+func (e *Entry) giveBack(list []endpoint.CreditReturn) {
+	for _, r := range list {
+		if l := e.links[r.Agent]; l != nil && l.epoch == r.Epoch {
+			l.conn.TrySend(&peer.CreditReturn{Endpoint: r.Endpoint, Class: r.Class, Count: r.Count})
+		}
 	}
 }
 
-// sendDemand tells every agent what waits here.
+// sendDemand tells the agents what waits here, as far as it has changed.
 func (e *Entry) sendDemand(now time.Time) {
-	if now.Before(e.demandDue) {
-		return
-	}
-	e.demandDue = now.Add(demandEvery)
-	d := &peer.Demand{}
-	for s, q := range e.queues {
-		for _, w := range q.Waiting() {
-			d.Classes = append(d.Classes, peer.ClassDemand{Service: s, Class: w.Class, Waiting: w.Waiting})
+	var list []endpoint.ClassDemand
+	for name, s := range e.services {
+		for _, w := range s.queue.Waiting() {
+			list = append(list, endpoint.ClassDemand{Service: name, Class: w.Class, Waiting: w.Waiting, Teams: w.Teams})
 		}
 	}
-	for _, l := range e.links {
-		l.conn.TrySend(d)
+	for _, d := range e.directory.Demands(now, list) {
+		l := e.links[d.Agent]
+		if l == nil || l.epoch != d.Epoch {
+			continue
+		}
+		m := &peer.Demand{}
+		for _, c := range d.Classes {
+			m.Classes = append(m.Classes, peer.ClassDemand(c))
+		}
+		l.conn.TrySend(m)
 	}
 }
 
-func (e *Entry) queue(s oleandervalve.ServiceName) *caller.Queue {
-	q := e.queues[s]
-	if q == nil {
-		q = caller.NewQueue()
-		e.queues[s] = q
+// service returns what the entry keeps for a service; the caller holds the lock.
+func (e *Entry) service(name oleandervalve.ServiceName) *service {
+	s := e.services[name]
+	if s == nil {
+		s = &service{queue: caller.NewQueue(), retries: caller.NewRetryBudget(0)}
+		if p := e.policies[name]; p != nil {
+			s.queue.Configure(p)
+		}
+		e.services[name] = s
 	}
-	return q
+	return s
+}
+
+// queue returns the queue of a service.
+func (e *Entry) queue(name oleandervalve.ServiceName) *caller.Queue {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.service(name).queue
 }
 
 func (e *Entry) newRequestID() oleandervalve.RequestID {
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"oleandervalve"
 	"oleandervalve/core/endpoint"
@@ -14,8 +13,8 @@
 type link struct {
 	agent  oleandervalve.AgentID
 	worker oleandervalve.WorkerID
-	epoch oleandervalve.ConnectionEpoch
-	conn  *peer.Conn
+	epoch  oleandervalve.ConnectionEpoch
+	conn   *peer.Conn
 
 	mu    sync.Mutex
 	calls map[oleandervalve.RequestID]*call
@@ -90,6 +89,12 @@
 		e.updateEndpoints(l, m)
 	case *peer.Credit:
 		e.credit(l, m)
+	case *peer.CreditRevoke:
+		e.revoke(l, m)
+	case *peer.Drain:
+		e.mu.Lock()
+		e.directory.Draining(l.agent, l.epoch)
+		e.mu.Unlock()
 	case *peer.Response:
 		l.deliver(m.ID, m)
 	case *peer.Refused:
@@ -112,7 +117,7 @@
 			c.body.Finish(m.Length, m.Failed)
 		}
 	case *peer.Window:
-		if c := l.call(m.ID); c != nil && c.upload != nil {
+		if c := l.call(m.ID); c != nil {
 			c.upload.Grant(m.Bytes)
 		}
 	case *peer.Residents, *peer.ReservedTask, *peer.TaskReport, *peer.Usage:
@@ -132,9 +137,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.directory.Update(e.clock.Now(), l.agent, l.epoch, m.Full, list)
+	now := e.clock.Now()
+	e.directory.Update(now, l.agent, l.epoch, m.Full, list)
 	for _, s := range list {
-		e.queue(s.Service).SetCapacity(e.directory.Slots(s.Service))
+		e.service(s.Service).queue.SetCapacity(e.directory.Slots(s.Service))
 	}
 }
 
@@ -142,16 +148,23 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
-	e.directory.Credit(now, l.agent, l.epoch, m.Endpoint, m.Class, m.Count, m.ValidFor)
-	for s, q := range e.queues {
-		if q.Len() > 0 {
-			e.pump(now, s)
+	e.giveBack(e.directory.Credit(now, l.agent, l.epoch, m.Endpoint, m.Class, m.Count, m.ValidFor))
+	for name, s := range e.services {
+		if s.queue.Len() > 0 {
+			e.pump(now, name)
 		}
 	}
 }
 
+func (e *Entry) revoke(l *link, m *peer.CreditRevoke) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.giveBack(e.directory.Revoke(e.clock.Now(), l.agent, l.epoch, m.Endpoint, m.Count))
+}
+
 func (l *link) open(id oleandervalve.RequestID) *call {
 	c := &call{events: make(chan peer.Message, 1), cancelled: make(chan *peer.Cancelled, 1)}
+	c.upload = peer.NewBodyWriter(l.conn, id)
 	c.body = peer.NewBodyReader(func(n int64) { l.conn.TrySend(&peer.Window{ID: id, Bytes: n}) })
 	l.mu.Lock()
 	l.calls[id] = c
@@ -167,8 +180,13 @@
 
 func (l *link) close(id oleandervalve.RequestID) {
 	l.mu.Lock()
+	c := l.calls[id]
 	delete(l.calls, id)
 	l.mu.Unlock()
+	if c != nil {
+		c.upload.Abort(peer.ErrClosed)
+		c.body.Fail(peer.ErrBodyCut)
+	}
 }
 
 // deliver hands over the first message of an answer; a message for a request
@@ -194,11 +212,6 @@
 		default:
 		}
 		c.body.Fail(peer.ErrBodyCut)
-		if c.upload != nil {
-			c.upload.Abort(peer.ErrClosed)
-		}
+		c.upload.Abort(peer.ErrClosed)
 	}
 }
-
-// cancelWait is how long an entry waits to hear whether a withdrawn request ran.
-const cancelWait = 500 * time.Millisecond
--- a/io/standin/table.go
+++ b/io/standin/table.go
@@ -18,13 +18,13 @@
 	// Faults makes calls misbehave.
 	Faults *Faults
 
-	clock  oleandervalve.Clock
-	mu     sync.Mutex
-	rows   map[oleandervalve.Key]oleandervalve.Row
+	clock oleandervalve.Clock
+	mu    sync.Mutex
+	rows  map[oleandervalve.Key]oleandervalve.Row
 	// versions outlives deleted rows, so that no version is used twice.
 	versions map[oleandervalve.Key]oleandervalve.Version
-	reads  int
-	writes int
+	reads    int
+	writes   int
 }
 
 // NewTable returns an empty table.
--- a/io/taskowner/owner.go
+++ b/io/taskowner/owner.go
@@ -68,6 +68,7 @@
 	workers   map[oleandervalve.WorkerID]*workerView
 	inbox     map[oleandervalve.Key]bool
 	tableLag  time.Duration
+	quotas    map[oleandervalve.TeamID]oleandervalve.Resources
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/io/taskowner/workers.go
+++ b/io/taskowner/workers.go
@@ -77,6 +77,7 @@
 	if v.capacity != m.Capacity {
 		v.capacity = m.Capacity
 		o.placer.scheduler.UpdateWorker(w, v.location, v.labels, m.Capacity)
+		o.lendUnassigned()
 		o.adoptOwned(now, w)
 	}
 	o.placer.residents(now, w, m, func(id oleandervalve.TaskID) bool {
@@ -89,6 +90,31 @@
 	})
 }
 
+// SetQuotas replaces the quotas of the teams; capacity beyond them is lent to all.
+func (o *Owner) SetQuotas(quotas map[oleandervalve.TeamID]oleandervalve.Resources) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for t := range o.quotas {
+		if _, ok := quotas[t]; !ok {
+			o.placer.scheduler.SetQuota(t, oleandervalve.Resources{})
+		}
+	}
+	for t, r := range quotas {
+		o.placer.scheduler.SetQuota(t, r)
+	}
+	o.quotas = quotas
+	o.lendUnassigned()
+}
+
+func (o *Owner) lendUnassigned() {
+	rest := o.placer.scheduler.Fleet().Total()
+	for _, r := range o.quotas {
+		rest = rest.Sub(r)
+	}
+	rest.CPU, rest.Memory, rest.Accelerators = max(0, rest.CPU), max(0, rest.Memory), max(0, rest.Accelerators)
+	o.placer.scheduler.SetUnassigned(rest)
+}
+
 // adoptOwned tells the scheduler of owned tasks on a worker that it had not known.
 func (o *Owner) adoptOwned(now time.Time, w oleandervalve.WorkerID) {
 	for i, s := range o.shards {
