--- a/core/job/shard.go
+++ b/core/job/shard.go
@@ -226,9 +226,9 @@
 	return []Action{s.commit(t, c.Transaction, table.Configuring)}, nil
 }
 
-// Observe takes rows of jobs and tasks as read from the table; rows of other
-// shards and rows older than those known are ignored. Rows that can't be read
-// are reported and left out.
+// Observe takes rows of jobs and tasks as read from the table, the jobs' rows
+// first; rows of other shards and rows older than those known are ignored. Rows
+// that can't be read are reported and left out.
 func (s *Shard) Observe(now time.Time, rows ...oleandervalve.Row) ([]Action, error) {
 	var list []Action
 	var failed error
@@ -236,7 +236,9 @@
 		var err error
 		switch {
 		case strings.HasPrefix(string(row.Key), "jobs/"):
-			err = s.observeJob(row)
+			var more []Action
+			more, err = s.observeJob(row)
+			list = append(list, more...)
 		case strings.HasPrefix(string(row.Key), string(TaskPrefix(s.id))):
 			var more []Action
 			more, err = s.observeTask(now, row)
@@ -256,16 +258,34 @@
 	return list, failed
 }
 
-func (s *Shard) observeJob(row oleandervalve.Row) error {
+func (s *Shard) observeJob(row oleandervalve.Row) ([]Action, error) {
 	j := oleandervalve.JobID(strings.TrimPrefix(string(row.Key), "jobs/"))
 	if ShardOf(j) != s.id || row.Version <= s.job(j).stored.Version {
-		return nil
+		return nil, nil
+	}
+	n, err := ParseGroup(row)
+	if err != nil {
+		return nil, err
+	}
+	g := s.job(j)
+	marked := n.Cancelled && !g.stored.Cancelled
+	g.stored = n
+	if !marked {
+		return nil, nil
 	}
-	g, err := ParseGroup(row)
-	if err == nil {
-		s.job(j).stored = g
+	// Another owner's assignment may have been committed between the last read
+	// of a waiting task and the mark. Nothing is written for waiting tasks of a
+	// cancelled job, so no conflict would ever reveal it.
+	var keys []oleandervalve.Key
+	for _, id := range g.tasks {
+		if t := s.tasks[id]; !t.stored.State.Placed() && !t.stored.State.Terminal() {
+			keys = append(keys, TaskKey(j, id))
+		}
+	}
+	if len(keys) == 0 {
+		return nil, nil
 	}
-	return err
+	return []Action{Read{Keys: keys}}, nil
 }
 
 func (s *Shard) observeTask(now time.Time, row oleandervalve.Row) ([]Action, error) {
--- a/core/table/resolve.go
+++ b/core/table/resolve.go
@@ -14,10 +14,9 @@
 const (
 	// Applied means that the transaction took effect.
 	Applied Resolution = "applied"
-	// NotApplied means that the transaction has had no effect so far. A delayed
-	// request may still apply it until one of its rows is written again, so
-	// nothing may be concluded from its absence; a further transaction on the
-	// same versions is safe because at most one of the two can commit.
+	// NotApplied means that the transaction has had no effect. As the answer of
+	// Resolve it holds only so far: a delayed request may still apply it until
+	// one of its rows is written again. As the result of an Attempt it is proven.
 	NotApplied Resolution = "notApplied"
 	// Overtaken means that a condition no longer holds: the transaction can't
 	// take effect any more, and what it wrote, if anything, has been replaced.
@@ -96,15 +95,20 @@
 	Result Result
 }
 
-// Delays between repeated reads while the table does not answer.
+// Delays between repeated requests while the table does not answer.
 const (
-	minReadDelay = 100 * time.Millisecond
-	maxReadDelay = 5 * time.Second
+	minDelay = 100 * time.Millisecond
+	maxDelay = 5 * time.Second
 )
 
-// Attempt takes one transaction to a definite result.
+// Attempt takes one transaction to a definite result. After a lost answer it
+// reads back and, if the transaction has not been applied, sends the same one
+// again: only an answer to the repetition, or a newer version of a row, proves
+// that the first request can't take effect later.
 type Attempt struct {
 	transaction oleandervalve.Transaction
+	// uncertain is set once an answer was lost.
+	uncertain bool
 	// refused is set once the table has reported a conflict, after which the
 	// same request can't commit any more.
 	refused bool
@@ -113,7 +117,7 @@
 
 // NewAttempt returns an attempt and its first step.
 func NewAttempt(t oleandervalve.Transaction) (*Attempt, Step) {
-	return &Attempt{transaction: t, delay: minReadDelay}, Step{Kind: StepCommit}
+	return &Attempt{transaction: t, delay: minDelay}, Step{Kind: StepCommit}
 }
 
 // Transaction returns the transaction of the attempt.
@@ -126,12 +130,16 @@
 	switch {
 	case err == nil:
 		return Step{Kind: StepDone, Result: Result{Resolution: Applied, Versions: c.Versions, At: c.At}}
-	case errors.As(err, &unavailable):
+	case errors.As(err, &unavailable) && !a.uncertain:
 		return Step{Kind: StepDone, Result: Result{Resolution: NotApplied}}
+	case errors.As(err, &unavailable):
+		return Step{Kind: StepRead, Delay: a.wait(), Keys: a.keys()}
 	case errors.As(err, &conflict):
 		// The conflict may be with this transaction's own first delivery, so the
 		// rows are read before it counts as refused.
 		a.refused = true
+	default:
+		a.uncertain = true
 	}
 	return Step{Kind: StepRead, Keys: a.keys()}
 }
@@ -139,16 +147,29 @@
 // ReadBack takes the answer of the read and returns the next step.
 func (a *Attempt) ReadBack(rows []oleandervalve.Row, err error) Step {
 	if err != nil {
-		d := a.delay
-		a.delay = min(2*a.delay, maxReadDelay)
-		return Step{Kind: StepRead, Delay: d, Keys: a.keys()}
+		return Step{Kind: StepRead, Delay: a.wait(), Keys: a.keys()}
 	}
 	r := Resolve(a.transaction, rows)
-	if r.Resolution == NotApplied && a.refused {
-		// Every version still matches, so the refusal came from UnwrittenFor.
+	switch {
+	case r.Resolution != NotApplied:
+		return Step{Kind: StepDone, Result: r}
+	case a.refused && a.uncertain:
+		// Every version still matches, so the refusal came from UnwrittenFor, which
+		// the delayed first request may yet satisfy.
+		a.refused = false
+		return Step{Kind: StepCommit, Delay: a.wait()}
+	case a.refused:
 		r.Resolution = Overtaken
+		return Step{Kind: StepDone, Result: r}
 	}
-	return Step{Kind: StepDone, Result: r}
+	return Step{Kind: StepCommit, Delay: a.wait()}
+}
+
+// wait returns the delay before the next request, which doubles each time.
+func (a *Attempt) wait() time.Duration {
+	d := a.delay
+	a.delay = min(2*a.delay, maxDelay)
+	return d
 }
 
 func (a *Attempt) keys() []oleandervalve.Key {
