Bound the workers compared in one decision

Cause: attempts that find no worker compared all of them, so a step grew faster than the fleet. Change: at most 384 workers with free capacity are compared, the next attempt continues there; expected service slowdown is kept for 5 s per worker; only residents with selectors are compared with a newcomer that has none.

--- a/core/scheduler/bench_test.go
+++ b/core/scheduler/bench_test.go
@@ -54,7 +54,7 @@
 		l.submit(1, i < tasks*45/100, false)
 	}
 	for range 600 {
-		l.step(1000)
+		l.step()
 		if l.s.Waiting() == 0 {
 			break
 		}
@@ -70,6 +70,11 @@
 		l.submit(4, false, false)
 	}
 	l.perJob = (heapBytes() - base) / float64(workers*5000/700)
+	// The queue of an ordinary day has been tried before: 30 s of steps.
+	for range 2000 {
+		l.now = l.now.Add(15 * time.Millisecond)
+		l.step()
+	}
 	return l
 }
 
@@ -110,13 +115,11 @@
 	}
 }
 
-// step applies the decisions at once and returns how many there were.
-func (l *load) step(limit int) int {
-	ds := l.s.Step(l.now, limit)
-	for _, d := range ds {
+// step applies the decisions at once.
+func (l *load) step() {
+	for _, d := range l.s.Step(l.now, 1000) {
 		l.apply(d)
 	}
-	return len(ds)
 }
 
 func (l *load) apply(d Decision) {
@@ -269,7 +272,7 @@
 // BenchmarkExplain explains a waiting job and a worker.
 func BenchmarkExplain(b *testing.B) {
 	l := newLoad(b, 700)
-	l.step(1)
+	l.step()
 	var job oleandervalve.JobID
 	l.s.queue.jobs(func(j *waiting) bool {
 		job = j.spec.Job
--- a/core/scheduler/model_test.go
+++ b/core/scheduler/model_test.go
@@ -15,16 +15,17 @@
 )
 
 const (
-	gib      = oleandervalve.Bytes(1) << 30
-	tick     = 5 * time.Second
-	lag      = 30 * time.Second
-	saveStep = time.Minute
-	ramp     = time.Minute // memory grows to its full size during this time
-	restart  = 15 * time.Second
-	warmUp   = 20 * time.Minute
-	span     = 2 * time.Hour
-	services = 6
-	batches  = 8
+	gib        = oleandervalve.Bytes(1) << 30
+	tick       = 5 * time.Second
+	lag        = 30 * time.Second
+	saveStep   = time.Minute
+	ramp       = time.Minute // memory grows to its full size during this time
+	restart    = 15 * time.Second
+	warmUp     = 20 * time.Minute
+	span       = 2 * time.Hour
+	simWorkers = 40
+	services   = 6
+	batches    = 8
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -82,7 +83,7 @@
 	maxEvicted                       int
 }
 
-func newSim(c Config, seed uint64, workers int, batch, bad bool) *sim {
+func newSim(c Config, seed uint64, batch, bad bool) *sim {
 	r := rand.New(rand.NewPCG(seed, 1))
 	m := &sim{
 		r: r, arrivals: rand.New(rand.NewPCG(seed, 2)), now: epoch, s: New(c), batch: batch,
@@ -114,7 +115,7 @@
 		}
 		m.pair = append(m.pair, row)
 	}
-	for i := range workers {
+	for i := range simWorkers {
 		w := &simWorker{id: oleandervalve.WorkerID(fmt.Sprintf("w%03d", i)), bad: bad && i%20 == 7}
 		m.workers = append(m.workers, w)
 		m.s.UpdateWorker(w.id, simLocation(i), labels.Set{}, m.capacity)
@@ -124,7 +125,7 @@
 		m.s.SetQuota(simTeam(i), oleandervalve.Resources{CPU: total.CPU / 10, Memory: total.Memory / 10})
 	}
 	for k := range services {
-		m.submit(k, workers/2)
+		m.submit(k, simWorkers/2)
 	}
 	return m
 }
--- a/core/scheduler/policy_test.go
+++ b/core/scheduler/policy_test.go
@@ -8,8 +8,6 @@
 	"github.com/matryer/is"
 )
 
-const simWorkers = 40
-
 var seeds = []uint64{1, 2, 3, 4, 5}
 
 // colocation places with learned sizes but neither throttles nor evicts for
@@ -37,13 +35,13 @@
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			alone := newSim(DefaultConfig(), seed, simWorkers, false, false).run()
-			policy := newSim(DefaultConfig(), seed, simWorkers, true, false).run()
-			shared := newSim(colocation(), seed, simWorkers, true, false).run()
+			alone := newSim(DefaultConfig(), seed, false, false).run()
+			policy := newSim(DefaultConfig(), seed, true, false).run()
+			shared := newSim(colocation(), seed, true, false).run()
 			firstFit := BaselineConfig()
 			firstFit.Reaction = NoReaction
-			unthrottled := newSim(firstFit, seed, simWorkers, true, false).run()
-			baseline := newSim(BaselineConfig(), seed, simWorkers, true, false).run()
+			unthrottled := newSim(firstFit, seed, true, false).run()
+			baseline := newSim(BaselineConfig(), seed, true, false).run()
 			t.Logf("services alone %v", alone)
 			t.Logf("policy         %v", policy)
 			t.Logf("colocation     %v", shared)
@@ -70,9 +68,9 @@
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			healthy := newSim(DefaultConfig(), seed, simWorkers, true, false).run()
-			faulty := newSim(DefaultConfig(), seed, simWorkers, true, true).run()
-			baseline := newSim(BaselineConfig(), seed, simWorkers, true, true).run()
+			healthy := newSim(DefaultConfig(), seed, true, false).run()
+			faulty := newSim(DefaultConfig(), seed, true, true).run()
+			baseline := newSim(BaselineConfig(), seed, true, true).run()
 			t.Logf("healthy  %v", healthy)
 			t.Logf("faulty   %v failed=%d ratio=%.3f", faulty, faulty.failed, faulty.perHour()/healthy.perHour())
 			t.Logf("baseline %v failed=%d", baseline, baseline.failed)
--- a/core/worker/fleet.go
+++ b/core/worker/fleet.go
@@ -39,6 +39,9 @@
 	ServiceLimit float64
 	// Candidates bounds the number of workers that are scored in one decision.
 	Candidates int
+	// Checked bounds the workers with free capacity that are compared with the
+	// other constraints in one decision; the next decision continues from there.
+	Checked int
 	// Weights weigh the parts of a score.
 	Weights Weights
 }
@@ -60,7 +63,7 @@
 // DefaultConfig returns the settings that the measurements use.
 func DefaultConfig() Config {
 	return Config{
-		StartCap: 20, StartWindow: 10 * time.Second, ServiceLimit: 1.18, Candidates: 192,
+		StartCap: 20, StartWindow: 10 * time.Second, ServiceLimit: 1.18, Candidates: 192, Checked: 384,
 		Weights: Weights{
 			ServiceSlowdown: 4, BatchSlowdown: 1, ServiceSpread: 4, BatchSpread: 0.2,
 			Move: 0.2, Accelerator: 0.3, Load: 0.1,
@@ -90,7 +93,8 @@
 
 	slot      int
 	mix       []interference.Neighbour
-	selective int // residents with Beside or NotBeside
+	selective []*Spec // of residents with Beside or NotBeside
+	expected  expectation
 	history   []snapshot
 	starts    int
 	startsAt  time.Time
@@ -130,6 +134,7 @@
 	match   *matcher
 	total   oleandervalve.Resources
 	changes uint64
+	turn    int // moves the start of a search on after one that gave up
 }
 
 // NewFleet returns a view without workers.
@@ -358,12 +363,13 @@
 // changed brings a worker up to date after its residents or their shares changed.
 func (f *Fleet) changed(w *Worker, now time.Time) {
 	w.mix = w.mix[:0]
-	w.selective = 0
+	clear(w.selective)
+	w.selective = w.selective[:0]
+	w.expected.at = time.Time{}
 	for _, r := range w.Residents {
 		k := f.model.Kind(r.Kind)
-		r.selective = r.Beside != nil || r.NotBeside != nil
-		if r.selective {
-			w.selective++
+		if r.Beside != nil || r.NotBeside != nil {
+			w.selective = append(w.selective, r.Spec)
 		}
 		i := 0
 		for i < len(w.mix) && (w.mix[i].Kind != k || w.mix[i].LatencyCritical != r.LatencyCritical) {
--- a/core/worker/fleet_test.go
+++ b/core/worker/fleet_test.go
@@ -49,7 +49,7 @@
 func TestFleetKeepsItsBooks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := DefaultConfig()
-		c.Candidates = 1000
+		c.Candidates, c.Checked = 1000, 1000
 		c.StartCap = 1000
 		f := newFleet(3, c)
 		now := epoch
--- a/core/worker/place.go
+++ b/core/worker/place.go
@@ -45,7 +45,8 @@
 	Scored int
 }
 
-// Choose returns the best worker for a task of the size; false if none can take it now.
+// Choose returns the best worker for a task of the size; false if none was
+// found that can take it now.
 func (f *Fleet) Choose(t Task, size oleandervalve.Resources, now time.Time) (Choice, bool) {
 	return f.choose(t, size, now, nil)
 }
@@ -61,12 +62,13 @@
 	kind := f.model.Kind(t.Kind)
 	job := f.jobs[t.Job]
 	best := Choice{}
+	checked := 0
 	// Slots are visited in strides, so that the scored part of a large fleet
 	// covers all racks; the start depends on the task, so that load spreads.
 	stride := strideOf(n)
 	slot := 0
 	if n > 0 {
-		slot = int(hash(string(t.ID)) % uint32(n))
+		slot = (int(hash(string(t.ID))%uint32(n)) + f.turn) % n
 	}
 	for i := 0; i < n && best.Scored < f.config.Candidates; i++ {
 		slot += stride
@@ -81,6 +83,10 @@
 		if w == nil || w == not || !size.Fits(w.Free()) || !w.mayStart(f.config, now) {
 			continue
 		}
+		if checked++; checked > f.config.Checked {
+			f.turn = (f.turn + i*stride) % n
+			break
+		}
 		if _, ok := f.check(w, t.Spec, kind, size, now); !ok {
 			continue
 		}
@@ -156,7 +162,7 @@
 		return TotalCapacity, false
 	case !f.besideAllows(w, s):
 		return BesideSelector, false
-	case !s.LatencyCritical && !s.Urgent && !f.servicesAllow(w, kind, size):
+	case !s.LatencyCritical && !s.Urgent && !f.servicesAllow(w, kind, size, now):
 		return ServiceSlowdown, false
 	case w.HeldFor != "" && w.HeldFor != s.Job && !s.LatencyCritical && !s.Urgent:
 		return Held, false
@@ -171,12 +177,16 @@
 
 // besideAllows checks the selectors of the newcomer against the residents and the reverse.
 func (f *Fleet) besideAllows(w *Worker, s *Spec) bool {
-	if s.Beside == nil && s.NotBeside == nil && w.selective == 0 {
+	for _, o := range w.selective {
+		if !f.match.agrees(o, s) {
+			return false
+		}
+	}
+	if s.Beside == nil && s.NotBeside == nil {
 		return true
 	}
-	picky := s.Beside != nil || s.NotBeside != nil
 	for _, r := range w.Residents {
-		if picky && !f.match.agrees(s, r.Spec) || r.selective && !f.match.agrees(r.Spec, s) {
+		if !f.match.agrees(s, r.Spec) {
 			return false
 		}
 	}
@@ -190,16 +200,40 @@
 	return interference.LevelOf(float64(w.Reserved.CPU+size.CPU) / float64(w.Capacity.CPU))
 }
 
+// expectation is the expected extra slowdown of the services of a worker at
+// one load level, by position in the mix.
+type expectation struct {
+	at    time.Time
+	level interference.Level
+	extra []float32
+}
+
+// expectationAge bounds how long an expectation is used while the residents
+// stay the same; the model changes little meanwhile.
+const expectationAge = 5 * time.Second
+
+func (f *Fleet) expect(w *Worker, l interference.Level, now time.Time) []float32 {
+	e := &w.expected
+	if e.at.IsZero() || e.level != l || now.Sub(e.at) >= expectationAge {
+		e.at, e.level, e.extra = now, l, e.extra[:0]
+		for i := range w.mix {
+			var x float64
+			if w.mix[i].LatencyCritical {
+				x = f.model.Expected(w.mix[i].Kind, w.mix, l)
+			}
+			e.extra = append(e.extra, float32(x))
+		}
+	}
+	return e.extra
+}
+
 // servicesAllow reports whether every service on the worker is expected to
 // stay below the limit with the newcomer.
-func (f *Fleet) servicesAllow(w *Worker, kind interference.Kind, size oleandervalve.Resources) bool {
+func (f *Fleet) servicesAllow(w *Worker, kind interference.Kind, size oleandervalve.Resources, now time.Time) bool {
 	l := levelWith(w, size)
+	extra := f.expect(w, l, now)
 	for i := range w.mix {
-		if !w.mix[i].LatencyCritical {
-			continue
-		}
-		k := w.mix[i].Kind
-		if 1+f.model.Expected(k, w.mix, l)+f.model.Effect(k, kind, l) > f.config.ServiceLimit {
+		if w.mix[i].LatencyCritical && 1+float64(extra[i])+f.model.Effect(w.mix[i].Kind, kind, l) > f.config.ServiceLimit {
 			return false
 		}
 	}
--- a/core/worker/spec.go
+++ b/core/worker/spec.go
@@ -87,8 +87,6 @@
 	Running bool
 	// Leaving means that the task is being stopped; it occupies its size until that is confirmed.
 	Leaving bool
-	// selective means that the task has selectors for what it runs beside.
-	selective bool
 	// Probe marks the task that tests a quarantined worker.
 	Probe bool
 	// SavedAt is the start or the last checkpoint, after which work is unsaved.
