Count a kind's failures once per worker, keep services in place in the model

Cause: a worker that failed one kind every ten seconds made the kind look broken and was never quarantined. In the model, first fit packed all services on a few workers without batch work, so its figures compared nothing. Change: a worker's repeated failure of a kind counts once; a task avoids the worker on which it failed last; the model starts every policy with the same services in the same places; the baseline has neither quarantine nor start cap.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -157,7 +157,11 @@
 func (t *Tracker) Failed(id oleandervalve.WorkerID, k oleandervalve.KindName, j oleandervalve.JobID, now time.Time) Verdict {
 	w := t.worker(id)
 	kd := t.kind(k)
-	kd.failed++
+	// One worker counts once per kind: one that fails the same kind every few
+	// seconds otherwise made the kind look broken, and was never quarantined.
+	if !w.failedKind(k) {
+		kd.failed++
+	}
 	if w.quarantined {
 		if w.probing {
 			w.probing = false
@@ -193,6 +197,15 @@
 	return v
 }
 
+func (w *worker) failedKind(k oleandervalve.KindName) bool {
+	for _, f := range w.failures {
+		if f.kind == k {
+			return true
+		}
+	}
+	return false
+}
+
 // suspect counts the kinds that failed on the worker since its last success,
 // without those that fail everywhere, and says whether it is at fault.
 func (t *Tracker) suspect(w *worker) (int, bool) {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -59,6 +59,22 @@
 	is.True(f.Failed("w", "k", "j", epoch).Quarantine)
 }
 
+// Guards against a faulty worker that fails one kind so often that the kind
+// looks broken everywhere (seen as 723 failures in two hours).
+func TestWorkerAtFaultBeforeTheKindHasSucceeded(t *testing.T) {
+	is := is.New(t)
+	f := New(DefaultConfig())
+	f.SetFleet(100)
+	now := epoch
+	for range 30 {
+		now = now.Add(10 * time.Second)
+		is.True(!f.Failed("w", "k", "j", now).Quarantine)
+	}
+	f.Succeeded("w1", "k", "other")
+	f.Succeeded("w2", "k", "other")
+	is.True(f.Failed("w", "k", "j", now).Quarantine)
+}
+
 // Guards against a broken job that takes the workers out of service, or is retried for ever.
 func TestJobAtFault(t *testing.T) {
 	is := is.New(t)
--- a/core/scheduler/config.go
+++ b/core/scheduler/config.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"oleandervalve"
@@ -100,10 +101,12 @@
 }
 
 // BaselineConfig returns the baseline: first fit with declared sizes, and a
-// reactive eviction of the newest batch task beside a slow service.
+// reactive eviction of the newest batch task beside a slow service, without
+// memory guard and quarantine.
 func BaselineConfig() Config {
 	c := DefaultConfig()
 	c.FirstFit, c.Reaction, c.Guard.Off = true, EvictLatest, true
+	c.Quarantine.MaxShare, c.Fleet.StartCap = 0, math.MaxInt
 	return c
 }
 
--- a/core/scheduler/model_test.go
+++ b/core/scheduler/model_test.go
@@ -84,6 +84,8 @@
 }
 
 func newSim(c Config, seed uint64, batch, bad bool) *sim {
+	// A tick stands for the many steps of five seconds.
+	c.Queue.Tries, c.Queue.Efforts = 1000, 4
 	r := rand.New(rand.NewPCG(seed, 1))
 	m := &sim{
 		r: r, arrivals: rand.New(rand.NewPCG(seed, 2)), now: epoch, s: New(c), batch: batch,
@@ -125,11 +127,29 @@
 		m.s.SetQuota(simTeam(i), oleandervalve.Resources{CPU: total.CPU / 10, Memory: total.Memory / 10})
 	}
 	for k := range services {
-		m.submit(k, simWorkers/2)
+		m.deploy(k)
 	}
 	return m
 }
 
+// deploy starts a service on half of the workers. All policies begin with the
+// same services in the same places: first fit would otherwise pack them on a
+// few workers without batch tasks, and nothing would be shared.
+func (m *sim) deploy(k int) {
+	for i, w := range m.arrivals.Perm(simWorkers)[:simWorkers/2] {
+		if i == 0 {
+			m.submit(k, simWorkers/2)
+		}
+		t := m.all[oleandervalve.TaskID(fmt.Sprintf("j%d/%d", m.next, i))]
+		if err := m.s.Adopt(t.task, m.workers[w].id, t.task.Declared, m.now); err != nil {
+			panic(err)
+		}
+		t.worker, t.startedAt, t.readyAt, t.share = w, m.now, m.now, 1
+		m.workers[w].tasks = append(m.workers[w].tasks, t)
+		m.running[t.task.ID] = t
+	}
+}
+
 func simLocation(i int) oleandervalve.Location {
 	dc := i / 3 % 8
 	return oleandervalve.Location{
@@ -150,7 +170,9 @@
 	for i := range n {
 		t := &simTask{kind: k, task: worker.Task{ID: oleandervalve.TaskID(fmt.Sprintf("%s/%d", spec.Job, i)), Epoch: 1, Spec: spec}}
 		m.all[t.task.ID] = t
-		m.s.Submit(m.now, t.task)
+		if !m.kinds[k].service {
+			m.s.Submit(m.now, t.task)
+		}
 	}
 }
 
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -218,7 +218,7 @@
 	}
 	s.out = nil
 	v := s.faults.Failed(r.Worker.ID, r.Kind, r.Job, now)
-	if r.Worker.State == worker.Ready {
+	if !s.config.FirstFit && r.Worker.State == worker.Ready {
 		// One start at a time until something succeeds here.
 		r.Worker.StartCap = 1
 	}
@@ -239,7 +239,9 @@
 		s.out = append(s.out, Decision{Action: Park, Job: r.Job, Task: t, Reason: ReasonWorkers, Count: v.Workers})
 	}
 	if _, parked := s.parked[r.Job]; !parked {
-		j := s.requeue(r.Task, now)
+		task := r.Task
+		task.Avoid = r.Worker.ID
+		j := s.requeue(task, now)
 		if v.RetryAt.After(j.retryAt) {
 			j.retryAt, j.blocked = v.RetryAt, BlockedBackoff
 		}
--- a/core/worker/place.go
+++ b/core/worker/place.go
@@ -240,6 +240,9 @@
 	return true
 }
 
+// avoidPenalty exceeds every ordinary score.
+const avoidPenalty = 1000
+
 // score returns the cost of a worker for a task and the expected extra slowdown of the task.
 func (f *Fleet) score(w *Worker, t *Task, kind interference.Kind, size oleandervalve.Resources, job *spread) (float64, float64) {
 	c := &f.config.Weights
@@ -265,6 +268,9 @@
 		tasks := float64(max(t.Tasks, job.tasks))
 		score += spreadWeight * (2*float64(job.dataCentres[w.Location.DataCentre]) + float64(job.racks[w.Location.Rack])) / tasks
 	}
+	if t.Avoid == w.ID {
+		score += avoidPenalty
+	}
 	if t.From != nil {
 		score += c.Move * distance(*t.From, w.Location)
 	}
--- a/core/worker/spec.go
+++ b/core/worker/spec.go
@@ -69,6 +69,9 @@
 	Evictions int
 	// From is where the task's last attempt ran; nil for a first start.
 	From *oleandervalve.Location
+	// Avoid is the worker on which the task failed last; it is chosen only if
+	// there is no other.
+	Avoid oleandervalve.WorkerID
 	// Progress is the work saved in the last checkpoint.
 	Progress time.Duration
 }
