--- a/core/caller/queue.go
+++ b/core/caller/queue.go
@@ -413,5 +413,14 @@
 	return out
 }
 
+// Demand counts the waiting requests by class, as the demand for a service.
+func (q *Queue) Demand(service oleandervalve.ServiceName) []credit.Demand {
+	var out []credit.Demand
+	for _, c := range q.Waiting() {
+		out = append(out, credit.Demand{Service: service, Class: c.Class, Waiting: c.Waiting, Teams: c.Teams})
+	}
+	return out
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.items) }
--- a/core/credit/shares.go
+++ b/core/credit/shares.go
@@ -16,6 +16,16 @@
 	Floor float64
 }
 
+// Demand counts the requests of one class that wait for a service at an entry.
+type Demand struct {
+	Service oleandervalve.ServiceName
+	Class   oleandervalve.ClassName
+	Waiting int
+	// Teams counts the teams of the waiting requests; entries share a class's
+	// slots in proportion to it, and 0 counts as 1.
+	Teams int
+}
+
 // initialMean is the assumed service time of a class before the first
 // measurement; it only sets the unit of virtual time, equal for all classes.
 const initialMean = 10 * time.Millisecond
--- a/core/endpoint/credits.go
+++ b/core/endpoint/credits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oleandervalve"
+	"oleandervalve/core/credit"
 )
 
 // demandSpread is the number of agents that are told of each waiting request:
@@ -24,12 +25,7 @@
 }
 
 // ClassDemand counts the requests of one class that wait for a service.
-type ClassDemand struct {
-	Service oleandervalve.ServiceName
-	Class   oleandervalve.ClassName
-	Waiting int
-	Teams   int
-}
+type ClassDemand = credit.Demand
 
 // AgentDemand is the whole demand that an agent is told; it replaces the earlier one.
 type AgentDemand struct {
@@ -43,9 +39,11 @@
 	class   oleandervalve.ClassName
 }
 
+// demandOffset tells which agent hears first of a class's demand, and in which
+// round of Demands the class waited last.
 type demandOffset struct {
-	start  int
-	active bool
+	start int
+	round uint64
 }
 
 // returns groups credits of one endpoint by class, in the order of their names.
@@ -97,7 +95,7 @@
 func (d *Directory) Expire(now time.Time) []CreditReturn {
 	var out []CreditReturn
 	for _, v := range d.order {
-		for _, x := range v.sorted() {
+		for _, x := range v.list {
 			out = append(out, x.returns(x.dropExpired(now))...)
 		}
 	}
@@ -118,15 +116,6 @@
 	return false
 }
 
-func (v *agentView) sorted() []*endpointView {
-	out := make([]*endpointView, 0, len(v.endpoints))
-	for _, x := range v.endpoints {
-		out = append(out, x)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].status.Endpoint < out[j].status.Endpoint })
-	return out
-}
-
 // Surplus drops and returns the credits for a service that were granted for a
 // class. It is called after each dispatch, when nothing waits or no usable
 // credit is left: these credits are of no use here, while other entries may
@@ -166,54 +155,57 @@
 // and no agent is told of more than twice its slots, so that a long queue
 // doesn't cause a message for every change of its length.
 func (d *Directory) Demands(now time.Time, list []ClassDemand) []AgentDemand {
-	next := map[*agentView][]ClassDemand{}
-	seen := map[demandKey]bool{}
+	d.round++
+	for _, v := range d.order {
+		v.next = v.next[:0]
+	}
 	for _, c := range list {
+		if c.Waiting <= 0 {
+			continue
+		}
 		k := demandKey{c.Service, c.Class}
 		o := d.offsets[k]
 		if o == nil {
 			o = &demandOffset{}
 			d.offsets[k] = o
 		}
-		if c.Waiting <= 0 {
-			continue
-		}
-		seen[k] = true
-		agents := d.reachable(now, c.Service)
-		if len(agents) == 0 {
-			continue
-		}
-		if !o.active {
-			o.active = true
+		if o.round != d.round-1 {
+			// Nothing waited before: begin with other agents this time.
 			o.start += demandSpread
 		}
-		total := c.Waiting * min(demandSpread, len(agents))
-		for i := range agents {
-			v := agents[(o.start+i)%len(agents)]
-			n := total / len(agents)
-			if i < total%len(agents) {
-				n++
-			}
-			n = min(n, 2*v.slots(c.Service))
-			if n > 0 {
-				next[v] = append(next[v], ClassDemand{Service: c.Service, Class: c.Class, Waiting: n, Teams: coarse(c.Teams)})
-			}
-		}
-	}
-	for k, o := range d.offsets {
-		o.active = seen[k]
+		o.round = d.round
+		d.spread(now, c, o.start)
 	}
 	var out []AgentDemand
 	for _, v := range d.order {
-		if equalDemand(v.told, next[v]) {
+		if equalDemand(v.told, v.next) {
 			continue
 		}
-		v.told = next[v]
+		v.told = append(v.told[:0], v.next...)
 		out = append(out, AgentDemand{Agent: v.id, Epoch: v.epoch, Classes: append([]ClassDemand(nil), v.told...)})
 	}
 	return out
 }
 
+// spread adds the demand of one class to what the agents are told next.
+func (d *Directory) spread(now time.Time, c ClassDemand, start int) {
+	agents := d.reachable(now, c.Service)
+	if len(agents) == 0 {
+		return
+	}
+	total := c.Waiting * min(demandSpread, len(agents))
+	for i := range agents {
+		v := agents[(start+i)%len(agents)]
+		n := total / len(agents)
+		if i < total%len(agents) {
+			n++
+		}
+		if n = min(n, 2*v.slots(c.Service)); n > 0 {
+			v.next = append(v.next, ClassDemand{Service: c.Service, Class: c.Class, Waiting: n, Teams: coarse(c.Teams)})
+		}
+	}
+}
+
 // coarse rounds a count down to a power of two, so that small changes cause no message.
 func coarse(n int) int {
 	if n <= 1 {
@@ -236,24 +228,24 @@
 
 // reachable lists the agents that may get requests of a service, by id.
 func (d *Directory) reachable(now time.Time, s oleandervalve.ServiceName) []*agentView {
-	var out []*agentView
+	d.agentScratch = d.agentScratch[:0]
 	for _, v := range d.order {
 		if v.draining || now.Sub(v.lastHeard) >= SuspectAfter {
 			continue
 		}
-		for _, x := range v.endpoints {
+		for _, x := range v.list {
 			if x.status.Service == s && !x.status.Leaving && x.health.allows(now, x.inFlight) {
-				out = append(out, v)
+				d.agentScratch = append(d.agentScratch, v)
 				break
 			}
 		}
 	}
-	return out
+	return d.agentScratch
 }
 
 func (v *agentView) slots(s oleandervalve.ServiceName) int {
 	n := 0
-	for _, x := range v.endpoints {
+	for _, x := range v.list {
 		if x.status.Service == s && !x.status.Leaving {
 			n += x.status.Slots
 		}
--- a/core/endpoint/directory.go
+++ b/core/endpoint/directory.go
@@ -44,8 +44,10 @@
 	lastHeard time.Time
 	draining  bool
 	endpoints map[oleandervalve.EndpointID]*endpointView
-	// told is the demand that the agent was last told.
-	told []ClassDemand
+	// list holds the endpoints by id.
+	list []*endpointView
+	// told is the demand that the agent was last told, next what it will be told.
+	told, next []ClassDemand
 }
 
 type heldCredit struct {
@@ -86,7 +88,10 @@
 	services map[oleandervalve.ServiceName][]*endpointView
 	offsets  map[demandKey]*demandOffset
 	uses     uint64
-	scratch  []float64
+	round    uint64
+
+	scratch      []float64
+	agentScratch []*agentView
 }
 
 // Option changes a new directory.
@@ -142,24 +147,30 @@
 // rebuild sorts the agents and the endpoints of each service.
 func (d *Directory) rebuild() {
 	d.order = d.order[:0]
-	d.services = map[oleandervalve.ServiceName][]*endpointView{}
 	for _, v := range d.agents {
 		d.order = append(d.order, v)
-		for _, x := range v.endpoints {
+	}
+	sort.Slice(d.order, func(i, j int) bool { return d.order[i].id < d.order[j].id })
+	d.services = map[oleandervalve.ServiceName][]*endpointView{}
+	for _, v := range d.order {
+		for _, x := range v.list {
 			if !x.status.Leaving {
 				d.services[x.status.Service] = append(d.services[x.status.Service], x)
 			}
 		}
 	}
-	sort.Slice(d.order, func(i, j int) bool { return d.order[i].id < d.order[j].id })
 	for _, list := range d.services {
-		sort.Slice(list, func(i, j int) bool {
-			if a, b := list[i], list[j]; a.status.Endpoint != b.status.Endpoint {
-				return a.status.Endpoint < b.status.Endpoint
-			}
-			return list[i].agent.id < list[j].agent.id
-		})
+		sort.SliceStable(list, func(i, j int) bool { return list[i].status.Endpoint < list[j].status.Endpoint })
+	}
+}
+
+// sort lists an agent's endpoints by id.
+func (v *agentView) sort() {
+	v.list = v.list[:0]
+	for _, x := range v.endpoints {
+		v.list = append(v.list, x)
 	}
+	sort.Slice(v.list, func(i, j int) bool { return v.list[i].status.Endpoint < v.list[j].status.Endpoint })
 }
 
 // Heartbeat records a sign of life.
@@ -211,6 +222,7 @@
 			delete(v.endpoints, id)
 		}
 	}
+	v.sort()
 	d.rebuild()
 }
 
--- a/core/instance/grants.go
+++ b/core/instance/grants.go
@@ -24,14 +24,7 @@
 )
 
 // ClassDemand counts the requests that wait at one entry.
-type ClassDemand struct {
-	Service oleandervalve.ServiceName
-	Class   oleandervalve.ClassName
-	Waiting int
-	// Teams counts the teams of the waiting requests; entries share a class's
-	// slots in proportion to it, and 0 counts as 1.
-	Teams int
-}
+type ClassDemand = credit.Demand
 
 // Grant gives credits to an entry; a Count of 0 renews the unexpired credits
 // that the entry holds for the endpoint and adds none.
@@ -105,6 +98,7 @@
 	}
 	h := list[at]
 	x.held[e] = append(list[:at], list[at+1:]...)
+	x.outstanding--
 	if h.class != "" {
 		l.service(x.announced.Service).Undo(now, h.class, h.charge)
 	}
@@ -127,6 +121,7 @@
 		for i := 0; i < len(x.held[e]); {
 			if h := x.held[e][i]; h.lapsed(now) {
 				x.held[e] = append(x.held[e][:i], x.held[e][i+1:]...)
+				x.outstanding--
 				if h.class != "" {
 					l.service(x.announced.Service).Undo(now, h.class, h.charge)
 				}
@@ -336,6 +331,7 @@
 		h.charge = l.service(x.announced.Service).Take(now, class, l.capacity(x.announced.Service))
 	}
 	x.held[e] = append(x.held[e], h)
+	x.outstanding++
 	for i := range out {
 		if g := &out[i]; g.Entry == e && g.Endpoint == x.announced.Endpoint && g.Class == class && g.Count > 0 {
 			g.Count++
@@ -358,19 +354,19 @@
 		return out
 	}
 	for _, x := range l.order {
-		if x.leaving || x.outstanding() == 0 {
+		if x.leaving || x.outstanding == 0 {
 			continue
 		}
 		s := x.announced.Service
 		_, claims := l.claims(s)
-		excess := x.inUse + x.outstanding() - x.capacity()
+		excess := x.inUse + x.outstanding - x.capacity()
 		wanted := max(0, excess)
 		for _, list := range claims {
 			for _, c := range list {
 				wanted += c.unmet
 			}
 		}
-		even := (x.outstanding() + len(l.entryIDs) - 1) / len(l.entryIDs)
+		even := (x.outstanding + len(l.entryIDs) - 1) / len(l.entryIDs)
 		for _, e := range l.entryIDs {
 			n := len(x.held[e])
 			if at, asked := x.revoking[e]; asked && now.Sub(at) < revokeAgain {
--- a/core/instance/ledger.go
+++ b/core/instance/ledger.go
@@ -37,9 +37,11 @@
 	deleted bool
 	inUse   int
 	// closing counts connections that are open without an admitted request.
-	closing  int
-	held     map[oleandervalve.EntryID][]heldCredit
-	revoking map[oleandervalve.EntryID]time.Time
+	closing int
+	held    map[oleandervalve.EntryID][]heldCredit
+	// outstanding counts the credits held by all entries.
+	outstanding int
+	revoking    map[oleandervalve.EntryID]time.Time
 }
 
 // capacity is the number of requests that the endpoint may serve at once.
@@ -47,19 +49,11 @@
 	return max(0, min(x.announced.Slots, x.announced.Connections-x.closing))
 }
 
-func (x *endpointState) outstanding() int {
-	n := 0
-	for _, c := range x.held {
-		n += len(c)
-	}
-	return n
-}
-
 func (x *endpointState) free() int {
 	if x.leaving {
 		return 0
 	}
-	return max(0, x.capacity()-x.inUse-x.outstanding())
+	return max(0, x.capacity()-x.inUse-x.outstanding)
 }
 
 type entryView struct {
@@ -135,7 +129,7 @@
 		l.endpoints[a.Endpoint] = x
 		l.sortEndpoints()
 	}
-	if x.announced.Service != a.Service && (x.inUse > 0 || x.outstanding() > 0) {
+	if x.announced.Service != a.Service && (x.inUse > 0 || x.outstanding > 0) {
 		return &oleandervalve.InvalidError{
 			Field: "service", Value: string(a.Service),
 			Remedy: "leave and finish the requests of service " + string(x.announced.Service) + " first",
@@ -261,7 +255,7 @@
 	for _, x := range l.order {
 		out = append(out, Endpoint{
 			Announcement: x.announced, Leaving: x.leaving || l.draining,
-			InUse: x.inUse, Credits: x.outstanding(),
+			InUse: x.inUse, Credits: x.outstanding,
 		})
 	}
 	return out
