--- /dev/null
+++ b/core/operator/change.go
@@ -0,0 +1,398 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"regexp"
+	"time"
+
+	"oleandervalve"
+)
+
+// ChangeID identifies one intended change, however often it is sent.
+type ChangeID string
+
+// Verb says what a change does.
+type Verb string
+
+const (
+	// VerbPut creates or replaces an object.
+	VerbPut Verb = "put"
+	// VerbDelete removes an object.
+	VerbDelete Verb = "delete"
+	// VerbLabel sets and removes labels of an object and keeps the rest.
+	VerbLabel Verb = "label"
+)
+
+// Change is one intended change of one object.
+type Change struct {
+	ID   ChangeID `json:"id"`
+	Verb Verb     `json:"verb"`
+	Kind Kind     `json:"kind"`
+	Name string   `json:"name"`
+	// Expected is the version that the change was made from, 0 for a new object.
+	// Only a label change may leave it out.
+	Expected *oleandervalve.Version `json:"expected,omitempty"`
+	// Object is the new object of a put.
+	Object *Object `json:"object,omitempty"`
+	// Labels are set, or removed where the value is nil.
+	Labels map[string]*string `json:"labels,omitempty"`
+}
+
+// Ref returns the reference of the changed object.
+func (c Change) Ref() Ref { return Ref{Kind: c.Kind, Name: c.Name} }
+
+// ConflictError reports a change that was made from another version than the current one.
+type ConflictError struct {
+	Ref      Ref
+	Expected oleandervalve.Version
+	Current  oleandervalve.Version
+	// Object is the current object, nil if there is none.
+	Object *Object
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s is at version %d, not %d: %s", e.Ref, e.Current, e.Expected, e.Remedy())
+}
+
+// Remedy says how to resolve the conflict.
+func (e *ConflictError) Remedy() string {
+	if e.Current == 0 {
+		return "the object does not exist; send the change with expected version 0 to create it"
+	}
+	return fmt.Sprintf("read version %d, repeat the change on it and send it with that version", e.Current)
+}
+
+// ChangeReusedError reports a change id that an accepted change with other content has.
+type ChangeReusedError struct {
+	ID       ChangeID
+	Revision oleandervalve.Revision
+}
+
+func (e *ChangeReusedError) Error() string {
+	return fmt.Sprintf("change id %q was accepted at revision %d with other content: use a new change id", string(e.ID), e.Revision)
+}
+
+// Accepted is the value of the row that resolves a change by its id.
+type Accepted struct {
+	Revision oleandervalve.Revision `json:"revision"`
+	Version  oleandervalve.Version  `json:"version"`
+	At       time.Time              `json:"at"`
+	Content  uint64                 `json:"content"`
+}
+
+// Plan is what a change would do to the current configuration.
+type Plan struct {
+	// Accepted is set if the change was accepted earlier; there is nothing to commit.
+	Accepted *Accepted
+	// Unchanged means that the object already is as the change wants it.
+	Unchanged bool
+	// Transaction commits the change.
+	Transaction   oleandervalve.Transaction
+	Head          Head
+	Record        Record
+	Before, After *Object
+	Diff          []DiffLine
+}
+
+// Version returns the version of the object after the change.
+func (p Plan) Version() oleandervalve.Version {
+	switch {
+	case p.Accepted != nil:
+		return p.Accepted.Version
+	case p.After != nil:
+		return p.After.Version
+	}
+	return 0
+}
+
+var changeIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{8,64}$`)
+
+// ReadKeys returns the rows that Build needs, in its order.
+func ReadKeys(c Change) []oleandervalve.Key {
+	return []oleandervalve.Key{HeadKey, ObjectKey(c.Ref()), ChangeKey(c.ID)}
+}
+
+// Check validates what can be validated without the current configuration.
+func (c Change) Check() error {
+	p := &problems{secret: c.Kind == KindToken}
+	if !changeIDPattern.MatchString(string(c.ID)) {
+		p.add("changeId", c.ID, "use 8 to 64 letters, digits, '.', '_' and '-', new for each change")
+	}
+	if newSpec(c.Kind) == nil {
+		p.add("kind", c.Kind, "use one of "+joinKinds())
+	}
+	p.name("name", c.Name)
+	if c.Expected == nil && c.Verb != VerbLabel {
+		p.add("expectedVersion", "", "give the version that you read, or 0 to create the object")
+	}
+	switch c.Verb {
+	case VerbPut:
+		c.checkObject(p)
+	case VerbLabel:
+		if len(c.Labels) == 0 {
+			p.add("labels", "", "give at least one label to set or remove")
+		}
+	case VerbDelete:
+	default:
+		p.add("verb", c.Verb, "use put, delete or label")
+	}
+	if len(p.list) > 0 {
+		return &ValidationError{Ref: Ref{Kind: Kind(shorten(string(c.Kind))), Name: shorten(c.Name)}, Problems: p.list}
+	}
+	return nil
+}
+
+func (c Change) checkObject(p *problems) {
+	if c.Object == nil {
+		p.add("object", "", "give the object to put")
+		return
+	}
+	if c.Object.Ref() != c.Ref() {
+		p.add("object", c.Object.Ref(), "give the same kind and name as the change")
+		return
+	}
+	if _, _, err := Validate(*c.Object); err != nil {
+		var v *ValidationError
+		if asValidation(err, &v) {
+			for _, i := range v.Problems {
+				// The change's own checks have reported these.
+				if i.Field != "kind" && i.Field != "name" {
+					p.list = append(p.list, i)
+				}
+			}
+		}
+	}
+}
+
+// content identifies what the change intends, so that a reused id is detected.
+func (c Change) content() uint64 {
+	c.ID = ""
+	return Object{Name: "change", Spec: mustJSON(c)}.digest()
+}
+
+// Build plans a change from the rows that ReadKeys names. Errors are
+// *ValidationError, *ConflictError, *ChangeReusedError and *RowError.
+func Build(c Change, a Actor, rows []oleandervalve.Row, at time.Time) (Plan, error) {
+	if err := c.Check(); err != nil {
+		return Plan{}, err
+	}
+	head, err := DecodeHead(rows[0])
+	if err != nil {
+		return Plan{}, err
+	}
+	if rows[2].Version != 0 {
+		acc, err := Resolve(c, rows[2])
+		return Plan{Accepted: acc, Head: head}, err
+	}
+	var before *Object
+	if rows[1].Version != 0 {
+		o, err := DecodeObject(rows[1])
+		if err != nil {
+			return Plan{}, err
+		}
+		before = &o
+	}
+	if err := c.checkExpected(before); err != nil {
+		return Plan{}, err
+	}
+	after, err := c.apply(before)
+	if err != nil {
+		return Plan{}, err
+	}
+	p := Plan{Before: before, After: after, Head: head}
+	if sameContent(before, after) {
+		p.Unchanged, p.After = true, before
+		return p, nil
+	}
+	p.Head, err = nextHead(head, before, after)
+	if err != nil {
+		return Plan{}, err
+	}
+	p.Diff = Diff(before, after)
+	p.Record = Record{
+		Revision: p.Head.Revision, ChangeID: c.ID, At: at, Actor: a, Verb: c.Verb, Kind: c.Kind, Name: c.Name,
+		Before: before, After: after, Result: ResultAccepted, Digest: p.Head.Digest,
+	}
+	p.Transaction = c.transaction(p, rows)
+	return p, nil
+}
+
+// Resolve reads the row of a change id after a lost answer; nil means that the
+// change is not accepted so far and may be sent again under the same id.
+func Resolve(c Change, row oleandervalve.Row) (*Accepted, error) {
+	acc, err := DecodeAccepted(row)
+	if acc != nil && acc.Content != c.content() {
+		return nil, &ChangeReusedError{ID: c.ID, Revision: acc.Revision}
+	}
+	return acc, err
+}
+
+// DecodeAccepted reads the row of a change id; nil means that the change is not accepted.
+func DecodeAccepted(row oleandervalve.Row) (*Accepted, error) {
+	if row.Version == 0 {
+		return nil, nil //nolint:nilnil // nil is documented as "not accepted".
+	}
+	var acc Accepted
+	if err := decodeRow(row, &acc); err != nil {
+		return nil, err
+	}
+	return &acc, nil
+}
+
+func (c Change) checkExpected(before *Object) error {
+	var current oleandervalve.Version
+	if before != nil {
+		current = before.Version
+	}
+	if c.Expected == nil {
+		if before == nil {
+			return &ConflictError{Ref: c.Ref()}
+		}
+		return nil
+	}
+	if *c.Expected != current || (c.Verb != VerbPut && before == nil) {
+		return &ConflictError{Ref: c.Ref(), Expected: *c.Expected, Current: current, Object: before}
+	}
+	return nil
+}
+
+// apply returns the object after the change, nil after a delete.
+func (c Change) apply(before *Object) (*Object, error) {
+	var next Object
+	switch c.Verb {
+	case VerbDelete:
+		return nil, nil //nolint:nilnil // nil is the documented result of a delete.
+	case VerbPut:
+		next = *c.Object
+	case VerbLabel:
+		next = *before
+		next.Labels = maps.Clone(before.Labels)
+		if next.Labels == nil {
+			next.Labels = map[string]string{}
+		}
+		for k, v := range c.Labels {
+			if v == nil {
+				delete(next.Labels, k)
+			} else {
+				next.Labels[k] = *v
+			}
+		}
+	}
+	if len(next.Labels) == 0 {
+		next.Labels = nil
+	}
+	next, _, err := Validate(next)
+	return &next, err
+}
+
+func nextHead(h Head, before, after *Object) (Head, error) {
+	h.Revision++
+	if before != nil {
+		h.Digest ^= before.digest()
+		h.Objects--
+	}
+	if after != nil {
+		after.Version = oleandervalve.Version(h.Revision)
+		h.Digest ^= after.digest()
+		h.Objects++
+	}
+	if after != nil && h.Objects > MaxObjects {
+		return Head{}, &ValidationError{Ref: after.Ref(), Problems: []oleandervalve.InvalidError{{
+			Field: "objects", Value: fmt.Sprint(h.Objects), Remedy: fmt.Sprintf("delete objects that are no longer used; the limit is %d", MaxObjects),
+		}}}
+	}
+	return h, nil
+}
+
+// transaction conditions the change on everything that Build has read: the
+// object, the head and the absence of the change id.
+func (c Change) transaction(p Plan, rows []oleandervalve.Row) oleandervalve.Transaction {
+	t := oleandervalve.Transaction{ID: oleandervalve.MutationID(fmt.Sprintf("%s.%d", c.ID, p.Head.Revision))}
+	for _, r := range rows[:3] {
+		t.Conditions = append(t.Conditions, oleandervalve.Condition{Key: r.Key, Version: r.Version})
+	}
+	t.Conditions = append(t.Conditions, oleandervalve.Condition{Key: LogKey(p.Head.Revision)})
+	acc := Accepted{Revision: p.Head.Revision, Version: p.Version(), At: p.Record.At, Content: c.content()}
+	t.Puts = []oleandervalve.Put{
+		{Key: HeadKey, Value: mustJSON(p.Head)},
+		{Key: LogKey(p.Head.Revision), Value: mustJSON(p.Record)},
+		{Key: ChangeKey(c.ID), Value: mustJSON(acc)},
+	}
+	if p.After == nil {
+		t.Deletes = append(t.Deletes, ObjectKey(c.Ref()))
+	} else {
+		t.Puts = append(t.Puts, oleandervalve.Put{Key: ObjectKey(c.Ref()), Value: mustJSON(p.After)})
+	}
+	return t
+}
+
+func sameContent(a, b *Object) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return maps.Equal(a.Labels, b.Labels) && bytes.Equal(a.Spec, b.Spec)
+}
+
+// DiffLine is one field that a change sets, replaces or removes.
+type DiffLine struct {
+	Field  string `json:"field"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// Diff returns the fields that differ between two states of an object, without token hashes.
+func Diff(before, after *Object) []DiffLine {
+	b, a := flatten(before), flatten(after)
+	fields := maps.Clone(b)
+	maps.Copy(fields, a)
+	var out []DiffLine
+	for _, f := range sortedKeys(fields) {
+		if b[f] != a[f] {
+			l := DiffLine{Field: f, Before: b[f], After: a[f]}
+			if before != nil && before.Kind == KindToken || after != nil && after.Kind == KindToken {
+				l = redactDiff(l)
+			}
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func redactDiff(l DiffLine) DiffLine {
+	if l.Field != "spec.hash" {
+		return l
+	}
+	if l.Before != "" {
+		l.Before = redactedHash
+	}
+	if l.After != "" {
+		l.After = redactedHash
+	}
+	return l
+}
+
+func flatten(o *Object) map[string]string {
+	out := map[string]string{}
+	if o == nil {
+		return out
+	}
+	for k, v := range o.Labels {
+		out["labels."+k] = v
+	}
+	var spec map[string]json.RawMessage
+	if json.Unmarshal(o.Spec, &spec) == nil {
+		for k, v := range spec {
+			out["spec."+k] = string(v)
+		}
+	}
+	return out
+}
+
+func asValidation(err error, v **ValidationError) bool {
+	e, ok := err.(*ValidationError) //nolint:errorlint // Validate returns this type unwrapped.
+	*v = e
+	return ok
+}
--- /dev/null
+++ b/core/operator/query.go
@@ -0,0 +1,252 @@
+package operator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
+
+	"oleandervalve"
+)
+
+type heldToken struct {
+	hash  [sha256.Size]byte
+	actor Actor
+}
+
+func (r *Replica) indexTokens() {
+	r.tokens = r.tokens[:0]
+	for _, ref := range r.order {
+		s, ok := r.objects[ref].spec.(*TokenSpec)
+		if !ok {
+			continue
+		}
+		t := heldToken{actor: Actor{Name: ref.Name, Team: s.Team, Roles: s.Roles}}
+		if b, err := hex.DecodeString(s.Hash); err == nil {
+			copy(t.hash[:], b)
+		}
+		r.tokens = append(r.tokens, t)
+	}
+}
+
+// HashToken returns the hash of a bearer token as token specs hold it.
+func HashToken(token string) string {
+	h := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(h[:])
+}
+
+// Authenticate returns the holder of a bearer token. It compares hashes in
+// constant time and always looks at all tokens.
+func (r *Replica) Authenticate(token string) (Actor, bool) {
+	h := sha256.Sum256([]byte(token))
+	var a Actor
+	found := 0
+	for i := range r.tokens {
+		if subtle.ConstantTimeCompare(h[:], r.tokens[i].hash[:]) == 1 {
+			a, found = r.tokens[i].actor, 1
+		}
+	}
+	return a, found == 1
+}
+
+// Service returns the configuration of a service.
+func (r *Replica) Service(n oleandervalve.ServiceName) (*ServiceSpec, bool) {
+	s, ok := r.spec(KindService, string(n)).(*ServiceSpec)
+	return s, ok
+}
+
+// Team returns the configuration of a team.
+func (r *Replica) Team(t oleandervalve.TeamID) (*TeamSpec, bool) {
+	s, ok := r.spec(KindTeam, string(t)).(*TeamSpec)
+	return s, ok
+}
+
+func (r *Replica) spec(k Kind, name string) Spec {
+	if h := r.objects[Ref{k, name}]; h != nil {
+		return h.spec
+	}
+	return nil
+}
+
+// ClassRule is what is in force for one class, and the policy that says so.
+type ClassRule struct {
+	ClassPolicy
+	// Policy names the policy; it is empty for the default rule.
+	Policy string
+}
+
+// defaultQueueLimit bounds the queue of a class that no policy bounds.
+const defaultQueueLimit = 1024
+
+// Classes returns the rules of a service's classes in the order of its
+// configuration. If several policies name a class, the first by name decides.
+// Floors that sum to more than the whole capacity are reduced in proportion,
+// because policies are changed independently of each other.
+func (r *Replica) Classes(n oleandervalve.ServiceName) []ClassRule {
+	h := r.objects[Ref{KindService, string(n)}]
+	if h == nil {
+		return nil
+	}
+	s, ok := h.spec.(*ServiceSpec)
+	if !ok {
+		return nil
+	}
+	var out []ClassRule
+	var floors float64
+	for _, c := range s.Classes {
+		rule := r.ClassFor(c, h.object.Labels)
+		floors += rule.Floor
+		out = append(out, rule)
+	}
+	if floors > 1 {
+		for i := range out {
+			out[i].Floor /= floors
+		}
+	}
+	return out
+}
+
+// ClassFor returns the rule of a class for work with the given labels.
+func (r *Replica) ClassFor(c oleandervalve.ClassName, set map[string]string) ClassRule {
+	for _, p := range r.policies(set) {
+		for _, cp := range p.spec.Classes {
+			if cp.Name == c {
+				if cp.QueueLimit == 0 {
+					cp.QueueLimit = defaultQueueLimit
+				}
+				return ClassRule{ClassPolicy: cp, Policy: p.name}
+			}
+		}
+	}
+	return ClassRule{ClassPolicy: ClassPolicy{Name: c, Weight: 1, QueueLimit: defaultQueueLimit}}
+}
+
+type namedPolicy struct {
+	name string
+	spec *PolicySpec
+}
+
+func (r *Replica) policies(set map[string]string) []namedPolicy {
+	var out []namedPolicy
+	for _, ref := range r.order {
+		h := r.objects[ref]
+		if s, ok := h.spec.(*PolicySpec); ok && h.selects(set) {
+			out = append(out, namedPolicy{ref.Name, s})
+		}
+	}
+	return out
+}
+
+// RetryRatio returns the retry budget for work with the given labels, from the
+// first policy by name that sets one.
+func (r *Replica) RetryRatio(set map[string]string) float64 {
+	for _, p := range r.policies(set) {
+		if p.spec.RetryRatio > 0 {
+			return p.spec.RetryRatio
+		}
+	}
+	return 0
+}
+
+// Constraints returns the worker selectors and the selectors of work to avoid
+// that all policies together set for work with the given labels.
+func (r *Replica) Constraints(set map[string]string) (runOn, avoid []string) {
+	for _, p := range r.policies(set) {
+		if p.spec.RunOn != "" {
+			runOn = append(runOn, p.spec.RunOn)
+		}
+		if p.spec.Avoid != "" {
+			avoid = append(avoid, p.spec.Avoid)
+		}
+	}
+	return runOn, avoid
+}
+
+// JobDefaults returns the defaults for a job with the given labels; for each
+// field the first object by name that sets it decides.
+func (r *Replica) JobDefaults(set map[string]string) JobDefaultsSpec {
+	var out JobDefaultsSpec
+	for _, ref := range r.order {
+		h := r.objects[ref]
+		s, ok := h.spec.(*JobDefaultsSpec)
+		if !ok || !h.selects(set) {
+			continue
+		}
+		if out.Class == "" {
+			out.Class = s.Class
+		}
+		if out.Size == (oleandervalve.Resources{}) {
+			out.Size = s.Size
+		}
+		if out.MaxAttempts == 0 {
+			out.MaxAttempts = s.MaxAttempts
+		}
+		if out.RunOn == "" {
+			out.RunOn = s.RunOn
+		}
+	}
+	return out
+}
+
+// LabelsOf returns announced labels with those that the objects of a kind,
+// KindWorkerLabels or KindEndpointLabels, add. If several objects add the same
+// key, the first by name decides; an added label replaces an announced one.
+func (r *Replica) LabelsOf(k Kind, announced map[string]string) map[string]string {
+	out := maps.Clone(announced)
+	if out == nil {
+		out = map[string]string{}
+	}
+	for _, ref := range slices.Backward(r.order) {
+		h := r.objects[ref]
+		s, ok := h.spec.(*LabelsSpec)
+		if ok && ref.Kind == k && h.selects(announced) {
+			maps.Copy(out, s.Add)
+		}
+	}
+	return out
+}
+
+// Explanation answers an operator's question.
+type Explanation struct {
+	Subject string   `json:"subject"`
+	Answer  string   `json:"answer"`
+	Details []string `json:"details,omitempty"`
+	// Objects names the configuration objects that the answer rests on.
+	Objects []string `json:"objects,omitempty"`
+}
+
+// ExplainClass says how the configuration treats a class of a service, and
+// why requests of it are refused if the configuration is the reason.
+func (r *Replica) ExplainClass(n oleandervalve.ServiceName, c oleandervalve.ClassName) Explanation {
+	e := Explanation{Subject: fmt.Sprintf("class %s of service %s", c, n)}
+	s, ok := r.Service(n)
+	if !ok {
+		e.Answer = fmt.Sprintf("refused: service %q is not configured; create the object service/%s", string(n), n)
+		return e
+	}
+	e.Objects = append(e.Objects, Ref{KindService, string(n)}.String())
+	if !slices.Contains(s.Classes, c) {
+		e.Answer = fmt.Sprintf("refused: the service has no class %q; use one of %v or add the class to the service", string(c), s.Classes)
+		return e
+	}
+	for _, rule := range r.Classes(n) {
+		if rule.Name != c {
+			continue
+		}
+		if rule.Policy == "" {
+			e.Answer = "accepted with weight 1 and no floor: no policy that selects the service names the class"
+		} else {
+			e.Objects = append(e.Objects, Ref{KindPolicy, rule.Policy}.String())
+			e.Answer = fmt.Sprintf("accepted with weight %g and floor %g by policy %s", rule.Weight, rule.Floor, rule.Policy)
+		}
+		e.Details = append(e.Details,
+			fmt.Sprintf("an entry refuses requests of the class while %d of them wait there", rule.QueueLimit),
+			fmt.Sprintf("requests without a deadline get %s", s.DefaultDeadline()))
+		if rule.Floor == 0 {
+			e.Details = append(e.Details, "the class has no floor; in a flood it only gets capacity that classes with a floor leave")
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/core/operator/record.go
@@ -0,0 +1,105 @@
+package operator
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"oleandervalve"
+)
+
+// Result says what became of an attempted change.
+type Result string
+
+const (
+	// ResultAccepted is a change that is committed.
+	ResultAccepted Result = "accepted"
+	// ResultRefused is an attempt that had no effect.
+	ResultRefused Result = "refused"
+)
+
+// Actor is the person or program behind a change.
+type Actor struct {
+	Name  string               `json:"name"`
+	Team  oleandervalve.TeamID `json:"team,omitempty"`
+	Roles []Role               `json:"roles,omitempty"`
+}
+
+// Record is one entry of the audit trail; for accepted changes it is also the log row.
+type Record struct {
+	// Revision is zero for refused attempts.
+	Revision oleandervalve.Revision `json:"revision,omitempty"`
+	ChangeID ChangeID               `json:"changeId"`
+	At       time.Time              `json:"at"`
+	Actor    Actor                  `json:"actor"`
+	Verb     Verb                   `json:"verb"`
+	Kind     Kind                   `json:"kind"`
+	Name     string                 `json:"name"`
+	Before   *Object                `json:"before,omitempty"`
+	After    *Object                `json:"after,omitempty"`
+	Result   Result                 `json:"result"`
+	// Reason and Detail say why an attempt was refused.
+	Reason oleandervalve.Reason `json:"reason,omitempty"`
+	Detail string               `json:"detail,omitempty"`
+	// Digest is the digest of all objects after the change.
+	Digest uint64 `json:"digest,omitempty"`
+}
+
+// Ref returns the reference of the changed object.
+func (r Record) Ref() Ref { return Ref{Kind: r.Kind, Name: r.Name} }
+
+// Redacted returns the record without the hashes of tokens.
+func (r Record) Redacted() Record {
+	if r.Before != nil {
+		o := r.Before.Redacted()
+		r.Before = &o
+	}
+	if r.After != nil {
+		o := r.After.Redacted()
+		r.After = &o
+	}
+	return r
+}
+
+// maxDetail limits the text kept of a refusal.
+const maxDetail = 1024
+
+// Refusal returns the row that records a refused attempt. Its key sorts by
+// time. It holds no objects, because a refused body may contain anything.
+func Refusal(c Change, a Actor, at time.Time, reason oleandervalve.Reason, detail string) oleandervalve.Transaction {
+	if len(detail) > maxDetail {
+		detail = detail[:maxDetail]
+	}
+	r := Record{
+		ChangeID: ChangeID(shorten(string(c.ID))), At: at, Actor: a, Verb: c.Verb,
+		Kind: Kind(shorten(string(c.Kind))), Name: shorten(c.Name),
+		Result: ResultRefused, Reason: reason, Detail: detail,
+	}
+	v := mustJSON(r)
+	// The digest of the record keeps two refusals of one instant apart.
+	suffix := Object{Name: "refused", Spec: v}.digest()
+	k := RefusedPrefix + oleandervalve.Key(fmt.Sprintf("%015d-%016x", at.UnixMilli(), suffix))
+	return oleandervalve.Transaction{
+		ID:   oleandervalve.MutationID("refused-" + strings.TrimPrefix(string(k), string(RefusedPrefix))),
+		Puts: []oleandervalve.Put{{Key: k, Value: v}},
+	}
+}
+
+// AuditFilter selects audit records; zero fields select everything.
+type AuditFilter struct {
+	From, To time.Time
+	Actor    string
+	Kind     Kind
+	Name     string
+	Result   Result
+}
+
+// Matches reports whether the filter selects a record; To is exclusive.
+func (f AuditFilter) Matches(r Record) bool {
+	return (f.From.IsZero() || !r.At.Before(f.From)) &&
+		(f.To.IsZero() || r.At.Before(f.To)) &&
+		(f.Actor == "" || r.Actor.Name == f.Actor) &&
+		(f.Kind == "" || r.Kind == f.Kind) &&
+		(f.Name == "" || r.Name == f.Name) &&
+		(f.Result == "" || r.Result == f.Result)
+}
--- /dev/null
+++ b/core/operator/spec.go
@@ -0,0 +1,213 @@
+package operator
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"oleandervalve"
+)
+
+// Role says what the holder of a token may do.
+type Role string
+
+const (
+	// RoleCaller may send requests and submit jobs.
+	RoleCaller Role = "caller"
+	// RoleViewer may also read the configuration, the status and explanations.
+	RoleViewer Role = "viewer"
+	// RoleOperator may also change the configuration, drain and cancel.
+	RoleOperator Role = "operator"
+)
+
+const (
+	maxDeadline   = 24 * time.Hour
+	maxClasses    = 64
+	maxCallers    = 512
+	maxWeight     = 1000
+	maxQueue      = 100_000
+	maxAttempts   = 1000
+	tokenHashSize = 32
+)
+
+// Spec is the typed specification of an object.
+type Spec interface {
+	check(p *problems)
+}
+
+func newSpec(k Kind) Spec {
+	switch k {
+	case KindService:
+		return &ServiceSpec{}
+	case KindJobDefaults:
+		return &JobDefaultsSpec{}
+	case KindPolicy:
+		return &PolicySpec{}
+	case KindTeam:
+		return &TeamSpec{}
+	case KindWorkerLabels, KindEndpointLabels:
+		return &LabelsSpec{}
+	case KindToken:
+		return &TokenSpec{}
+	}
+	return nil
+}
+
+// ServiceSpec configures a service, which has the name of its object.
+type ServiceSpec struct {
+	// DefaultDeadlineMS is the deadline in milliseconds of requests that give none.
+	DefaultDeadlineMS int64                     `json:"defaultDeadlineMs"`
+	Classes           []oleandervalve.ClassName `json:"classes"`
+	// DefaultClass is the class of requests that name none; by default the first class.
+	DefaultClass oleandervalve.ClassName `json:"defaultClass,omitempty"`
+}
+
+// DefaultDeadline returns the deadline of requests that give none.
+func (s *ServiceSpec) DefaultDeadline() time.Duration {
+	return time.Duration(s.DefaultDeadlineMS) * time.Millisecond
+}
+
+func (s *ServiceSpec) check(p *problems) {
+	p.within("spec.defaultDeadlineMs", float64(s.DefaultDeadlineMS), 1, float64(maxDeadline/time.Millisecond))
+	checkCount(p, "spec.classes", len(s.Classes), 1, maxClasses)
+	seen := map[oleandervalve.ClassName]bool{}
+	for i, c := range s.Classes {
+		f := fmt.Sprintf("spec.classes[%d]", i)
+		p.name(f, string(c))
+		if seen[c] {
+			p.add(f, c, "name each class once")
+		}
+		seen[c] = true
+	}
+	if s.DefaultClass != "" && !seen[s.DefaultClass] {
+		p.add("spec.defaultClass", s.DefaultClass, "name one of the service's classes")
+	}
+}
+
+// ClassPolicy gives one class its share.
+type ClassPolicy struct {
+	Name   oleandervalve.ClassName `json:"name"`
+	Weight float64                 `json:"weight"`
+	// Floor is the guaranteed share of the capacity, from 0 to 1.
+	Floor float64 `json:"floor,omitempty"`
+	// QueueLimit bounds the waiting requests of the class at each entry.
+	QueueLimit int `json:"queueLimit,omitempty"`
+}
+
+// PolicySpec gives weights, floors and bounds to the classes of the work that it selects.
+type PolicySpec struct {
+	// Selector selects services and jobs by their labels.
+	Selector string        `json:"selector"`
+	Classes  []ClassPolicy `json:"classes,omitempty"`
+	// RetryRatio is the number of retries for each successful request.
+	RetryRatio float64 `json:"retryRatio,omitempty"`
+	// RunOn selects the workers on which the selected work may run.
+	RunOn string `json:"runOn,omitempty"`
+	// Avoid selects the work that the selected work must not share a worker with.
+	Avoid string `json:"avoid,omitempty"`
+}
+
+func (s *PolicySpec) check(p *problems) {
+	p.selector("spec.selector", s.Selector)
+	p.selector("spec.runOn", s.RunOn)
+	p.selector("spec.avoid", s.Avoid)
+	p.within("spec.retryRatio", s.RetryRatio, 0, 1)
+	checkCount(p, "spec.classes", len(s.Classes), 0, maxClasses)
+	seen := map[oleandervalve.ClassName]bool{}
+	var floors float64
+	for i, c := range s.Classes {
+		f := fmt.Sprintf("spec.classes[%d]", i)
+		p.name(f+".name", string(c.Name))
+		if seen[c.Name] {
+			p.add(f+".name", c.Name, "name each class once")
+		}
+		seen[c.Name] = true
+		p.within(f+".weight", c.Weight, 0.001, maxWeight)
+		p.within(f+".floor", c.Floor, 0, 1)
+		p.within(f+".queueLimit", float64(c.QueueLimit), 0, maxQueue)
+		floors += c.Floor
+	}
+	// The sum of shares such as 0.1 and 0.2 is not exact.
+	if floors > 1+1e-9 {
+		p.add("spec.classes", fmt.Sprintf("floors sum to %.3g", floors), "let the floors sum to at most 1")
+	}
+}
+
+// TeamSpec configures a team, which has the name of its object.
+type TeamSpec struct {
+	Callers []oleandervalve.CallerID `json:"callers,omitempty"`
+	Quota   oleandervalve.Resources  `json:"quota"`
+	Weight  float64                  `json:"weight"`
+}
+
+func (s *TeamSpec) check(p *problems) {
+	checkCount(p, "spec.callers", len(s.Callers), 0, maxCallers)
+	for i, c := range s.Callers {
+		p.name(fmt.Sprintf("spec.callers[%d]", i), string(c))
+	}
+	p.resources("spec.quota", s.Quota)
+	p.within("spec.weight", s.Weight, 0.001, maxWeight)
+}
+
+// JobDefaultsSpec gives selected jobs the values that they do not declare.
+type JobDefaultsSpec struct {
+	// Selector selects jobs by their labels.
+	Selector    string                  `json:"selector"`
+	Class       oleandervalve.ClassName `json:"class,omitempty"`
+	Size        oleandervalve.Resources `json:"size"`
+	MaxAttempts int                     `json:"maxAttempts,omitempty"`
+	// RunOn selects the workers on which the jobs may run.
+	RunOn string `json:"runOn,omitempty"`
+}
+
+func (s *JobDefaultsSpec) check(p *problems) {
+	p.selector("spec.selector", s.Selector)
+	p.selector("spec.runOn", s.RunOn)
+	if s.Class != "" {
+		p.name("spec.class", string(s.Class))
+	}
+	p.resources("spec.size", s.Size)
+	p.within("spec.maxAttempts", float64(s.MaxAttempts), 0, maxAttempts)
+}
+
+// LabelsSpec adds labels to the workers or endpoints that it selects.
+type LabelsSpec struct {
+	// Selector is matched against announced labels only, so that the order of
+	// objects never decides whether one selects what another has added.
+	Selector string            `json:"selector"`
+	Add      map[string]string `json:"add"`
+}
+
+func (s *LabelsSpec) check(p *problems) {
+	p.selector("spec.selector", s.Selector)
+	checkCount(p, "spec.add", len(s.Add), 1, MaxLabels)
+	p.labels("spec.add", s.Add)
+}
+
+// TokenSpec gives the holder of a bearer token roles in a team.
+type TokenSpec struct {
+	// Hash is the SHA-256 hash of the token in lower case hexadecimal digits.
+	Hash  string               `json:"hash"`
+	Team  oleandervalve.TeamID `json:"team"`
+	Roles []Role               `json:"roles"`
+}
+
+func (s *TokenSpec) check(p *problems) {
+	b, err := hex.DecodeString(s.Hash)
+	if err != nil || len(b) != tokenHashSize || hex.EncodeToString(b) != s.Hash {
+		p.add("spec.hash", s.Hash, "give the SHA-256 hash of the token as 64 lower case hexadecimal digits, never the token")
+	}
+	p.name("spec.team", string(s.Team))
+	checkCount(p, "spec.roles", len(s.Roles), 1, 3)
+	for i, r := range s.Roles {
+		if r != RoleCaller && r != RoleViewer && r != RoleOperator {
+			p.add(fmt.Sprintf("spec.roles[%d]", i), r, "use caller, viewer or operator")
+		}
+	}
+}
+
+func checkCount(p *problems, field string, n, least, most int) {
+	if n < least || n > most {
+		p.add(field, fmt.Sprintf("%d entries", n), fmt.Sprintf("give %d to %d entries", least, most))
+	}
+}
--- /dev/null
+++ b/core/operator/validate.go
@@ -0,0 +1,236 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"regexp"
+	"sort"
+	"strings"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"oleandervalve"
+)
+
+const (
+	// MaxObjectBytes limits the encoded labels and spec of one object; a delta
+	// of one object then takes a few seconds of an agent's message budget at most.
+	MaxObjectBytes = 8 << 10
+	// MaxObjects limits the number of objects in the configuration.
+	MaxObjects = 5000
+	// MaxLabels limits the labels of one object.
+	MaxLabels = 32
+	// MaxNameLength limits names in bytes.
+	MaxNameLength = 63
+	// maxShownValue limits the length of a value that is repeated in an error.
+	maxShownValue = 64
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([-a-z0-9.]*[a-z0-9])?$`)
+
+// ValidationError reports every problem of an object at once.
+type ValidationError struct {
+	Ref      Ref
+	Problems []oleandervalve.InvalidError
+}
+
+func (e *ValidationError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s has %d invalid field(s)", e.Ref, len(e.Problems))
+	for i := range e.Problems {
+		b.WriteString("; " + e.Problems[i].Error())
+	}
+	return b.String()
+}
+
+// problems collects what is wrong with an object.
+type problems struct {
+	secret bool
+	list   []oleandervalve.InvalidError
+}
+
+func (p *problems) add(field string, value any, remedy string) {
+	v := fmt.Sprint(value)
+	if len(v) > maxShownValue {
+		v = v[:maxShownValue] + "..."
+	}
+	// An operator may paste a token where a hash belongs, so values of token specs are never repeated.
+	if p.secret && strings.HasPrefix(field, "spec") {
+		v = redactedHash
+	}
+	p.list = append(p.list, oleandervalve.InvalidError{Field: field, Value: v, Remedy: remedy})
+}
+
+func (p *problems) name(field, value string) {
+	if len(value) > MaxNameLength || !namePattern.MatchString(value) {
+		p.add(field, value, fmt.Sprintf("use 1 to %d lower case letters, digits, '-' and '.', with a letter or digit at both ends", MaxNameLength))
+	}
+}
+
+func (p *problems) within(field string, value, least, most float64) {
+	if !(value >= least && value <= most) {
+		p.add(field, value, fmt.Sprintf("use a number from %g to %g", least, most))
+	}
+}
+
+func (p *problems) selector(field, value string) {
+	if _, err := ParseSelector(value); err != nil {
+		p.add(field, value, "use a Kubernetes label selector, for example \"tier=board,site in (north,south)\"")
+	}
+}
+
+func (p *problems) labels(field string, set map[string]string) {
+	if len(set) > MaxLabels {
+		p.add(field, len(set), fmt.Sprintf("use at most %d labels", MaxLabels))
+	}
+	for _, k := range sortedKeys(set) {
+		if _, err := labels.ValidatedSelectorFromSet(labels.Set{k: set[k]}); err != nil {
+			p.add(field+"."+k, set[k], "use a Kubernetes label: key and value of at most 63 letters, digits, '-', '_' and '.', the key with an optional DNS prefix")
+		}
+	}
+}
+
+func (p *problems) resources(field string, r oleandervalve.Resources) {
+	if r.IsNegative() {
+		p.add(field, fmt.Sprintf("%+v", r), "use amounts of zero or more")
+	}
+}
+
+// ParseSelector parses a Kubernetes label selector; the empty selector selects everything.
+func ParseSelector(s string) (labels.Selector, error) {
+	sel, err := labels.Parse(s)
+	if err != nil {
+		return nil, &oleandervalve.InvalidError{
+			Field: "selector", Value: shorten(s),
+			Remedy: "use a Kubernetes label selector, for example \"tier=board,site in (north,south)\"",
+		}
+	}
+	return sel, nil
+}
+
+func shorten(s string) string {
+	if len(s) > maxShownValue {
+		return s[:maxShownValue] + "..."
+	}
+	return s
+}
+
+// parsed returns the selector of a validated spec, nil if it has none.
+func parsed(s Spec) labels.Selector {
+	var text string
+	switch s := s.(type) {
+	case *PolicySpec:
+		text = s.Selector
+	case *JobDefaultsSpec:
+		text = s.Selector
+	case *LabelsSpec:
+		text = s.Selector
+	default:
+		return nil
+	}
+	sel, err := labels.Parse(text)
+	if err != nil {
+		return nil
+	}
+	return sel
+}
+
+// selects reports whether the object's selector selects a set of labels.
+func (h *held) selects(set map[string]string) bool {
+	return h.selector != nil && h.selector.Matches(labels.Set(set))
+}
+
+// Validate returns the object in canonical form with its typed spec, or a *ValidationError.
+func Validate(o Object) (Object, Spec, error) {
+	p := &problems{secret: o.Kind == KindToken}
+	s := newSpec(o.Kind)
+	if s == nil {
+		p.add("kind", o.Kind, "use one of "+joinKinds())
+	}
+	p.name("name", o.Name)
+	p.labels("labels", o.Labels)
+	switch size := len(o.Spec) + len(mustJSON(o.Labels)); {
+	case size > MaxObjectBytes:
+		p.add("spec", fmt.Sprintf("%d bytes", size), fmt.Sprintf("keep labels and spec within %d bytes together", MaxObjectBytes))
+	case s != nil && decodeSpec(p, o.Spec, s):
+		s.check(p)
+	}
+	if len(p.list) > 0 {
+		return Object{}, nil, &ValidationError{Ref: Ref{Kind: Kind(shorten(string(o.Kind))), Name: shorten(o.Name)}, Problems: p.list}
+	}
+	o.Spec = mustJSON(s)
+	return o, s, nil
+}
+
+// decodeSpec decodes field by field, so that one wrong field does not hide the others.
+func decodeSpec(p *problems, raw json.RawMessage, into Spec) bool {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &fields); err != nil || fields == nil {
+		p.add("spec", string(raw), "give the fields of the spec as an object")
+		return false
+	}
+	v := reflect.ValueOf(into).Elem()
+	known := make(map[string]reflect.Value, v.NumField())
+	for i := range v.NumField() {
+		tag, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+		known[tag] = v.Field(i)
+	}
+	for _, k := range sortedKeys(fields) {
+		f, ok := known[k]
+		if !ok {
+			p.add("spec."+shorten(k), string(fields[k]), "remove the field; the known fields are "+strings.Join(sortedKeys(known), ", "))
+			continue
+		}
+		d := json.NewDecoder(bytes.NewReader(fields[k]))
+		d.DisallowUnknownFields()
+		if err := d.Decode(f.Addr().Interface()); err != nil {
+			p.add("spec."+k, string(fields[k]), "use a value of the form "+form(f.Type()))
+		}
+	}
+	return true
+}
+
+// form describes the JSON that a field expects.
+func form(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "\"text\""
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		return "whole number"
+	case reflect.Float64:
+		return "number"
+	case reflect.Slice:
+		return "[" + form(t.Elem()) + ", ...]"
+	case reflect.Map:
+		return "{\"name\": " + form(t.Elem()) + "}"
+	case reflect.Struct:
+		var parts []string
+		for i := range t.NumField() {
+			tag, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+			parts = append(parts, fmt.Sprintf("%q: %s", tag, form(t.Field(i).Type)))
+		}
+		return "{" + strings.Join(parts, ", ") + "}"
+	}
+	return t.String()
+}
+
+func joinKinds() string {
+	var out []string
+	for _, k := range Kinds() {
+		out = append(out, string(k))
+	}
+	return strings.Join(out, ", ")
+}
+
+// sortedKeys returns the keys of a map with string keys in order.
+func sortedKeys(m any) []string {
+	keys := reflect.ValueOf(m).MapKeys()
+	out := make([]string, len(keys))
+	for i, k := range keys {
+		out[i] = k.String()
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/io/operatorhttp/api.go
@@ -0,0 +1,456 @@
+package operatorhttp
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+
+	"oleandervalve"
+	"oleandervalve/core/operator"
+)
+
+const (
+	// maxBody bounds a request body in bytes; the largest object is much smaller.
+	maxBody         = 64 << 10
+	defaultAudit    = 1000
+	maxAudit        = 100_000
+	ndjson          = "application/x-ndjson"
+	maxDrainSeconds = 3600
+)
+
+// Question asks why something is as it is.
+type Question struct {
+	// Subject is class, job, worker or eviction.
+	Subject string
+	// Name is the service, job, worker or task.
+	Name string
+	// Detail is the class for the subject class.
+	Detail string
+}
+
+// Explainer answers questions; *oleandervalve.NotFoundError if the subject is not known.
+type Explainer interface {
+	Explain(ctx context.Context, q Question) (operator.Explanation, error)
+}
+
+// Drain asks for a planned stop of an instance.
+type Drain struct {
+	Instance string        `json:"instance"`
+	Reason   string        `json:"reason"`
+	Within   time.Duration `json:"-"`
+}
+
+// Progress says what an accepted action has done so far.
+type Progress struct {
+	State  string `json:"state"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// Actions carries out what is not a change of the configuration.
+type Actions interface {
+	// Drain begins the planned stop of an instance; repeating it returns its progress.
+	Drain(ctx context.Context, d Drain, a operator.Actor) (Progress, error)
+	// Cancel cancels a job; repeating it returns its progress.
+	Cancel(ctx context.Context, j oleandervalve.JobID, a operator.Actor) (Progress, error)
+}
+
+// EntryStatus is the state of the configuration at one entry and its agents.
+type EntryStatus struct {
+	Entry    oleandervalve.EntryID  `json:"entry"`
+	Revision oleandervalve.Revision `json:"revision"`
+	Ready    bool                   `json:"ready"`
+	Spread   operator.Spread        `json:"spread"`
+	// Entries lists the revisions of the other entries.
+	Entries map[oleandervalve.EntryID]oleandervalve.Revision `json:"entries,omitempty"`
+}
+
+// StatusSource returns how far the configuration has spread.
+type StatusSource interface {
+	Status(ctx context.Context) (EntryStatus, error)
+}
+
+// Options holds the parts that an API is made of; all fields are required.
+type Options struct {
+	Store   *Store
+	Watcher *Watcher
+	Auth    *Authenticator
+	Clock   oleandervalve.Clock
+	Log     logrus.FieldLogger
+	Status  StatusSource
+	Explain Explainer
+	Actions Actions
+}
+
+// API serves the administration API under /v1.
+type API struct {
+	store       *Store
+	watcher     *Watcher
+	auth        *Authenticator
+	clock       oleandervalve.Clock
+	log         logrus.FieldLogger
+	status      StatusSource
+	explain     Explainer
+	actions     Actions
+	callers     *limiters
+	wrongTokens *limiters
+}
+
+// New returns an API.
+func New(o Options) *API {
+	return &API{
+		store: o.Store, watcher: o.Watcher, auth: o.Auth, clock: o.Clock, log: o.Log,
+		status: o.Status, explain: o.Explain, actions: o.Actions,
+		callers:     newLimiters(callerRate, callerBurst),
+		wrongTokens: newLimiters(wrongTokenRate, wrongTokenBurst),
+	}
+}
+
+// Register adds the routes to a router.
+func (a *API) Register(r *mux.Router) {
+	v, o := operator.RoleViewer, operator.RoleOperator
+	const object = "/v1/objects/{kind}/{name}"
+	r.HandleFunc("/v1/objects", a.guard(v, a.list)).Methods(http.MethodGet)
+	r.HandleFunc(object, a.guard(v, a.get)).Methods(http.MethodGet)
+	r.HandleFunc(object, a.guard(o, a.put)).Methods(http.MethodPut)
+	r.HandleFunc(object, a.guard(o, a.remove)).Methods(http.MethodDelete)
+	r.HandleFunc(object+"/labels", a.guard(o, a.label)).Methods(http.MethodPatch)
+	r.HandleFunc("/v1/changes/{id}", a.guard(v, a.resolve)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/status", a.guard(v, a.getStatus)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/audit", a.guard(v, a.audit)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/explain/class/{name}/{detail}", a.guard(v, a.explainClass)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/explain/{subject:job|worker|eviction}/{name:.+}", a.guard(v, a.explainOther)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/drain/{name}", a.guard(o, a.drain)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/cancel/{name}", a.guard(o, a.cancel)).Methods(http.MethodPost)
+}
+
+// PutBody is the body of a put.
+type PutBody struct {
+	ChangeID        operator.ChangeID      `json:"changeId"`
+	ExpectedVersion *oleandervalve.Version `json:"expectedVersion"`
+	Labels          map[string]string      `json:"labels,omitempty"`
+	Spec            json.RawMessage        `json:"spec"`
+}
+
+// LabelBody is the body of a label change; a null value removes the label.
+type LabelBody struct {
+	ChangeID        operator.ChangeID      `json:"changeId"`
+	ExpectedVersion *oleandervalve.Version `json:"expectedVersion,omitempty"`
+	Labels          map[string]*string     `json:"labels"`
+}
+
+// ChangeResult is the answer to a change.
+type ChangeResult struct {
+	ChangeID operator.ChangeID      `json:"changeId"`
+	Revision oleandervalve.Revision `json:"revision"`
+	Version  oleandervalve.Version  `json:"version"`
+	// Unchanged means that the object already was as wanted.
+	Unchanged bool `json:"unchanged,omitempty"`
+	// Repeated means that the change was accepted earlier under this change id.
+	Repeated bool                `json:"repeated,omitempty"`
+	DryRun   bool                `json:"dryRun,omitempty"`
+	Diff     []operator.DiffLine `json:"diff,omitempty"`
+}
+
+// ObjectList is the answer to a list.
+type ObjectList struct {
+	Revision oleandervalve.Revision `json:"revision"`
+	Objects  []operator.Object      `json:"objects"`
+}
+
+func ref(r *http.Request) operator.Ref {
+	v := mux.Vars(r)
+	return operator.Ref{Kind: operator.Kind(v["kind"]), Name: v["name"]}
+}
+
+// attempted describes the change of a request whose body is not to be read.
+func (a *API) attempted(r *http.Request) operator.Change {
+	c := operator.Change{Kind: ref(r).Kind, Name: ref(r).Name, Verb: operator.VerbPut}
+	switch r.Method {
+	case http.MethodDelete:
+		c.Verb = operator.VerbDelete
+	case http.MethodPatch:
+		c.Verb = operator.VerbLabel
+	case http.MethodPost:
+		c.Verb, c.Kind = operator.Verb(r.URL.Path), "action"
+	}
+	return c
+}
+
+// decode reads a strict JSON body. The error does not repeat the body, which may hold a secret.
+func decode(r *http.Request, into any) error {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	err := d.Decode(into)
+	if err == nil {
+		if _, err = d.Token(); errors.Is(err, io.EOF) {
+			return nil
+		}
+		err = errors.New("more than one value")
+	}
+	var size *http.MaxBytesError
+	if errors.As(err, &size) {
+		return &APIError{
+			Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge,
+			Message: "the body is too large", Remedy: fmt.Sprintf("keep the body within %d bytes", size.Limit),
+		}
+	}
+	return &APIError{
+		Status: http.StatusBadRequest, Reason: ReasonInvalid, Message: "the body is not the expected JSON object",
+		Remedy: "send one JSON object with the fields changeId, expectedVersion, labels and, for a put, spec",
+	}
+}
+
+func (a *API) list(w http.ResponseWriter, r *http.Request, actor operator.Actor) error {
+	var out ObjectList
+	var ready bool
+	a.watcher.Do(func(c *operator.Replica) {
+		ready = c.Ready()
+		out.Revision, out.Objects = c.Revision(), c.List(operator.Kind(r.URL.Query().Get("kind")))
+	})
+	if !ready {
+		return &APIError{
+			Status: http.StatusServiceUnavailable, Reason: ReasonNotReady, Message: "the entry has no configuration yet",
+			Remedy: "send the request again; another entry may answer it", RetryAfterMS: 1000,
+		}
+	}
+	visible := []operator.Object{}
+	for _, o := range out.Objects {
+		if a.mayRead(actor, o.Kind) {
+			visible = append(visible, o.Redacted())
+		}
+	}
+	out.Objects = visible
+	reply(w, http.StatusOK, out)
+	return nil
+}
+
+// mayRead reports whether an actor sees objects of a kind; the list of token
+// holders is for the admin team.
+func (a *API) mayRead(actor operator.Actor, k operator.Kind) bool {
+	return k != operator.KindToken || actor.Team == a.store.admin
+}
+
+func (a *API) get(w http.ResponseWriter, r *http.Request, actor operator.Actor) error {
+	id := ref(r)
+	if !a.mayRead(actor, id.Kind) {
+		return &operator.ForbiddenError{
+			Actor: actor.Name, Action: "read " + id.String(),
+			Remedy: fmt.Sprintf("ask an operator of team %q", string(a.store.admin)),
+		}
+	}
+	o, err := a.store.Get(r.Context(), id)
+	var down *oleandervalve.UnavailableError
+	if errors.As(err, &down) {
+		// The replica answers during an outage; a change made from an old version is refused later.
+		var found bool
+		a.watcher.Do(func(c *operator.Replica) { o, found = c.Get(id) })
+		if found {
+			err = nil
+		}
+	}
+	if err != nil {
+		return err
+	}
+	reply(w, http.StatusOK, o.Redacted())
+	return nil
+}
+
+func (a *API) put(w http.ResponseWriter, r *http.Request, actor operator.Actor) error {
+	var b PutBody
+	if err := a.body(r, &b, actor); err != nil {
+		return err
+	}
+	id := ref(r)
+	return a.change(w, r, actor, operator.Change{
+		ID: b.ChangeID, Verb: operator.VerbPut, Kind: id.Kind, Name: id.Name, Expected: b.ExpectedVersion,
+		Object: &operator.Object{Kind: id.Kind, Name: id.Name, Labels: b.Labels, Spec: b.Spec},
+	})
+}
+
+func (a *API) label(w http.ResponseWriter, r *http.Request, actor operator.Actor) error {
+	var b LabelBody
+	if err := a.body(r, &b, actor); err != nil {
+		return err
+	}
+	id := ref(r)
+	return a.change(w, r, actor, operator.Change{
+		ID: b.ChangeID, Verb: operator.VerbLabel, Kind: id.Kind, Name: id.Name, Expected: b.ExpectedVersion, Labels: b.Labels,
+	})
+}
+
+func (a *API) remove(w http.ResponseWriter, r *http.Request, actor operator.Actor) error {
+	q := r.URL.Query()
+	c := operator.Change{ID: operator.ChangeID(q.Get("changeId")), Verb: operator.VerbDelete, Kind: ref(r).Kind, Name: ref(r).Name}
+	if n, err := strconv.ParseUint(q.Get("expectedVersion"), 10, 64); err == nil {
+		v := oleandervalve.Version(n)
+		c.Expected = &v
+	}
+	return a.change(w, r, actor, c)
+}
+
+// body decodes a body and records an attempt with a wrong one.
+func (a *API) body(r *http.Request, into any, actor operator.Actor) error {
+	err := decode(r, into)
+	if err != nil {
+		a.store.Refuse(r.Context(), a.attempted(r), actor, describe(err).Reason, err.Error())
+	}
+	return err
+}
+
+func (a *API) change(w http.ResponseWriter, r *http.Request, actor operator.Actor, c operator.Change) error {
+	dry := r.URL.Query().Get("dryRun") == "true"
+	p, err := a.store.Change(r.Context(), c, actor, dry)
+	if err != nil {
+		return err
+	}
+	out := ChangeResult{
+		ChangeID: c.ID, Revision: p.Head.Revision, Version: p.Version(),
+		Unchanged: p.Unchanged, Repeated: p.Accepted != nil, DryRun: dry, Diff: p.Diff,
+	}
+	if p.Accepted != nil {
+		out.Revision = p.Accepted.Revision
+	}
+	reply(w, http.StatusOK, out)
+	return nil
+}
+
+func (a *API) resolve(w http.ResponseWriter, r *http.Request, _ operator.Actor) error {
+	rec, err := a.store.Resolve(r.Context(), operator.ChangeID(mux.Vars(r)["id"]))
+	if err != nil {
+		return err
+	}
+	reply(w, http.StatusOK, rec.Redacted())
+	return nil
+}
+
+func (a *API) getStatus(w http.ResponseWriter, r *http.Request, _ operator.Actor) error {
+	s, err := a.status.Status(r.Context())
+	if err != nil {
+		return err
+	}
+	reply(w, http.StatusOK, s)
+	return nil
+}
+
+func (a *API) audit(w http.ResponseWriter, r *http.Request, _ operator.Actor) error {
+	f, limit, err := auditQuery(r)
+	if err != nil {
+		return err
+	}
+	e := json.NewEncoder(w)
+	started := false
+	err = a.store.Audit(r.Context(), f, func(rec operator.Record) bool {
+		if !started {
+			w.Header().Set("Content-Type", ndjson)
+			started = true
+		}
+		limit--
+		return e.Encode(rec) == nil && limit > 0
+	})
+	if err != nil && started {
+		// The status is sent already, so the last line carries the error.
+		return e.Encode(map[string]any{"error": describe(err)})
+	}
+	if err == nil && !started {
+		w.Header().Set("Content-Type", ndjson)
+	}
+	return err
+}
+
+func auditQuery(r *http.Request) (operator.AuditFilter, int, error) {
+	q := r.URL.Query()
+	f := operator.AuditFilter{
+		Actor: q.Get("actor"), Kind: operator.Kind(q.Get("kind")), Name: q.Get("name"), Result: operator.Result(q.Get("result")),
+	}
+	for _, x := range []struct {
+		field string
+		into  *time.Time
+	}{{"from", &f.From}, {"to", &f.To}} {
+		v := q.Get(x.field)
+		if v == "" {
+			continue
+		}
+		t, err := time.Parse(time.RFC3339, v)
+		if err != nil {
+			return f, 0, &oleandervalve.InvalidError{Field: x.field, Value: fmt.Sprintf("%.64s", v), Remedy: "use a time such as 2026-01-31T08:00:00Z"}
+		}
+		*x.into = t
+	}
+	limit := defaultAudit
+	if v := q.Get("limit"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 1 || n > maxAudit {
+			return f, 0, &oleandervalve.InvalidError{Field: "limit", Value: fmt.Sprintf("%.64s", v), Remedy: fmt.Sprintf("use a number from 1 to %d", maxAudit)}
+		}
+		limit = n
+	}
+	return f, limit, nil
+}
+
+func (a *API) explainClass(w http.ResponseWriter, r *http.Request, _ operator.Actor) error {
+	return a.answer(w, r, Question{Subject: "class", Name: mux.Vars(r)["name"], Detail: mux.Vars(r)["detail"]})
+}
+
+func (a *API) explainOther(w http.ResponseWriter, r *http.Request, _ operator.Actor) error {
+	return a.answer(w, r, Question{Subject: mux.Vars(r)["subject"], Name: mux.Vars(r)["name"]})
+}
+
+func (a *API) answer(w http.ResponseWriter, r *http.Request, q Question) error {
+	e, err := a.explain.Explain(r.Context(), q)
+	if err != nil {
+		return err
+	}
+	reply(w, http.StatusOK, e)
+	return nil
+}
+
+// DrainBody is the body of a drain.
+type DrainBody struct {
+	Reason        string `json:"reason"`
+	WithinSeconds int    `json:"withinSeconds"`
+}
+
+func (a *API) drain(w http.ResponseWriter, r *http.Request, actor operator.Actor) error {
+	if actor.Team != a.store.admin {
+		err := &operator.ForbiddenError{
+			Actor: actor.Name, Action: "drain an instance",
+			Remedy: fmt.Sprintf("ask an operator of team %q; instances are shared by all teams", string(a.store.admin)),
+		}
+		a.store.Refuse(r.Context(), a.attempted(r), actor, ReasonForbidden, err.Error())
+		return err
+	}
+	var b DrainBody
+	if err := a.body(r, &b, actor); err != nil {
+		return err
+	}
+	if b.WithinSeconds < 1 || b.WithinSeconds > maxDrainSeconds {
+		return &oleandervalve.InvalidError{
+			Field: "withinSeconds", Value: strconv.Itoa(b.WithinSeconds), Remedy: fmt.Sprintf("use a number from 1 to %d", maxDrainSeconds),
+		}
+	}
+	p, err := a.actions.Drain(r.Context(), Drain{
+		Instance: mux.Vars(r)["name"], Reason: fmt.Sprintf("%.200s", b.Reason), Within: time.Duration(b.WithinSeconds) * time.Second,
+	}, actor)
+	if err != nil {
+		return err
+	}
+	reply(w, http.StatusAccepted, p)
+	return nil
+}
+
+func (a *API) cancel(w http.ResponseWriter, r *http.Request, actor operator.Actor) error {
+	p, err := a.actions.Cancel(r.Context(), oleandervalve.JobID(mux.Vars(r)["name"]), actor)
+	if err != nil {
+		return err
+	}
+	reply(w, http.StatusAccepted, p)
+	return nil
+}
--- /dev/null
+++ b/io/operatorhttp/store.go
@@ -0,0 +1,174 @@
+package operatorhttp
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"oleandervalve"
+	"oleandervalve/core/operator"
+)
+
+const (
+	// maxConflicts bounds the repeats of a change that loses races for the head
+	// row; each lost race means that another change was accepted.
+	maxConflicts = 64
+	// maxUnknown bounds the repeats of a change whose answers are lost.
+	maxUnknown = 4
+	// Refused attempts per second that one entry records; more are only logged,
+	// so that a flood of them does not use up the table's write budget.
+	refusalRate  = 5
+	refusalBurst = 50
+)
+
+// Store changes the configuration in the table and reads its audit trail.
+type Store struct {
+	table    oleandervalve.Table
+	clock    oleandervalve.Clock
+	log      logrus.FieldLogger
+	admin    oleandervalve.TeamID
+	refusals *rate.Limiter
+}
+
+// NewStore returns a store; operators of the admin team may change everything.
+func NewStore(t oleandervalve.Table, c oleandervalve.Clock, log logrus.FieldLogger, admin oleandervalve.TeamID) *Store {
+	return &Store{table: t, clock: c, log: log, admin: admin, refusals: rate.NewLimiter(refusalRate, refusalBurst)}
+}
+
+// Change carries out a change, or with dryRun only says what it would do. The
+// change id makes repeats safe. Errors are those of operator.Build and
+// operator.Permit, *oleandervalve.UnavailableError (not applied) and
+// *oleandervalve.UnknownOutcomeError (send it again with the same change id).
+func (s *Store) Change(ctx context.Context, c operator.Change, a operator.Actor, dryRun bool) (operator.Plan, error) {
+	p, err := s.change(ctx, c, a, dryRun)
+	if err == nil || dryRun {
+		return p, err
+	}
+	var unknown *oleandervalve.UnknownOutcomeError
+	if !errors.As(err, &unknown) {
+		s.Refuse(ctx, c, a, describe(err).Reason, err.Error())
+	}
+	return p, err
+}
+
+func (s *Store) change(ctx context.Context, c operator.Change, a operator.Actor, dryRun bool) (operator.Plan, error) {
+	if err := c.Check(); err != nil {
+		return operator.Plan{}, err
+	}
+	var lost error
+	for conflicts, unknowns := 0, 0; conflicts < maxConflicts && unknowns < maxUnknown; {
+		rows, err := s.table.Get(ctx, operator.ReadKeys(c)...)
+		if err != nil {
+			return operator.Plan{}, s.failed(c, lost, err)
+		}
+		p, err := operator.Build(c, a, rows, s.clock.Now().UTC())
+		if err != nil || p.Accepted != nil {
+			return p, err
+		}
+		if err := operator.Permit(a, s.admin, c.Ref(), p.Before, p.After); err != nil {
+			return operator.Plan{}, err
+		}
+		if dryRun || p.Unchanged {
+			return p, nil
+		}
+		_, err = s.table.Commit(ctx, p.Transaction)
+		var conflict *oleandervalve.ConflictError
+		var unknown *oleandervalve.UnknownOutcomeError
+		switch {
+		case err == nil:
+			return p, nil
+		case errors.As(err, &conflict):
+			conflicts++
+		case errors.As(err, &unknown):
+			// The next read finds the change id if the commit took effect. If it
+			// takes effect later, the condition on the change id stops the repeat.
+			lost = err
+			unknowns++
+		default:
+			return operator.Plan{}, s.failed(c, lost, err)
+		}
+	}
+	if lost != nil {
+		return operator.Plan{}, s.failed(c, lost, lost)
+	}
+	return operator.Plan{}, &oleandervalve.UnavailableError{
+		Service: "configuration", RetryAfter: time.Second,
+		Remedy: "too many operators change the configuration at the same time; send the change again",
+	}
+}
+
+// failed turns a table error into the outcome of the change: once an answer
+// was lost, nothing but the change id tells whether the change is accepted.
+func (s *Store) failed(c operator.Change, lost, err error) error {
+	if lost != nil {
+		return &oleandervalve.UnknownOutcomeError{
+			Operation: fmt.Sprintf("change %q", string(c.ID)),
+			Remedy:    "send the change again with the same change id; it is applied at most once",
+			Cause:     err,
+		}
+	}
+	var u *oleandervalve.UnavailableError
+	if errors.As(err, &u) {
+		return err
+	}
+	// A failed read or a cancelled context before any commit had no effect.
+	return &oleandervalve.UnavailableError{Service: "table", Remedy: "send the change again", RetryAfter: time.Second, Cause: err}
+}
+
+// Refuse records a refused attempt; a failure to record it is logged only.
+func (s *Store) Refuse(ctx context.Context, c operator.Change, a operator.Actor, reason oleandervalve.Reason, detail string) {
+	now := s.clock.Now().UTC()
+	entry := s.log.WithFields(logrus.Fields{
+		"actor": a.Name, "verb": c.Verb, "object": fmt.Sprintf("%.80s", c.Ref().String()), "reason": reason,
+	})
+	if !s.refusals.AllowN(now, 1) {
+		entry.Warn("change refused; not recorded in the audit trail because too many attempts were refused")
+		return
+	}
+	if _, err := s.table.Commit(ctx, operator.Refusal(c, a, now, reason, detail)); err != nil {
+		entry.WithError(err).Warn("change refused; the audit trail may lack it")
+		return
+	}
+	entry.Info("change refused")
+}
+
+// Resolve returns the revision of an accepted change, or *oleandervalve.NotFoundError.
+func (s *Store) Resolve(ctx context.Context, id operator.ChangeID) (operator.Record, error) {
+	notFound := &oleandervalve.NotFoundError{
+		Kind: "accepted change", Name: fmt.Sprintf("%.80s", string(id)),
+		Remedy: "send the change again with the same change id; it is applied at most once",
+	}
+	rows, err := s.table.Get(ctx, operator.ChangeKey(id))
+	if err != nil {
+		return operator.Record{}, err
+	}
+	acc, err := operator.DecodeAccepted(rows[0])
+	if err != nil {
+		return operator.Record{}, err
+	}
+	if acc == nil {
+		return operator.Record{}, notFound
+	}
+	if rows, err = s.table.Get(ctx, operator.LogKey(acc.Revision)); err != nil {
+		return operator.Record{}, err
+	}
+	return operator.DecodeRecord(rows[0])
+}
+
+// Get returns the current object from the table, or *oleandervalve.NotFoundError.
+func (s *Store) Get(ctx context.Context, ref operator.Ref) (operator.Object, error) {
+	rows, err := s.table.Get(ctx, operator.ObjectKey(ref))
+	if err != nil {
+		return operator.Object{}, err
+	}
+	if rows[0].Version == 0 {
+		return operator.Object{}, &oleandervalve.NotFoundError{
+			Kind: string(ref.Kind), Name: ref.Name, Remedy: "list the objects of this kind, or create it with expected version 0",
+		}
+	}
+	return operator.DecodeObject(rows[0])
+}
