Test configuration changes, spread, refusals and audit

Cause: lost answers, races and outages must neither lose nor revert a change. Deltas are compressed and sent within a budget that keeps an agent under 4 KB in any second. The tests found that a selector with a zero byte was cut there by the library; it is now refused.

--- a/core/operator/change.go
+++ b/core/operator/change.go
@@ -24,6 +24,10 @@
 	VerbDelete Verb = "delete"
 	// VerbLabel sets and removes labels of an object and keeps the rest.
 	VerbLabel Verb = "label"
+	// VerbDrain begins the planned stop of an instance; it changes no object.
+	VerbDrain Verb = "drain"
+	// VerbCancel cancels a job; it changes no object.
+	VerbCancel Verb = "cancel"
 )
 
 // Change is one intended change of one object.
@@ -168,13 +172,15 @@
 }
 
 // content identifies what the change intends, so that a reused id is detected.
+// A repeat may expect the version that its own first attempt has produced.
 func (c Change) content() uint64 {
-	c.ID = ""
+	c.ID, c.Expected = "", nil
 	return Object{Name: "change", Spec: mustJSON(c)}.digest()
 }
 
 // Build plans a change from the rows that ReadKeys names. Errors are
-// *ValidationError, *ConflictError, *ChangeReusedError and *RowError.
+// *ValidationError, *ConflictError, *oleandervalve.NotFoundError,
+// *ChangeReusedError and *RowError.
 func Build(c Change, a Actor, rows []oleandervalve.Row, at time.Time) (Plan, error) {
 	if err := c.Check(); err != nil {
 		return Plan{}, err
@@ -247,14 +253,15 @@
 	if before != nil {
 		current = before.Version
 	}
-	if c.Expected == nil {
-		if before == nil {
-			return &ConflictError{Ref: c.Ref()}
-		}
-		return nil
+	expected := current
+	if c.Expected != nil {
+		expected = *c.Expected
 	}
-	if *c.Expected != current || (c.Verb != VerbPut && before == nil) {
-		return &ConflictError{Ref: c.Ref(), Expected: *c.Expected, Current: current, Object: before}
+	switch {
+	case expected != current:
+		return &ConflictError{Ref: c.Ref(), Expected: expected, Current: current, Object: before}
+	case c.Verb != VerbPut && before == nil:
+		return &oleandervalve.NotFoundError{Kind: string(c.Kind), Name: c.Name, Remedy: "list the objects of this kind, or create it with expected version 0"}
 	}
 	return nil
 }
@@ -314,7 +321,6 @@
 	for _, r := range rows[:3] {
 		t.Conditions = append(t.Conditions, oleandervalve.Condition{Key: r.Key, Version: r.Version})
 	}
-	t.Conditions = append(t.Conditions, oleandervalve.Condition{Key: LogKey(p.Head.Revision)})
 	acc := Accepted{Revision: p.Head.Revision, Version: p.Version(), At: p.Record.At, Content: c.content()}
 	t.Puts = []oleandervalve.Put{
 		{Key: HeadKey, Value: mustJSON(p.Head)},
--- a/core/operator/delta.go
+++ b/core/operator/delta.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"oleandervalve"
 )
 
@@ -12,17 +10,19 @@
 // exceeds the size of one message comes in parts; the receiver applies them
 // together, so that it never has half of a change in force.
 type Delta struct {
-	From oleandervalve.Revision `cbor:"from"`
-	To   oleandervalve.Revision `cbor:"to"`
+	From oleandervalve.Revision
+	To   oleandervalve.Revision
 	// Full means that the objects replace all earlier ones.
-	Full bool `cbor:"full,omitempty"`
+	Full bool
 	// Part counts from 0 to Parts-1.
-	Part    int      `cbor:"part,omitempty"`
-	Parts   int      `cbor:"parts"`
-	Objects []Object `cbor:"objects,omitempty"`
-	Removed []Ref    `cbor:"removed,omitempty"`
+	Part    int
+	Parts   int
+	Objects []Object
+	Removed []Ref
 	// Digest is the digest of the receiver's whole view at To.
-	Digest uint64 `cbor:"digest"`
+	Digest uint64
+
+	encoded []byte
 }
 
 // Ack tells the sender of deltas which revision is in force.
@@ -64,31 +64,13 @@
 	return false
 }
 
-// MaxPartBytes bounds the encoded objects in one part of a delta, unless one object alone is larger.
+// MaxPartBytes bounds the uncompressed objects in one part of a delta, unless
+// one object alone is larger.
 const MaxPartBytes = 4 << 10
 
-// objectOverhead is the encoded size of a delta without its objects.
-const objectOverhead = 64
-
-// encodedSize returns the size of a value in a message.
+// encodedSize returns the size of a value before compression.
 func encodedSize(v any) int {
-	b, err := cbor.Marshal(v)
-	if err != nil {
-		panic(err) // Objects consist of strings, bytes and numbers, which always encode.
-	}
-	return len(b)
-}
-
-// Size returns the approximate encoded size in bytes, at most a few bytes too low.
-func (d Delta) Size() int {
-	n := objectOverhead
-	for _, o := range d.Objects {
-		n += encodedSize(o)
-	}
-	for _, r := range d.Removed {
-		n += encodedSize(r)
-	}
-	return n
+	return len(mustCBOR(v))
 }
 
 // Delta builds what a view needs from a revision up to the replica's own, in
@@ -124,7 +106,7 @@
 			}
 		}
 	}
-	return split(head, changed)
+	return r.packer.split(head, changed)
 }
 
 // viewDigest returns the digest of what a view contains.
@@ -147,15 +129,15 @@
 }
 
 // split distributes objects over parts of bounded size; removals go first.
-func split(head Delta, changed []*held) []Delta {
+func (p *packer) split(head Delta, changed []*held) []Delta {
 	removed := head.Removed
 	head.Removed = nil
-	part, size := head, objectOverhead
+	part, size := head, 0
 	var out []Delta
 	flush := func(need int) {
-		if size+need > MaxPartBytes && size > objectOverhead {
+		if size+need > MaxPartBytes && size > 0 {
 			out = append(out, part)
-			part, size = head, objectOverhead
+			part, size = head, 0
 		}
 		size += need
 	}
@@ -170,6 +152,7 @@
 	out = append(out, part)
 	for i := range out {
 		out[i].Part, out[i].Parts = i, len(out)
+		out[i].encoded = out[i].encode(p)
 	}
 	return out
 }
--- a/core/operator/distributor.go
+++ b/core/operator/distributor.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	// BudgetBytesPerSecond bounds the deltas sent to one agent. With heartbeats
-	// to eight entries an agent then stays under its total of 4 KB/s.
-	BudgetBytesPerSecond = 2000
-	// budgetBurst lets an ordinary change leave at once.
-	budgetBurst = 4 << 10
+	// BudgetBytesPerSecond bounds the deltas sent to one agent. Heartbeats to
+	// eight entries take about 1,760 B/s; with the burst, an agent stays under its
+	// total of 4 KB in any second.
+	BudgetBytesPerSecond = 1000
+	// budgetBurst lets an ordinary change leave at once. A larger part is sent
+	// when the whole burst is available, and leaves a debt.
+	budgetBurst = 1200
 	// resendAfter is how long an agent may take to acknowledge a whole delta.
 	resendAfter = 3 * time.Second
 	// maxBehind bounds the agents that a spread lists one by one.
@@ -132,7 +134,7 @@
 		}
 		d.plan(r, now)
 		r.refill(now)
-		for len(r.pending) > 0 && (r.budget > 0 || r.joining) {
+		for len(r.pending) > 0 && (r.joining || r.budget >= min(budgetBurst, float64(r.pending[0].Size()))) {
 			p := r.pending[0]
 			r.pending = r.pending[1:]
 			if !r.joining {
--- a/core/operator/object.go
+++ b/core/operator/object.go
@@ -105,11 +105,12 @@
 
 // Prefixes and keys of the configuration's rows in the table.
 const (
-	HeadKey       oleandervalve.Key = "config/head"
-	ObjectPrefix  oleandervalve.Key = "config/object/"
-	LogPrefix     oleandervalve.Key = "config/log/"
-	ChangePrefix  oleandervalve.Key = "config/change/"
-	RefusedPrefix oleandervalve.Key = "config/refused/"
+	HeadKey      oleandervalve.Key = "config/head"
+	ObjectPrefix oleandervalve.Key = "config/object/"
+	LogPrefix    oleandervalve.Key = "config/log/"
+	ChangePrefix oleandervalve.Key = "config/change/"
+	// AttemptPrefix holds audit records that have no revision.
+	AttemptPrefix oleandervalve.Key = "config/attempt/"
 )
 
 // ObjectKey returns the key of an object's row.
--- /dev/null
+++ b/core/operator/operator_test.go
@@ -0,0 +1,224 @@
+package operator_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	"oleandervalve"
+	"oleandervalve/core/operator"
+)
+
+func object(kind, name, spec string) operator.Object {
+	return operator.Object{Kind: operator.Kind(kind), Name: name, Spec: json.RawMessage(spec)}
+}
+
+// Guards against invalid objects that are accepted, that hide a second problem
+// behind the first, or whose error repeats a secret.
+func TestInvalidObjects(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	long := strings.Repeat("x", 64)
+	labels := map[string]string{}
+	for i := range 33 {
+		labels[fmt.Sprintf("l%02d", i)] = "v"
+	}
+	for _, c := range []struct {
+		about string
+		o     operator.Object
+	}{
+		{"unknown kind", object("servise", "a", `{}`)},
+		{"empty object", operator.Object{}},
+		{"name with a slash", object("service", "a/b", `{"defaultDeadlineMs":1,"classes":["x"]}`)},
+		{"name too long", object("service", long, `{"defaultDeadlineMs":1,"classes":["x"]}`)},
+		{"spec is a list", object("service", "a", `[]`)},
+		{"spec is null", object("service", "a", `null`)},
+		{"spec is cut", object("service", "a", `{"classes":`)},
+		{"spec too large", object("team", "a", `{"callers":["`+strings.Repeat("a", 9000)+`"]}`)},
+		{"several fields at once", object("service", "a", `{"defaultDeadlineMs":"soon","classes":["X","b","b"],"defaultClass":"c","deadline":1}`)},
+		{"deadline out of range", object("service", "a", `{"defaultDeadlineMs":-5,"classes":[]}`)},
+		{"policy selector", object("policy", "a", `{"selector":"tier in (board","runOn":"=","avoid":"!"}`)},
+		{"policy numbers", object("policy", "a", `{"selector":"","retryRatio":2,"classes":[{"name":"x","weight":0,"floor":0.7,"queueLimit":-1},{"name":"y","weight":1,"floor":0.7}]}`)},
+		{"policy nested field", object("policy", "a", `{"selector":"","classes":[{"name":"x","weigth":1}]}`)},
+		{"team quota", object("team", "a", `{"quota":{"cpu":-1},"weight":0,"callers":["Ilona"]}`)},
+		{"job defaults", object("jobDefaults", "a", `{"selector":"a b","maxAttempts":-1,"size":{"memory":-1},"class":"X"}`)},
+		{"labels to add", object("workerLabels", "a", `{"selector":"rack=r1","add":{"bad key":"v","k":"bad value"}}`)},
+		{"no labels to add", object("endpointLabels", "a", `{"selector":"rack=r1"}`)},
+		{"object labels", operator.Object{Kind: operator.KindTeam, Name: "a", Labels: labels, Spec: json.RawMessage(`{"weight":1}`)}},
+		{"token instead of hash", object("token", "a", `{"hash":"my-secret-token","team":"t","roles":["admin"]}`)},
+		{"token in an unknown field", object("token", "a", `{"secret":"my-secret-token","team":"t","roles":[]}`)},
+		{"upper case hash", object("token", "a", `{"hash":"`+strings.ToUpper(operator.HashToken("my-secret-token"))+`","team":"t","roles":["viewer"]}`)},
+	} {
+		_, _, err := operator.Validate(c.o)
+		if err == nil {
+			t.Fatal(c.about)
+		}
+		fmt.Fprintf(&out, "%s\n  %s\n", c.about, strings.ReplaceAll(err.Error(), "; ", "\n    "))
+	}
+	for _, s := range []string{"a in (b", "a==b==c", "a=b=c", "a notin b", "(a)", strings.Repeat("a", 70) + "=b", "a>x", "a=b\x00,c=d"} {
+		_, err := operator.ParseSelector(s)
+		if err == nil {
+			t.Fatalf("%q", s)
+		}
+		fmt.Fprintf(&out, "selector\n  %s\n", err)
+	}
+	is.True(!strings.Contains(out.String(), "my-secret-token"))
+	is.True(!strings.Contains(strings.ToLower(out.String()), operator.HashToken("my-secret-token")[:32]))
+	goldie.New(t).Assert(t, "invalid", out.Bytes())
+}
+
+// configured returns a replica at revision 1 and later, one object for each revision.
+func configured(is *is.I, objects ...operator.Object) *operator.Replica {
+	var head operator.Head
+	r := operator.NewReplica()
+	for _, o := range objects {
+		c := operator.Change{ID: operator.ChangeID("change-" + o.Name), Verb: operator.VerbPut, Kind: o.Kind, Name: o.Name, Expected: new(oleandervalve.Version), Object: &o}
+		h, err := json.Marshal(head)
+		is.NoErr(err)
+		p, err := operator.Build(c, operator.Actor{Name: "ilona"}, []oleandervalve.Row{{Value: h, Version: oleandervalve.Version(head.Revision)}, {}, {}}, time.Unix(0, 0))
+		is.NoErr(err)
+		head = p.Head
+		is.NoErr(r.ApplyRecord(p.Record))
+	}
+	return r
+}
+
+// Guards against a wrong share or bound for a class, and against an
+// explanation that does not name the cause of a refusal.
+func TestClassesAndExplanations(t *testing.T) {
+	is := is.New(t)
+	s := object("service", "formaro", `{"defaultDeadlineMs":2000,"classes":["board","export","office"]}`)
+	s.Labels = map[string]string{"tier": "board"}
+	r := configured(is, s,
+		object("policy", "b", `{"selector":"tier=board","classes":[{"name":"board","weight":9,"floor":0.1},{"name":"export","weight":2,"floor":0.9}]}`),
+		object("policy", "a", `{"selector":"tier in (board)","retryRatio":0.1,"runOn":"disk=fast","classes":[{"name":"board","weight":5,"floor":0.9,"queueLimit":7}]}`),
+		object("policy", "0", `{"selector":"tier=other","classes":[{"name":"board","weight":1}]}`),
+		object("workerLabels", "w1", `{"selector":"rack=r1","add":{"disk":"fast","zone":"x"}}`),
+		object("workerLabels", "w2", `{"selector":"rack","add":{"disk":"slow"}}`),
+		object("jobDefaults", "j", `{"selector":"","class":"office","maxAttempts":3}`),
+	)
+	rules := r.Classes("formaro")
+	is.Equal(fmt.Sprint(rules), "[{{board 5 0.5 7} a} {{export 2 0.5 1024} b} {{office 1 0 1024} }]") // the floors of two policies are reduced to the whole
+	is.Equal(r.RetryRatio(s.Labels), 0.1)
+	is.Equal(r.LabelsOf(operator.KindWorkerLabels, map[string]string{"rack": "r1"}), map[string]string{"rack": "r1", "disk": "fast", "zone": "x"})
+	is.Equal(r.JobDefaults(nil).MaxAttempts, 3)
+	var out bytes.Buffer
+	for _, q := range [][2]string{{"formaro", "board"}, {"formaro", "office"}, {"formaro", "offise"}, {"formara", "board"}} {
+		b, err := json.MarshalIndent(r.ExplainClass(oleandervalve.ServiceName(q[0]), oleandervalve.ClassName(q[1])), "", "  ")
+		is.NoErr(err)
+		out.Write(append(b, '\n'))
+	}
+	goldie.New(t).Assert(t, "explain", out.Bytes())
+}
+
+// Guards against a replica that puts a damaged delta in force, and against
+// one that keeps serving a configuration that differs at the same revision.
+func TestDamagedDelta(t *testing.T) {
+	is := is.New(t)
+	r := configured(is, object("team", "t", `{"weight":1}`), object("service", "a", `{"defaultDeadlineMs":1,"classes":["x"]}`))
+	agent := operator.NewReplica()
+	whole := r.Delta(operator.View{}, 0, true)
+	is.Equal(len(whole), 1)
+	is.Equal(len(whole[0].Objects), 1) // an agent does not need teams
+	bad := whole[0]
+	bad.Objects = append([]operator.Object(nil), bad.Objects...)
+	bad.Objects[0].Spec = json.RawMessage(`{"defaultDeadlineMs":2,"classes":["x"]}`)
+	_, err := agent.Apply(bad)
+	gap, ok := err.(*operator.GapError) //nolint:errorlint // the type is the contract
+	is.True(ok)
+	is.Equal(gap.Resync(), operator.Resync{Full: true})
+	is.Equal(agent.Revision(), oleandervalve.Revision(0))
+	_, err = agent.Apply(whole[0])
+	is.NoErr(err)
+	d := operator.NewDistributor(r)
+	now := time.Unix(0, 0)
+	d.Join("agent", operator.View{}, 2, now)
+	d.Resync("agent", operator.Resync{From: 2})
+	is.Equal(len(d.Next(now)), 0)
+	d.Acked("agent", operator.Ack{Revision: 2, Digest: 99})
+	out := d.Next(now)
+	is.Equal(len(out), 1)
+	is.True(out[0].Delta.Full) // another digest at the same revision gets everything
+	is.Equal(len(d.Next(now.Add(time.Second))), 0)
+	is.Equal(len(d.Next(now.Add(4*time.Second))), 0) // the agent is at the revision; only another digest repeats it
+}
+
+// Guards against a malformed or compressed delta that takes the process down.
+func TestMalformedDelta(t *testing.T) {
+	is := is.New(t)
+	big := operator.Delta{To: 1, Full: true, Parts: 1}
+	for i := range 40 {
+		big.Objects = append(big.Objects, object("service", fmt.Sprint(i), `"`+strings.Repeat(" ", 4000)+`"`))
+	}
+	b, err := cbor.Marshal(big)
+	is.NoErr(err)
+	is.True(len(b) < 5000)
+	var d operator.Delta
+	is.True(cbor.Unmarshal(b, &d) != nil) // it unpacks to more than the limit
+	for _, x := range []operator.Delta{{To: 1, Full: true}, {To: 1, Part: 2, Parts: 1}, {From: 3, To: 1, Parts: 1}, {To: 1, Part: -1, Parts: 1}} {
+		b, err := cbor.Marshal(x)
+		is.NoErr(err)
+		is.True(cbor.Unmarshal(b, &d) != nil)
+	}
+	good, err := cbor.Marshal(operator.Delta{To: 1, Full: true, Parts: 1, Removed: []operator.Ref{{Kind: "service", Name: "a"}}})
+	is.NoErr(err)
+	for i := range good {
+		for _, flip := range []byte{0x01, 0x80, 0xff} {
+			x := bytes.Clone(good)
+			x[i] ^= flip
+			_ = cbor.Unmarshal(x, &d) // it must only return, with or without an error
+		}
+		is.True(cbor.Unmarshal(good[:i], &d) != nil)
+	}
+}
+
+// Guards against an agent that stays with a source that is lost or behind, and
+// against sources that change with every poll.
+func TestSubscriberChangesSource(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := operator.NewSubscriber("agent")
+	start, _ := s.Choose(now)
+	is.Equal(string(start), "")
+	for _, e := range []oleandervalve.EntryID{"a", "b", "c"} {
+		s.Connected(e, 5, now)
+	}
+	first, _ := s.Choose(now)
+	for _, e := range []oleandervalve.EntryID{"a", "b", "c"} {
+		if e != first {
+			s.Announced(e, 6, now)
+		}
+	}
+	start, _ = s.Choose(now.Add(2 * time.Second))
+	is.Equal(string(start), "") // one late poll is no reason to change
+	start, stop := s.Choose(now.Add(4 * time.Second))
+	is.True(start != "" && start != first)
+	is.Equal(stop, first)
+	s.Disconnected(start)
+	next, _ := s.Choose(now.Add(4 * time.Second))
+	is.True(next != "" && next != start && next != first)
+}
+
+// Guards against a team that changes what belongs to others.
+func TestPermit(t *testing.T) {
+	is := is.New(t)
+	mine := object("service", "a", `{}`)
+	mine.Labels = map[string]string{"team": "sales"}
+	other := object("service", "a", `{}`)
+	op := operator.Actor{Name: "ilona", Team: "sales", Roles: []operator.Role{operator.RoleOperator}}
+	is.NoErr(operator.Permit(op, "platform", mine.Ref(), nil, &mine))
+	is.True(operator.Permit(op, "platform", mine.Ref(), &other, &mine) != nil) // taking over
+	is.True(operator.Permit(op, "platform", mine.Ref(), &mine, &other) != nil) // giving away
+	is.True(operator.Permit(op, "platform", operator.Ref{Kind: operator.KindPolicy, Name: "p"}, nil, nil) != nil)
+	op.Roles = []operator.Role{operator.RoleViewer, operator.RoleCaller}
+	is.True(operator.Permit(op, "sales", mine.Ref(), nil, &mine) != nil)
+	op.Team, op.Roles = "platform", []operator.Role{operator.RoleOperator}
+	is.NoErr(operator.Permit(op, "platform", mine.Ref(), &other, nil))
+}
--- a/core/operator/record.go
+++ b/core/operator/record.go
@@ -64,23 +64,24 @@
 // maxDetail limits the text kept of a refusal.
 const maxDetail = 1024
 
-// Refusal returns the row that records a refused attempt. Its key sorts by
-// time. It holds no objects, because a refused body may contain anything.
-func Refusal(c Change, a Actor, at time.Time, reason oleandervalve.Reason, detail string) oleandervalve.Transaction {
+// Attempt returns the row that records a refused attempt, or an accepted action
+// that changes no object. Its key sorts by time. It holds no objects, because a
+// refused body may contain anything.
+func Attempt(c Change, a Actor, at time.Time, result Result, reason oleandervalve.Reason, detail string) oleandervalve.Transaction {
 	if len(detail) > maxDetail {
 		detail = detail[:maxDetail]
 	}
 	r := Record{
 		ChangeID: ChangeID(shorten(string(c.ID))), At: at, Actor: a, Verb: c.Verb,
 		Kind: Kind(shorten(string(c.Kind))), Name: shorten(c.Name),
-		Result: ResultRefused, Reason: reason, Detail: detail,
+		Result: result, Reason: reason, Detail: detail,
 	}
 	v := mustJSON(r)
-	// The digest of the record keeps two refusals of one instant apart.
-	suffix := Object{Name: "refused", Spec: v}.digest()
-	k := RefusedPrefix + oleandervalve.Key(fmt.Sprintf("%015d-%016x", at.UnixMilli(), suffix))
+	// The digest of the record keeps two attempts of one instant apart.
+	suffix := Object{Name: "attempt", Spec: v}.digest()
+	k := AttemptPrefix + oleandervalve.Key(fmt.Sprintf("%015d-%016x", at.UnixMilli(), suffix))
 	return oleandervalve.Transaction{
-		ID:   oleandervalve.MutationID("refused-" + strings.TrimPrefix(string(k), string(RefusedPrefix))),
+		ID:   oleandervalve.MutationID("attempt-" + strings.TrimPrefix(string(k), string(AttemptPrefix))),
 		Puts: []oleandervalve.Put{{Key: k, Value: v}},
 	}
 }
--- a/core/operator/replica.go
+++ b/core/operator/replica.go
@@ -60,6 +60,7 @@
 	floor   floor
 	stale   int
 	unread  int
+	packer  packer
 }
 
 // NewReplica returns an empty replica that is not ready to serve.
--- a/core/operator/validate.go
+++ b/core/operator/validate.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"regexp"
 	"sort"
+	"strconv"
 	"strings"
 
 	"k8s.io/apimachinery/pkg/labels"
@@ -71,10 +72,12 @@
 
 func (p *problems) within(field string, value, least, most float64) {
 	if !(value >= least && value <= most) {
-		p.add(field, value, fmt.Sprintf("use a number from %g to %g", least, most))
+		p.add(field, value, "use a number from "+number(least)+" to "+number(most))
 	}
 }
 
+func number(x float64) string { return strconv.FormatFloat(x, 'f', -1, 64) }
+
 func (p *problems) selector(field, value string) {
 	if _, err := ParseSelector(value); err != nil {
 		p.add(field, value, "use a Kubernetes label selector, for example \"tier=board,site in (north,south)\"")
@@ -101,7 +104,8 @@
 // ParseSelector parses a Kubernetes label selector; the empty selector selects everything.
 func ParseSelector(s string) (labels.Selector, error) {
 	sel, err := labels.Parse(s)
-	if err != nil {
+	// The library takes a zero byte for the end of the text and ignores the rest.
+	if err != nil || strings.ContainsRune(s, 0) {
 		return nil, &oleandervalve.InvalidError{
 			Field: "selector", Value: shorten(s),
 			Remedy: "use a Kubernetes label selector, for example \"tier=board,site in (north,south)\"",
--- /dev/null
+++ b/io/operatorcli/file.go
@@ -0,0 +1,137 @@
+package operatorcli
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"oleandervalve"
+	"oleandervalve/core/operator"
+)
+
+// maxInput bounds the size of an input file in bytes.
+const maxInput = 4 << 20
+
+// FileError reports an input file that can't be applied, with the place of each problem.
+type FileError struct {
+	File     string
+	Problems []string
+}
+
+func (e *FileError) Error() string {
+	return fmt.Sprintf("%s was not applied: %s", e.File, strings.Join(e.Problems, "; "))
+}
+
+// document is one YAML document of an input file.
+type document struct {
+	Kind    operator.Kind          `yaml:"kind"`
+	Name    string                 `yaml:"name"`
+	Labels  map[string]string      `yaml:"labels,omitempty"`
+	Version *oleandervalve.Version `yaml:"version,omitempty"`
+	Spec    map[string]any         `yaml:"spec"`
+}
+
+// readObjects reads the documents of an input file and validates all of them
+// before any is sent. An error is *FileError.
+func (c *Common) readObjects(path string) ([]operator.Object, []*oleandervalve.Version, error) {
+	b, err := c.readFile(path)
+	if err != nil {
+		return nil, nil, &FileError{path, []string{"the file can't be read: check its name and permissions"}}
+	}
+	if len(b) > maxInput {
+		return nil, nil, &FileError{path, []string{"the file exceeds 4 MiB: split it"}}
+	}
+	parsed, err := parser.ParseBytes(b, 0)
+	if err != nil {
+		return nil, nil, &FileError{path, []string{problemText(err)}}
+	}
+	fail := &FileError{File: path}
+	var objects []operator.Object
+	var versions []*oleandervalve.Version
+	d := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict())
+	for i := 0; ; i++ {
+		var doc document
+		err := d.Decode(&doc)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			fail.Problems = append(fail.Problems, problemText(err))
+			break
+		}
+		if doc.Kind == "" && doc.Name == "" && doc.Spec == nil {
+			continue
+		}
+		spec, err := json.Marshal(doc.Spec)
+		if err != nil {
+			fail.Problems = append(fail.Problems, fmt.Sprintf("document %d: spec holds a value that JSON does not have", i+1))
+			continue
+		}
+		o, _, err := operator.Validate(operator.Object{Kind: doc.Kind, Name: doc.Name, Labels: doc.Labels, Spec: spec})
+		var v *operator.ValidationError
+		if errors.As(err, &v) {
+			for _, p := range v.Problems {
+				fail.Problems = append(fail.Problems, place(parsed, i, p.Field)+p.Error())
+			}
+			continue
+		}
+		objects, versions = append(objects, o), append(versions, doc.Version)
+	}
+	if len(fail.Problems) == 0 && len(objects) == 0 {
+		fail.Problems = []string{"the file has no document: give kind, name and spec"}
+	}
+	if len(fail.Problems) > 0 {
+		return nil, nil, fail
+	}
+	return objects, versions, nil
+}
+
+// problemText returns an error's position and message without the library's
+// excerpt of the file, which may show a secret.
+func problemText(err error) string {
+	var y yaml.Error
+	if !errors.As(err, &y) {
+		return "the YAML is malformed"
+	}
+	t := y.GetToken()
+	if t == nil || t.Position == nil {
+		return "the YAML is malformed"
+	}
+	message := "the YAML is malformed here"
+	var unknown *yaml.UnknownFieldError
+	var kind *yaml.TypeError
+	var twice *yaml.DuplicateKeyError
+	switch {
+	case errors.As(err, &unknown):
+		message = "unknown field; use kind, name, labels, version and spec"
+	case errors.As(err, &kind):
+		message = "the value has another type than its field"
+	case errors.As(err, &twice):
+		message = "the field is given twice"
+	}
+	return fmt.Sprintf("line %d, column %d: %s", t.Position.Line, t.Position.Column, message)
+}
+
+// place returns the line of a field, or nothing if the field is not in the file.
+func place(f *ast.File, document int, field string) string {
+	if document >= len(f.Docs) || f.Docs[document].Body == nil {
+		return ""
+	}
+	p, err := yaml.PathString("$." + field)
+	if err != nil {
+		return ""
+	}
+	n, err := p.FilterNode(f.Docs[document].Body)
+	if err != nil || n == nil || n.GetToken() == nil {
+		return ""
+	}
+	pos := n.GetToken().Position
+	return fmt.Sprintf("line %d, column %d: ", pos.Line, pos.Column)
+}
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,7 @@
 	maxAudit        = 100_000
 	ndjson          = "application/x-ndjson"
 	maxDrainSeconds = 3600
+	drainPath       = "/v1/drain/"
 )
 
 // Question asks why something is as it is.
@@ -127,7 +129,7 @@
 	r.HandleFunc("/v1/audit", a.guard(v, a.audit)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/explain/class/{name}/{detail}", a.guard(v, a.explainClass)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/explain/{subject:job|worker|eviction}/{name:.+}", a.guard(v, a.explainOther)).Methods(http.MethodGet)
-	r.HandleFunc("/v1/drain/{name}", a.guard(o, a.drain)).Methods(http.MethodPost)
+	r.HandleFunc(drainPath+"{name}", a.guard(o, a.drain)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/cancel/{name}", a.guard(o, a.cancel)).Methods(http.MethodPost)
 }
 
@@ -179,7 +181,10 @@
 	case http.MethodPatch:
 		c.Verb = operator.VerbLabel
 	case http.MethodPost:
-		c.Verb, c.Kind = operator.Verb(r.URL.Path), "action"
+		c.Verb, c.Kind = operator.VerbCancel, "job"
+		if strings.HasPrefix(r.URL.Path, drainPath) {
+			c.Verb, c.Kind = operator.VerbDrain, "instance"
+		}
 	}
 	return c
 }
@@ -442,6 +447,7 @@
 	if err != nil {
 		return err
 	}
+	a.store.Accept(r.Context(), a.attempted(r), actor, p.State)
 	reply(w, http.StatusAccepted, p)
 	return nil
 }
@@ -451,6 +457,7 @@
 	if err != nil {
 		return err
 	}
+	a.store.Accept(r.Context(), a.attempted(r), actor, p.State)
 	reply(w, http.StatusAccepted, p)
 	return nil
 }
--- a/io/operatorhttp/audit.go
+++ b/io/operatorhttp/audit.go
@@ -14,29 +14,29 @@
 const clockMargin = 5 * time.Minute
 
 // Audit passes the matching records to visit in the order of their times until
-// it returns false. Accepted changes and refused attempts are merged.
+// it returns false. Changes are merged with the attempts that changed no object.
 func (s *Store) Audit(ctx context.Context, f operator.AuditFilter, visit func(operator.Record) bool) error {
 	start, err := s.firstSince(ctx, f.From)
 	if err != nil {
 		return err
 	}
 	accepted := &cursor{table: s.table, prefix: operator.LogPrefix, after: operator.LogKey(start)}
-	refused := &cursor{table: s.table, prefix: operator.RefusedPrefix}
+	attempts := &cursor{table: s.table, prefix: operator.AttemptPrefix}
 	if !f.From.IsZero() {
-		refused.after = operator.RefusedPrefix + oleandervalve.Key(fmt.Sprintf("%015d", f.From.UnixMilli()))
+		attempts.after = operator.AttemptPrefix + oleandervalve.Key(fmt.Sprintf("%015d", f.From.UnixMilli()))
 	}
 	for {
 		a, err := accepted.peek(ctx)
 		if err != nil {
 			return err
 		}
-		r, err := refused.peek(ctx)
+		r, err := attempts.peek(ctx)
 		if err != nil {
 			return err
 		}
 		c, next := accepted, a
 		if a == nil || r != nil && r.At.Before(a.At) {
-			c, next = refused, r
+			c, next = attempts, r
 		}
 		if next == nil || !f.To.IsZero() && next.At.After(f.To.Add(clockMargin)) {
 			return nil
--- a/io/operatorhttp/store.go
+++ b/io/operatorhttp/store.go
@@ -129,13 +129,21 @@
 		entry.Warn("change refused; not recorded in the audit trail because too many attempts were refused")
 		return
 	}
-	if _, err := s.table.Commit(ctx, operator.Refusal(c, a, now, reason, detail)); err != nil {
+	if _, err := s.table.Commit(ctx, operator.Attempt(c, a, now, operator.ResultRefused, reason, detail)); err != nil {
 		entry.WithError(err).Warn("change refused; the audit trail may lack it")
 		return
 	}
 	entry.Info("change refused")
 }
 
+// Accept records an accepted action that changes no object.
+func (s *Store) Accept(ctx context.Context, c operator.Change, a operator.Actor, detail string) {
+	if _, err := s.table.Commit(ctx, operator.Attempt(c, a, s.clock.Now().UTC(), operator.ResultAccepted, "", detail)); err != nil {
+		s.log.WithError(err).WithFields(logrus.Fields{"actor": a.Name, "verb": c.Verb, "object": c.Ref().String()}).
+			Warn("action accepted; the audit trail may lack it")
+	}
+}
+
 // Resolve returns the revision of an accepted change, or *oleandervalve.NotFoundError.
 func (s *Store) Resolve(ctx context.Context, id operator.ChangeID) (operator.Record, error) {
 	notFound := &oleandervalve.NotFoundError{
--- a/io/operatorhttp/watcher.go
+++ b/io/operatorhttp/watcher.go
@@ -26,6 +26,8 @@
 	table oleandervalve.Table
 	clock oleandervalve.Clock
 	log   logrus.FieldLogger
+	// maxLog is maxLogRows; tests lower it.
+	maxLog oleandervalve.Revision
 
 	mu      sync.Mutex
 	replica *operator.Replica
@@ -34,7 +36,7 @@
 
 // NewWatcher returns a watcher with an empty replica.
 func NewWatcher(t oleandervalve.Table, c oleandervalve.Clock, log logrus.FieldLogger) *Watcher {
-	return &Watcher{table: t, clock: c, log: log, replica: operator.NewReplica(), changed: make(chan struct{}, 1)}
+	return &Watcher{table: t, clock: c, log: log, maxLog: maxLogRows, replica: operator.NewReplica(), changed: make(chan struct{}, 1)}
 }
 
 // Do calls f with the replica while no other goroutine uses it; f must not keep it.
@@ -82,7 +84,7 @@
 		}
 		return nil
 	}
-	if loaded && head.Revision-before.Revision <= maxLogRows {
+	if loaded && head.Revision-before.Revision <= w.maxLog {
 		err = w.follow(ctx, before.Revision, head.Revision)
 		var gap *operator.GapError
 		if !errors.As(err, &gap) {
