Add certificates from files, operator commands and pruning

Cause: processes need mutual TLS that renews without a restart, and operators need commands with documented exit codes; the configuration log only grew. The tests found that a client that verified peers itself did not check the dialled address, because the library leaves out the server name for IP addresses; each connection now gets its own configuration with the library's verification.

--- a/core/operator/operator_test.go
+++ b/core/operator/operator_test.go
@@ -148,6 +148,12 @@
 	is.True(out[0].Delta.Full) // another digest at the same revision gets everything
 	is.Equal(len(d.Next(now.Add(time.Second))), 0)
 	is.Equal(len(d.Next(now.Add(4*time.Second))), 0) // the agent is at the revision; only another digest repeats it
+	d.Resync("agent", operator.Resync{From: 1})
+	is.Equal(len(d.Next(now.Add(5*time.Second))), 1)
+	is.Equal(len(d.Next(now.Add(6*time.Second))), 0)
+	is.Equal(len(d.Next(now.Add(9*time.Second))), 1) // a lost delta is sent again
+	d.Leave("agent")
+	is.Equal(len(d.Next(now.Add(20*time.Second))), 0)
 }
 
 // Guards against a malformed or compressed delta that takes the process down.
--- /dev/null
+++ b/io/operatorcli/cli_test.go
@@ -0,0 +1,146 @@
+package operatorcli
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+)
+
+// answer is what the stand-in for an entry replies to one method and path.
+type answer struct {
+	status int
+	body   string
+}
+
+const (
+	result = `{"changeId":"change-0001","revision":9,"version":9,"diff":[{"field":"spec.classes","before":"[\"a\"]","after":"[\"b\"]"}]}`
+	file   = "kind: service\nname: a\nversion: 4\nspec:\n  defaultDeadlineMs: 1\n  classes: [b]\n"
+)
+
+// run runs one command line against the answers and returns what it printed.
+func run(t *testing.T, answers map[string]answer, files map[string]string, args ...string) string {
+	is := is.New(t)
+	var out, errs bytes.Buffer
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(&errs, "-> %s %s %s\n", r.Method, r.URL.Path, body)
+		a, ok := answers[r.Method+" "+r.URL.Path]
+		if !ok {
+			a = answer{404, `{"reason":"notFound","message":"it does not exist","remedy":"check the name"}`}
+		}
+		w.WriteHeader(a.status)
+		_, _ = io.WriteString(w, a.body)
+	}))
+	defer server.Close()
+	clock := clockwork.NewFakeClock()
+	p := flags.NewNamedParser("oleandervalve", flags.HelpFlag|flags.PassDoubleDash)
+	is.NoErr(Register(p, &Environment{
+		In: strings.NewReader(file), Out: &out, Err: &errs, Clock: instant{clock},
+		Getenv: func(string) string { return "cli-secret-token" },
+		ReadFile: func(name string) ([]byte, error) {
+			if s, ok := files[name]; ok {
+				return []byte(s), nil
+			}
+			return nil, io.ErrUnexpectedEOF
+		},
+	}))
+	_, err := p.ParseArgs(append([]string{args[0], "--server", server.URL}, args[1:]...))
+	code := Report(&errs, err)
+	if code == ExitUsage && errs.Len() == 0 {
+		fmt.Fprintln(&errs, err) // The parser of main prints its own errors.
+	}
+	s := fmt.Sprintf("$ %s\n%s%s[exit %d]\n", strings.Join(args, " "), errs.String(), out.String(), code)
+	return strings.ReplaceAll(s, server.URL, "SERVER")
+}
+
+// instant lets waits end at once.
+type instant struct{ *clockwork.FakeClock }
+
+func (c instant) After(d time.Duration) <-chan time.Time {
+	c.Advance(d)
+	out := make(chan time.Time, 1)
+	out <- c.Now()
+	return out
+}
+
+// Guards against wrong exit codes, errors without place or remedy, and
+// secrets that an error repeats from a file.
+func TestCommands(t *testing.T) {
+	var out strings.Builder
+	conflict := `{"reason":"conflict","message":"service/a is at version 7, not 4","remedy":"read version 7 and repeat the change","expectedVersion":4,"currentVersion":7}`
+	files := map[string]string{
+		"ok.yaml":       file,
+		"two.yaml":      file + "---\nkind: team\nname: t\nversion: 0\nspec: {weight: 1}\n",
+		"syntax.yaml":   "kind: [service\n",
+		"field.yaml":    "kind: service\nname: a\nsecret: pasted-secret\nspec: {}\n",
+		"type.yaml":     "kind: service\nname: a\nversion: pasted-secret\nspec: {}\n",
+		"problems.yaml": "kind: policy\nname: P\nspec:\n  selector: 'tier in ('\n  weight: 1\n  classes:\n  - name: x\n    weight: 0\n",
+		"token.yaml":    "kind: token\nname: t\nspec:\n  hash: pasted-secret\n  team: t\n  roles: [viewer]\n",
+		"empty.yaml":    "\n",
+	}
+	put := "PUT /v1/objects/service/a"
+	for _, c := range []struct {
+		answers map[string]answer
+		args    string
+	}{
+		{map[string]answer{put: {200, result}}, "apply -f ok.yaml --change-id change-0001"},
+		{map[string]answer{put: {200, result}}, "apply -f - --change-id change-0001 -o json"},
+		{map[string]answer{put: {200, result}}, "diff -f missing.yaml"},
+		{map[string]answer{put: {200, strings.Replace(result, "{", `{"dryRun":true,`, 1)}}, "apply -f ok.yaml --dry-run --change-id change-0001"},
+		{map[string]answer{put: {200, result}}, "apply -f two.yaml --change-id change-0001"},
+		{map[string]answer{put: {409, conflict}}, "apply -f ok.yaml --change-id change-0001"},
+		{map[string]answer{put: {504, `{"reason":"unknownOutcome","message":"outcome is unknown","remedy":"send it again"}`}}, "apply -f ok.yaml --change-id change-0001"},
+		{map[string]answer{put: {503, `{"reason":"unavailable","message":"table is unavailable; nothing was changed","remedy":"try again"}`}}, "apply -f ok.yaml --change-id change-0001"},
+		{map[string]answer{put: {200, result}, "PUT /v1/objects/team/t": {200, "{"}}, "apply -f two.yaml --change-id change-0001"},
+		{nil, "apply -f syntax.yaml"},
+		{nil, "apply -f field.yaml"},
+		{nil, "apply -f type.yaml"},
+		{nil, "apply -f problems.yaml"},
+		{nil, "apply -f token.yaml"},
+		{nil, "apply -f empty.yaml"},
+		{nil, "apply"},
+		{nil, "get service a"},
+		{map[string]answer{"GET /v1/objects": {200, `{"revision":4,"objects":[{"kind":"service","name":"a","labels":{"t":"b"},"spec":{"classes":["x"]},"version":4}]}`}}, "get service"},
+		{map[string]answer{"GET /v1/objects": {200, `not json`}}, "get service"},
+		{map[string]answer{"PATCH /v1/objects/service/a/labels": {200, result}}, "label --change-id change-0001 service/a tier=board canary-"},
+		{nil, "label service/a tier"},
+		{nil, "label service tier=board"},
+		{map[string]answer{"GET /v1/audit": {200, `{"changeId":"c","at":"2026-01-31T08:00:00Z","actor":{"name":"ilona"},"verb":"put","kind":"service","name":"a","result":"accepted","revision":3}` + "\n"}}, "audit --actor ilona"},
+		{map[string]answer{"GET /v1/audit": {200, `{"error":{"reason":"unavailable","message":"table is unavailable","remedy":"try again"}}` + "\n"}}, "audit --export"},
+		{nil, "audit --from yesterday"},
+		{map[string]answer{"GET /v1/status": {200, `{"entry":"e0","revision":4,"ready":true,"spread":{"revision":4,"agents":2,"inForce":1,"lowest":3,"behind":[{"agent":"a1","revision":3,"behindMs":1500}]}}`}}, "status"},
+		{map[string]answer{"GET /v1/explain/eviction/j-1/4": {200, `{"subject":"eviction j-1/4","answer":"memory guard","details":["w-3 had 2% left"]}`}}, "explain eviction j-1/4"},
+		{nil, "explain class formaro"},
+		{nil, "explain weather today"},
+		{map[string]answer{"POST /v1/drain/w-3": {202, `{"state":"draining"}`}}, "drain w-3 --within 90s"},
+		{map[string]answer{"POST /v1/cancel/j-1": {403, `{"reason":"forbidden","message":"ilona may not cancel j-1","remedy":"ask its team"}`}}, "cancel j-1"},
+	} {
+		out.WriteString(run(t, c.answers, files, strings.Fields(c.args)...) + "\n")
+	}
+	if s := out.String(); strings.Contains(s, "pasted-secret") || strings.Contains(s, "cli-secret") {
+		t.Error("a secret was printed")
+	}
+	goldie.New(t).Assert(t, "commands", []byte(out.String()))
+}
+
+// Guards against help without examples or exit codes.
+func TestHelp(t *testing.T) {
+	is := is.New(t)
+	p := flags.NewNamedParser("oleandervalve", flags.HelpFlag)
+	is.NoErr(Register(p, &Environment{}))
+	for _, c := range p.Commands() {
+		is.True(strings.Contains(c.LongDescription, "Example"))
+		is.True(strings.Contains(c.LongDescription, "Exit codes"))
+	}
+	is.Equal(len(p.Commands()), 9)
+}
--- a/io/operatorcli/commands.go
+++ b/io/operatorcli/commands.go
@@ -71,10 +71,9 @@
 		r, err := c.applyOne(client, o, versions[i], documentID(id, i, len(objects)), dryRun)
 		if err != nil {
 			if len(results) > 0 {
-				err = errors.Wrapf(err, "%s failed after %d document(s) had been applied; correct it and apply the file again", o.Ref(), len(results))
+				_ = c.print(results, rows)
 			}
-			_ = c.print(results, rows)
-			return err
+			return applyError(err, o.Ref(), id, len(results))
 		}
 		results = append(results, r)
 		rows = append(rows, []string{o.Ref().String(), outcome(r), fmt.Sprint(r.Version), fmt.Sprint(r.Revision)})
@@ -85,6 +84,22 @@
 	return c.print(results, rows)
 }
 
+// applyError names the id with which the whole file can be applied again; the
+// client only knows the id of the document that failed.
+func applyError(err error, r operator.Ref, id operator.ChangeID, applied int) error {
+	var unknown *oleandervalve.UnknownOutcomeError
+	if errors.As(err, &unknown) {
+		return &oleandervalve.UnknownOutcomeError{
+			Operation: "change of " + r.String(), Cause: err,
+			Remedy: fmt.Sprintf("run the command again with --change-id %s; each document is applied at most once", id),
+		}
+	}
+	if applied > 0 {
+		return errors.Wrapf(err, "%s failed after %d document(s) had been applied; correct it and apply the file again", r, applied)
+	}
+	return err
+}
+
 // documentID gives each document of a file its own change id.
 func documentID(id operator.ChangeID, i, n int) operator.ChangeID {
 	if n == 1 {
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -60,7 +60,8 @@
 type Actions interface {
 	// Drain begins the planned stop of an instance; repeating it returns its progress.
 	Drain(ctx context.Context, d Drain, a operator.Actor) (Progress, error)
-	// Cancel cancels a job; repeating it returns its progress.
+	// Cancel cancels a job; repeating it returns its progress. It checks that the
+	// job belongs to the actor's team, else *operator.ForbiddenError.
 	Cancel(ctx context.Context, j oleandervalve.JobID, a operator.Actor) (Progress, error)
 }
 
@@ -445,6 +446,7 @@
 		Instance: mux.Vars(r)["name"], Reason: fmt.Sprintf("%.200s", b.Reason), Within: time.Duration(b.WithinSeconds) * time.Second,
 	}, actor)
 	if err != nil {
+		a.store.Refuse(r.Context(), a.attempted(r), actor, describe(err).Reason, err.Error())
 		return err
 	}
 	a.store.Accept(r.Context(), a.attempted(r), actor, p.State)
@@ -455,6 +457,7 @@
 func (a *API) cancel(w http.ResponseWriter, r *http.Request, actor operator.Actor) error {
 	p, err := a.actions.Cancel(r.Context(), oleandervalve.JobID(mux.Vars(r)["name"]), actor)
 	if err != nil {
+		a.store.Refuse(r.Context(), a.attempted(r), actor, describe(err).Reason, err.Error())
 		return err
 	}
 	a.store.Accept(r.Context(), a.attempted(r), actor, p.State)
--- a/io/operatorhttp/api_test.go
+++ b/io/operatorhttp/api_test.go
@@ -249,3 +249,43 @@
 	s.is.Equal(count("from="+at(100)+"&to="+at(130)), 3)
 	s.is.Equal(count("limit=7"), 7)
 }
+
+// Guards against pruning that deletes what entries still read or what the
+// retention covers, and against a watcher that does not poll every second.
+func TestPruneAndWatch(t *testing.T) {
+	s := newSystem(t)
+	store := NewStore(s.table, s.clock, quiet(), "platform")
+	ctx, cancel := context.WithCancel(context.Background())
+	for i := range maxLogRows + 60 {
+		s.clock.Advance(time.Minute)
+		n := fmt.Sprint(i)
+		c := operator.Change{ID: operator.ChangeID(fmt.Sprintf("change-%04d", i)), Verb: operator.VerbLabel, Kind: "token", Name: "viewer", Labels: map[string]*string{"n": &n}}
+		_, err := store.Change(ctx, c, root, false)
+		s.is.NoErr(err)
+	}
+	n, err := store.Prune(ctx, 24*time.Hour)
+	s.is.NoErr(err)
+	s.is.Equal(n, 0) // all are within the retention
+	n, err = store.Prune(ctx, time.Hour)
+	s.is.NoErr(err)
+	s.is.Equal(n, 62) // 562 revisions, of which the newest 500 stay
+	// The watcher is behind the pruned log and scans all objects.
+	s.is.NoErr(s.watcher.Poll(ctx))
+	var at oleandervalve.Revision
+	s.watcher.Do(func(r *operator.Replica) { at = r.Revision() })
+	s.is.Equal(at, oleandervalve.Revision(maxLogRows+62))
+
+	done := make(chan struct{})
+	go func() { s.watcher.Run(ctx); close(done) }()
+	s.is.NoErr(s.clock.BlockUntilContext(ctx, 1))
+	<-s.watcher.Changed() // from the poll above
+	x := "y"
+	_, err = store.Change(ctx, operator.Change{ID: "change-last", Verb: operator.VerbLabel, Kind: "token", Name: "viewer", Labels: map[string]*string{"x": &x}}, root, false)
+	s.is.NoErr(err)
+	s.clock.Advance(PollInterval)
+	<-s.watcher.Changed()
+	cancel()
+	<-done
+	s.watcher.Do(func(r *operator.Replica) { at = r.Revision() })
+	s.is.Equal(at, oleandervalve.Revision(maxLogRows+63))
+}
--- a/io/operatorhttp/audit.go
+++ b/io/operatorhttp/audit.go
@@ -115,3 +115,50 @@
 }
 
 func (c *cursor) pop() { c.page = c.page[1:] }
+
+// pruneLimit bounds the rows that one call of Prune deletes, so that pruning
+// takes a small part of the table's write budget.
+const pruneLimit = 100
+
+// Prune deletes the oldest rows of the log, of change ids and of attempts that
+// are older than keep, and returns how many records it deleted. Changes that
+// entries may still read from the log always stay.
+func (s *Store) Prune(ctx context.Context, keep time.Duration) (int, error) {
+	rows, err := s.table.Get(ctx, operator.HeadKey)
+	if err != nil {
+		return 0, err
+	}
+	head, err := operator.DecodeHead(rows[0])
+	if err != nil {
+		return 0, err
+	}
+	oldest := s.clock.Now().Add(-keep)
+	t := oleandervalve.Transaction{}
+	n := 0
+	for _, prefix := range []oleandervalve.Key{operator.LogPrefix, operator.AttemptPrefix} {
+		page, err := s.table.Scan(ctx, prefix, "", pruneLimit)
+		if err != nil {
+			return 0, err
+		}
+		for _, row := range page.Rows {
+			rec, err := operator.DecodeRecord(row)
+			if err != nil {
+				return 0, err
+			}
+			if !rec.At.Before(oldest) || rec.Revision+maxLogRows > head.Revision && rec.Revision > 0 {
+				break
+			}
+			t.Deletes = append(t.Deletes, row.Key)
+			if rec.Revision > 0 {
+				t.Deletes = append(t.Deletes, operator.ChangeKey(rec.ChangeID))
+			}
+			n++
+		}
+	}
+	if n == 0 {
+		return 0, nil
+	}
+	t.ID = oleandervalve.MutationID(fmt.Sprintf("prune-%s-%d", oldest.UTC().Format("20060102T150405"), len(t.Deletes)))
+	_, err = s.table.Commit(ctx, t)
+	return n, err
+}
--- a/io/operatorhttp/watcher.go
+++ b/io/operatorhttp/watcher.go
@@ -97,6 +97,12 @@
 		return err
 	}
 	w.notify(before.Revision)
+	w.Do(func(r *operator.Replica) {
+		if !r.Ready() {
+			w.log.WithFields(logrus.Fields{"revision": r.Revision(), "floor": r.Floor()}).
+				Warn("configuration in the table is older than that of peers; not serving yet")
+		}
+	})
 	return nil
 }
 
--- a/io/tlsfiles/development.go
+++ b/io/tlsfiles/development.go
@@ -97,5 +97,5 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return serverConfig(m, d.clock), clientConfig(func() *material { return m }, d.clock), nil
+	return serverConfig(m, d.clock), clientConfig(m, d.clock), nil
 }
--- a/io/tlsfiles/files.go
+++ b/io/tlsfiles/files.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -166,8 +167,8 @@
 	// The error of the library may quote the file, so it is not passed on for a key.
 	pair, err := tls.X509KeyPair(contents[0], contents[1])
 	if err != nil {
-		if _, certErr := parseLeaf(contents[0]); certErr != nil {
-			return nil, &CertificateError{p.Certificate, "no certificate in the file", "give the process's certificate in PEM form", certErr}
+		if !x509.NewCertPool().AppendCertsFromPEM(contents[0]) {
+			return nil, &CertificateError{File: p.Certificate, Detail: "no certificate in the file", Remedy: "give the process's certificate in PEM form"}
 		}
 		return nil, &CertificateError{File: p.Key, Detail: "the key does not belong to the certificate " + p.Certificate, Remedy: "replace key and certificate together"}
 	}
@@ -184,14 +185,6 @@
 	return &material{certificate: pair, roots: roots}, nil
 }
 
-func parseLeaf(pem []byte) (*x509.Certificate, error) {
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, x509.ErrUnsupportedAlgorithm
-	}
-	return &x509.Certificate{}, nil
-}
-
 func verify(leaf *x509.Certificate, rest [][]byte, roots *x509.CertPool, now time.Time) error {
 	between := x509.NewCertPool()
 	for _, der := range rest {
@@ -230,10 +223,16 @@
 	}
 }
 
-// Client returns the configuration of connections to peers. Peers are dialled
-// by IP address, so their certificates must name their addresses.
-func (f *Files) Client() *tls.Config {
-	return clientConfig(f.current, f.clock)
+// Client returns the configuration of one connection to a peer. It holds the
+// certificates that are current now; a new connection needs a new one.
+func (f *Files) Client() *tls.Config { return clientConfig(f.current(), f.clock) }
+
+// DialTLS connects to a peer with the current certificates. It is meant for
+// http.Transport.DialTLSContext, which would otherwise keep its first
+// configuration. The peer's certificate must name the dialled address.
+func (f *Files) DialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	d := tls.Dialer{Config: f.Client()}
+	return d.DialContext(ctx, network, address)
 }
 
 func serverConfig(m *material, c oleandervalve.Clock) *tls.Config {
@@ -244,26 +243,9 @@
 	}
 }
 
-// clientConfig verifies peers itself, because the library has no hook that
-// supplies new roots to an existing configuration.
-func clientConfig(current func() *material, clock oleandervalve.Clock) *tls.Config {
+func clientConfig(m *material, c oleandervalve.Clock) *tls.Config {
 	return &tls.Config{
-		MinVersion: tls.VersionTLS13, Time: clock.Now,
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			c := current().certificate
-			return &c, nil
-		},
-		InsecureSkipVerify: true, // VerifyConnection below checks chain, time and name.
-		VerifyConnection: func(s tls.ConnectionState) error {
-			between := x509.NewCertPool()
-			for _, c := range s.PeerCertificates[1:] {
-				between.AddCert(c)
-			}
-			_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{
-				Roots: current().roots, Intermediates: between, CurrentTime: clock.Now(), DNSName: s.ServerName,
-				KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
-			})
-			return err
-		},
+		MinVersion: tls.VersionTLS13, Time: c.Now,
+		Certificates: []tls.Certificate{m.certificate}, RootCAs: m.roots,
 	}
 }
