Keep unchanged objects decoded when a delta is applied

Cause: an agent decoded and hashed its whole view again for every delta, and an entry looked at all agents after each acknowledgement. Change: replicas reuse what they derived from unchanged objects; NextFor sends to one agent. Conclusion: a change costs an agent only the changed objects.

--- a/core/operator/distributor.go
+++ b/core/operator/distributor.go
@@ -34,12 +34,14 @@
 type Distributor struct {
 	replica *Replica
 	agents  map[oleandervalve.AgentID]*receiver
-	order   []oleandervalve.AgentID
+	// order holds the receivers in the order of their agents.
+	order []*receiver
 	// revision is the replica's revision at the last call of Next.
 	revision oleandervalve.Revision
 }
 
 type receiver struct {
+	agent      oleandervalve.AgentID
 	view       View
 	subscribed bool
 	acked      oleandervalve.Revision
@@ -63,16 +65,25 @@
 
 // Join adds an agent that connected with the given view and revision.
 func (d *Distributor) Join(a oleandervalve.AgentID, v View, rev oleandervalve.Revision, now time.Time) {
-	if d.agents[a] == nil {
-		i, _ := slices.BinarySearch(d.order, a)
-		d.order = slices.Insert(d.order, i, a)
+	r := &receiver{agent: a, view: v, acked: rev, budget: budgetBurst, filledAt: now, behindSince: now}
+	i, found := d.find(a)
+	if found {
+		d.order[i] = r
+	} else {
+		d.order = slices.Insert(d.order, i, r)
 	}
-	d.agents[a] = &receiver{view: v, acked: rev, budget: budgetBurst, filledAt: now, behindSince: now}
+	d.agents[a] = r
+}
+
+func (d *Distributor) find(a oleandervalve.AgentID) (int, bool) {
+	return slices.BinarySearchFunc(d.order, a, func(r *receiver, a oleandervalve.AgentID) int {
+		return strings.Compare(string(r.agent), string(a))
+	})
 }
 
 // Leave removes an agent whose connection has ended.
 func (d *Distributor) Leave(a oleandervalve.AgentID) {
-	if i, ok := slices.BinarySearch(d.order, a); ok {
+	if i, ok := d.find(a); ok {
 		d.order = slices.Delete(d.order, i, i+1)
 		delete(d.agents, a)
 	}
@@ -117,37 +128,54 @@
 }
 
 // Next returns the messages to send now, within each agent's budget. Call it
-// after each acknowledgement and each change, and at least once a second.
+// after each change of the replica and several times a second.
 func (d *Distributor) Next(now time.Time) []Send {
 	if !d.replica.loaded {
 		return nil
 	}
 	moved := d.replica.revision > d.revision
 	var out []Send
-	for _, a := range d.order {
-		r := d.agents[a]
+	for _, r := range d.order {
 		if moved && r.acked >= d.revision {
 			r.behindSince = now
 		}
-		if !r.subscribed {
-			continue
-		}
-		d.plan(r, now)
-		r.refill(now)
-		for len(r.pending) > 0 && (r.joining || r.budget >= min(budgetBurst, float64(r.pending[0].Size()))) {
-			p := r.pending[0]
-			r.pending = r.pending[1:]
-			if !r.joining {
-				r.budget -= float64(p.Size())
-			}
-			out = append(out, Send{Agent: a, Delta: p})
-			r.deadline = now.Add(resendAfter)
-		}
+		out = d.send(r, now, out)
 	}
 	d.revision = d.replica.revision
 	return out
 }
 
+// NextFor returns the messages to send now to one agent; call it after the
+// agent's acknowledgement or resync.
+func (d *Distributor) NextFor(a oleandervalve.AgentID, now time.Time) []Send {
+	r := d.agents[a]
+	if r == nil || !d.replica.loaded {
+		return nil
+	}
+	return d.send(r, now, nil)
+}
+
+func (d *Distributor) send(r *receiver, now time.Time, out []Send) []Send {
+	if !r.subscribed {
+		return out
+	}
+	d.plan(r, now)
+	if len(r.pending) == 0 {
+		return out
+	}
+	r.refill(now)
+	for len(r.pending) > 0 && (r.joining || r.budget >= min(budgetBurst, float64(r.pending[0].Size()))) {
+		p := r.pending[0]
+		r.pending = r.pending[1:]
+		if !r.joining {
+			r.budget -= float64(p.Size())
+		}
+		out = append(out, Send{Agent: r.agent, Delta: p})
+		r.deadline = now.Add(resendAfter)
+	}
+	return out
+}
+
 // plan builds the next delta once the earlier one is acknowledged or overdue.
 func (d *Distributor) plan(r *receiver, now time.Time) {
 	if r.outstanding && (len(r.pending) > 0 || now.Before(r.deadline)) {
@@ -188,14 +216,13 @@
 // Spread returns how many agents have the entry's revision in force.
 func (d *Distributor) Spread(now time.Time) Spread {
 	s := Spread{Revision: d.replica.revision, Agents: len(d.order), Lowest: d.replica.revision}
-	for _, a := range d.order {
-		r := d.agents[a]
+	for _, r := range d.order {
 		if r.acked >= s.Revision {
 			s.InForce++
 			continue
 		}
 		s.Lowest = min(s.Lowest, r.acked)
-		s.Behind = append(s.Behind, AgentRevision{a, r.acked, oleandervalve.Elapsed(now, r.behindSince).Milliseconds()})
+		s.Behind = append(s.Behind, AgentRevision{r.agent, r.acked, oleandervalve.Elapsed(now, r.behindSince).Milliseconds()})
 	}
 	slices.SortFunc(s.Behind, func(x, y AgentRevision) int {
 		if x.Revision != y.Revision {
--- a/core/operator/replica.go
+++ b/core/operator/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"k8s.io/apimachinery/pkg/labels"
@@ -38,6 +39,14 @@
 	size     int
 }
 
+func newHeld(o Object) *held {
+	h := &held{object: o, digest: o.digest(), size: encodedSize(o)}
+	if _, s, err := Validate(o); err == nil {
+		h.spec, h.selector = s, parsed(s)
+	}
+	return h
+}
+
 type deletion struct {
 	ref      Ref
 	revision oleandervalve.Revision
@@ -123,13 +132,15 @@
 		old = h.digest
 	}
 	var added uint64
+	var after *held
 	if rec.After != nil {
-		added = rec.After.digest()
+		after = newHeld(*rec.After)
+		added = after.digest
 	}
 	if r.digest^old^added != rec.Digest {
 		return &GapError{Revision: r.revision, Full: true, Detail: "digest differs"}
 	}
-	r.put(rec.Ref(), rec.After, rec.Revision)
+	r.put(rec.Ref(), after, rec.Revision)
 	r.advance(rec.Revision)
 	return nil
 }
@@ -142,20 +153,20 @@
 		r.stale++
 		return nil
 	}
-	next := map[Ref]Object{}
+	next := map[Ref]*held{}
 	for _, o := range objects {
-		next[o.Ref()] = o
+		next[o.Ref()] = newHeld(o)
 	}
 	for _, rec := range records {
 		if rec.After == nil {
 			delete(next, rec.Ref())
 		} else {
-			next[rec.Ref()] = *rec.After
+			next[rec.Ref()] = newHeld(*rec.After)
 		}
 	}
 	var digest uint64
-	for _, o := range next {
-		digest ^= o.digest()
+	for _, h := range next {
+		digest ^= h.digest
 	}
 	if digest != head.Digest || len(next) != head.Objects {
 		return &GapError{Revision: r.revision, Full: true, Detail: "digest of the scan differs"}
@@ -200,11 +211,9 @@
 
 // commit puts all parts in force if the digest agrees, and nothing otherwise.
 func (r *Replica) commit(parts []Delta) (bool, error) {
-	next := map[Ref]Object{}
+	next := map[Ref]*held{}
 	if !parts[0].Full {
-		for ref, h := range r.objects {
-			next[ref] = h.object
-		}
+		next = maps.Clone(r.objects)
 	}
 	to, before := parts[0].To, r.revision
 	for _, p := range parts {
@@ -212,12 +221,12 @@
 			delete(next, ref)
 		}
 		for _, o := range p.Objects {
-			next[o.Ref()] = o
+			next[o.Ref()] = newHeld(o)
 		}
 	}
 	var digest uint64
-	for _, o := range next {
-		digest ^= o.digest()
+	for _, h := range next {
+		digest ^= h.digest
 	}
 	if digest != parts[0].Digest {
 		return false, &GapError{Revision: r.revision, Full: true, Detail: "digest differs"}
@@ -226,8 +235,8 @@
 	return to > before, nil
 }
 
-// replace puts a whole configuration in force and keeps unchanged objects decoded.
-func (r *Replica) replace(next map[Ref]Object, to oleandervalve.Revision) {
+// replace puts a whole configuration in force.
+func (r *Replica) replace(next map[Ref]*held, to oleandervalve.Revision) {
 	refs := make([]Ref, 0, len(next))
 	for ref := range next {
 		refs = append(refs, ref)
@@ -239,9 +248,8 @@
 		}
 	}
 	for _, ref := range refs {
-		o := next[ref]
-		if h := r.objects[ref]; h == nil || h.digest != o.digest() {
-			r.put(ref, &o, to)
+		if h := r.objects[ref]; h == nil || h.digest != next[ref].digest {
+			r.put(ref, next[ref], to)
 		}
 	}
 	// An object that was created and deleted inside the replaced span is unknown
@@ -252,7 +260,7 @@
 	r.advance(to)
 }
 
-func (r *Replica) put(ref Ref, o *Object, at oleandervalve.Revision) {
+func (r *Replica) put(ref Ref, h *held, at oleandervalve.Revision) {
 	i, found := slices.BinarySearchFunc(r.order, ref, Ref.Compare)
 	if found {
 		old := r.objects[ref]
@@ -262,15 +270,12 @@
 		}
 	}
 	switch {
-	case o == nil && found:
+	case h == nil && found:
 		delete(r.objects, ref)
 		r.order = slices.Delete(r.order, i, i+1)
 		r.forget(ref, at)
-	case o != nil:
-		h := &held{object: *o, digest: o.digest(), size: encodedSize(*o)}
-		if _, s, err := Validate(*o); err == nil {
-			h.spec, h.selector = s, parsed(s)
-		} else {
+	case h != nil:
+		if h.spec == nil {
 			r.unread++
 		}
 		r.objects[ref] = h
