--- a/io/endpointhttp/client.go
+++ b/io/endpointhttp/client.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"oleandervalve"
 )
 
@@ -53,7 +55,8 @@
 
 func (singleUseBody) Close() error { return nil }
 
-// Do sends one request once.
+// Do sends one request once. *oleandervalve.NotSentError proves that it was not
+// sent; *oleandervalve.UnknownOutcomeError means that it may have run.
 func (c *Client) Do(ctx context.Context, address string, r oleandervalve.EndpointRequest) (oleandervalve.EndpointResponse, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -76,13 +79,29 @@
 	p, err := c.transport.RoundTrip(q) //nolint:bodyclose // the caller of Do closes it
 	if err != nil {
 		if !connected.Load() {
-			err = &oleandervalve.NotSentError{Address: address, Cause: err}
+			return oleandervalve.EndpointResponse{}, &oleandervalve.NotSentError{Address: address, Cause: err}
 		}
-		return oleandervalve.EndpointResponse{}, err
+		return oleandervalve.EndpointResponse{}, unknown(err)
+	}
+	if endsWithConnection(p) {
+		_ = p.Body.Close()
+		return oleandervalve.EndpointResponse{}, unknown(errors.New("answer has neither a length nor an end marker"))
 	}
 	return oleandervalve.EndpointResponse{Status: p.StatusCode, Header: p.Header, Body: p.Body, Length: p.ContentLength}, nil
 }
 
+// endsWithConnection reports an answer whose end is the end of the connection:
+// a cut one could not be told from a whole one.
+func endsWithConnection(p *http.Response) bool {
+	return p.ContentLength < 0 && len(p.TransferEncoding) == 0 && p.Body != http.NoBody && p.Request.Method != http.MethodHead
+}
+
+func unknown(cause error) error {
+	return &oleandervalve.UnknownOutcomeError{
+		Operation: "request to endpoint", Remedy: "ask the service whether it ran before sending it again", Cause: cause,
+	}
+}
+
 // Close ends idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
--- a/io/objecthttp/client.go
+++ b/io/objecthttp/client.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,12 +32,12 @@
 func (c *Client) Create(ctx context.Context, name string, body []byte) error {
 	status, _, err := c.call(ctx, http.MethodPut, name, body)
 	if err != nil {
-		return &oleandervalve.UnknownOutcomeError{Operation: "object create", Remedy: "read the object back before creating it again", Cause: err}
+		return writeError("object create", err)
 	}
 	if status == http.StatusConflict {
 		return &oleandervalve.ExistsError{Name: name}
 	}
-	return statusError(status)
+	return writeStatus("object create", status)
 }
 
 // Get returns an object's body.
@@ -47,8 +49,8 @@
 	if status == http.StatusNotFound {
 		return nil, &oleandervalve.NotFoundError{Kind: "object", Name: name, Remedy: "check the name of the checkpoint"}
 	}
-	if err := statusError(status); err != nil {
-		return nil, err
+	if status != http.StatusOK {
+		return nil, unavailable(errors.Newf("status %d", status))
 	}
 	var out []byte
 	if err := json.Unmarshal(body, &out); err != nil {
@@ -61,9 +63,9 @@
 func (c *Client) Delete(ctx context.Context, name string) error {
 	status, _, err := c.call(ctx, http.MethodDelete, name, nil)
 	if err != nil {
-		return unavailable(err)
+		return writeError("object delete", err)
 	}
-	return statusError(status)
+	return writeStatus("object delete", status)
 }
 
 func (c *Client) call(ctx context.Context, method, name string, body []byte) (int, []byte, error) {
@@ -80,11 +82,33 @@
 	return p.StatusCode, b, err
 }
 
-func statusError(status int) error {
-	if status < http.StatusMultipleChoices {
+// writeError tells a write that never left from one whose answer was lost.
+func writeError(operation string, err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return unavailable(err)
+	}
+	return unknown(operation, err)
+}
+
+// writeStatus interprets the status of a write; only a refusal proves that
+// nothing was written.
+func writeStatus(operation string, status int) error {
+	switch {
+	case status >= http.StatusOK && status < http.StatusMultipleChoices:
 		return nil
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return unavailable(errors.Newf("status %d", status))
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		return &oleandervalve.InvalidError{Field: operation, Value: strconv.Itoa(status), Remedy: "correct the name or the size of the object"}
+	}
+	return unknown(operation, errors.Newf("status %d", status))
+}
+
+func unknown(operation string, cause error) error {
+	return &oleandervalve.UnknownOutcomeError{
+		Operation: operation, Remedy: "read the object back before repeating it", Cause: cause,
 	}
-	return unavailable(errors.Newf("status %d", status))
 }
 
 func unavailable(cause error) error {
--- a/io/platformhttp/client.go
+++ b/io/platformhttp/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -109,27 +110,42 @@
 	}
 	p, err := c.http.Do(r)
 	if err != nil {
-		return out, unknown(operation, err)
+		return out, transportError(operation, err)
 	}
 	defer p.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(p.Body, maxAnswer))
 	if err != nil {
-		return out, unknown(operation, err)
+		return out, transportError(operation, err)
 	}
 	switch p.StatusCode {
 	case http.StatusOK:
 		if err := json.Unmarshal(body, &out); err != nil {
-			return out, unknown(operation, err)
+			return Response{}, transportError(operation, err)
 		}
 		return out, nil
 	case http.StatusNotFound:
 		return out, &oleandervalve.NotFoundError{Kind: "task or worker", Name: string(w), Remedy: "it has ended, or was never started there"}
 	case http.StatusGone:
 		return out, &oleandervalve.NotFoundError{Kind: "worker", Name: string(w), Remedy: "the platform has ended this worker"}
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return out, unavailable(errors.Newf("status %d", p.StatusCode))
 	}
-	return out, &oleandervalve.UnavailableError{
-		Service: "worker platform", Remedy: "retry later; the call had no effect", RetryAfter: retry,
-		Cause: errors.Newf("status %d", p.StatusCode),
+	return out, transportError(operation, errors.Newf("status %d", p.StatusCode))
+}
+
+// transportError tells calls without effect, which never left or only read,
+// from those whose answer was lost.
+func transportError(operation string, err error) error {
+	var dial *net.OpError
+	if operation == "status" || operation == "usage" || (errors.As(err, &dial) && dial.Op == "dial") {
+		return unavailable(err)
+	}
+	return unknown(operation, err)
+}
+
+func unavailable(cause error) error {
+	return &oleandervalve.UnavailableError{
+		Service: "worker platform", Remedy: "retry later; the call had no effect", RetryAfter: retry, Cause: cause,
 	}
 }
 
--- a/io/standin/endpoint.go
+++ b/io/standin/endpoint.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -29,6 +31,11 @@
 	Seed  uint64
 	// Books counts executions over all endpoints of a run.
 	Books *Books
+	// Interval is the time between announcements; zero means one second.
+	Interval time.Duration
+	// Notice is how long Drain goes on serving after it told the agent, for
+	// requests that the agent had admitted before.
+	Notice time.Duration
 }
 
 // Books counts what endpoints executed, by the key in the request header.
@@ -42,6 +49,9 @@
 // HeaderTestID names a unit of work whose executions are counted.
 const HeaderTestID = "X-Work-Id"
 
+// CountsPath is the path on which an endpoint stand-in reports its Counts.
+const CountsPath = "/standin/counts"
+
 // NewBooks returns empty books.
 func NewBooks() *Books { return &Books{runs: map[string]int{}} }
 
@@ -52,6 +62,20 @@
 	return b.runs[id]
 }
 
+// Counts is what endpoints executed.
+type Counts struct {
+	Total    int            `json:"total"`
+	OverSlot int            `json:"overSlot"`
+	Runs     map[string]int `json:"runs"`
+}
+
+// Counts returns a copy of the books.
+func (b *Books) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Counts{Total: b.total, OverSlot: b.OverSlot, Runs: maps.Clone(b.runs)}
+}
+
 // Totals returns the executions and how many exceeded the slots of their endpoint.
 func (b *Books) Totals() (total, overSlot int) {
 	b.mu.Lock()
@@ -91,7 +115,10 @@
 	server   *http.Server
 	client   *http.Client
 	cancel   context.CancelFunc
+	leaving  chan struct{}
+	leave    sync.Once
 	done     sync.WaitGroup
+	silent   chan struct{}
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -124,14 +151,17 @@
 	if c.Books == nil {
 		c.Books = NewBooks()
 	}
+	if c.Interval <= 0 {
+		c.Interval = time.Second
+	}
 	c.Announcement.Address = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Endpoint{
-		config: c, listener: l, cancel: cancel,
+		config: c, listener: l, cancel: cancel, leaving: make(chan struct{}), silent: make(chan struct{}),
 		client: &http.Client{Timeout: time.Second},
 		random: rand.New(rand.NewPCG(c.Seed, 1)),
 	}
-	x.server = &http.Server{Handler: http.HandlerFunc(x.serve), ReadHeaderTimeout: 5 * time.Second}
+	x.server = newServer(http.HandlerFunc(x.serve))
 	x.done.Add(2)
 	go func() {
 		defer x.done.Done()
@@ -153,11 +183,15 @@
 
 func (x *Endpoint) announce(ctx context.Context) {
 	defer x.done.Done()
-	for ctx.Err() == nil {
+	defer close(x.silent)
+	for {
 		_ = endpointhttp.Announce(ctx, x.client, x.config.Agent, x.config.Announcement)
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Second):
+			return
+		case <-x.leaving:
+			return
+		case <-time.After(x.config.Interval):
 		}
 	}
 }
@@ -184,6 +218,11 @@
 
 // serve executes a request and answers with a digest of what it was asked.
 func (x *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == CountsPath {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(x.config.Books.Counts())
+		return
+	}
 	d, fault, over := x.begin()
 	defer x.end()
 	h := fnv.New64a()
@@ -228,25 +267,21 @@
 	}
 }
 
-// Drain tells the agent that the endpoint leaves and waits until its requests end.
+// Drain tells the agent that the endpoint leaves, ends its requests and stops
+// listening. The endpoint stops even if the agent can't be told.
 func (x *Endpoint) Drain(ctx context.Context) error {
-	x.cancel()
-	if err := endpointhttp.Leave(ctx, x.client, x.config.Agent, x.config.Announcement.Endpoint); err != nil {
-		return err
+	x.leave.Do(func() { close(x.leaving) })
+	// An announcement that arrives after the leave would undo it.
+	<-x.silent
+	left := endpointhttp.Leave(ctx, x.client, x.config.Agent, x.config.Announcement.Endpoint)
+	select {
+	case <-ctx.Done():
+	case <-time.After(x.config.Notice):
 	}
-	for {
-		x.mu.Lock()
-		busy := x.busy
-		x.mu.Unlock()
-		if busy == 0 {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(10 * time.Millisecond):
-		}
+	if err := x.server.Shutdown(ctx); err != nil {
+		return err
 	}
+	return left
 }
 
 // Close stops the endpoint without warning.
--- a/io/standin/fault.go
+++ b/io/standin/fault.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -17,6 +18,12 @@
 	Down bool `json:"down,omitempty"`
 	// LoseAnswer lets the call take effect and drops the answer.
 	LoseAnswer bool `json:"loseAnswer,omitempty"`
+	// Malformed lets the call take effect and answers with broken JSON.
+	Malformed bool `json:"malformed,omitempty"`
+	// Cut lets the call take effect and closes the connection within the answer.
+	Cut bool `json:"cut,omitempty"`
+	// Status lets the call take effect and answers with this status, if positive.
+	Status int `json:"status,omitempty"`
 	// Delay holds the call back before it takes effect.
 	Delay time.Duration `json:"delayNs,omitempty"`
 	// Share is the share of calls hit, from 0 to 1; zero means all.
@@ -96,9 +103,24 @@
 	if x.LoseAnswer {
 		panic(http.ErrAbortHandler)
 	}
+	if x.Status > 0 {
+		status = x.Status
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		status, body = http.StatusInternalServerError, nil
+	}
+	if x.Malformed {
+		body = []byte(`{"rows":[`)
+	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(answer)
+	if x.Cut {
+		_, _ = w.Write(body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(body)
 }
 
 // Server is a stand-in that serves HTTP on a loopback port.
@@ -109,6 +131,10 @@
 	done   chan struct{}
 }
 
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10}
+}
+
 // Serve starts an HTTP server on an address; "127.0.0.1:0" picks a port.
 func Serve(address string, h http.Handler) (*Server, error) {
 	l, err := net.Listen("tcp", address)
@@ -117,7 +143,7 @@
 	}
 	s := &Server{
 		URL: "http://" + l.Addr().String(), done: make(chan struct{}),
-		server: &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second},
+		server: newServer(h),
 	}
 	go func() {
 		defer close(s.done)
--- a/io/tablehttp/client.go
+++ b/io/tablehttp/client.go
@@ -89,7 +89,10 @@
 	case http.StatusOK:
 		var out oleandervalve.Committed
 		if err := json.Unmarshal(body, &out); err != nil {
-			return out, unknown(err)
+			return oleandervalve.Committed{}, unknown(err)
+		}
+		if len(out.Versions) != len(t.Puts) {
+			return oleandervalve.Committed{}, unknown(errors.Newf("table returned %d versions for %d puts", len(out.Versions), len(t.Puts)))
 		}
 		return out, nil
 	case http.StatusConflict:
@@ -97,6 +100,9 @@
 		if err := json.Unmarshal(body, &out); err != nil {
 			return oleandervalve.Committed{}, unknown(err)
 		}
+		if out.Key == "" {
+			return oleandervalve.Committed{}, unknown(errors.New("table reported a conflict without a key"))
+		}
 		return oleandervalve.Committed{}, &oleandervalve.ConflictError{Key: out.Key, Expected: out.Expected, Current: out.Current}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		return oleandervalve.Committed{}, unavailable(errors.Newf("status %d", status))
