Add commands for separate processes with health and metrics

Cause: only the demonstration could run the system. Change: commands entry, agent, check, standin, dev and version with exit codes 0 to 4; io/process gives every process JSON logs, /healthz, /readyz, /metrics, HTTP limits and a planned stop with a notice time, ended at once by a second signal. Entries and agents count outcomes, refusals by reason, late messages and connections. A stopping agent closes its connections with a handshake, so that queued answers reach the entry. Conclusion: the system runs as real processes.

--- /dev/null
+++ b/cmd/oleandervalve/agent.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+
+	"oleandervalve"
+	"oleandervalve/io/agent"
+	"oleandervalve/io/peer"
+	"oleandervalve/io/process"
+	"oleandervalve/io/settings"
+)
+
+type agentCommand struct {
+	settingsFlag
+}
+
+// Execute runs an agent until it is stopped.
+func (c *agentCommand) Execute([]string) error {
+	s, err := c.load(settings.RoleAgent)
+	if err != nil {
+		return err
+	}
+	signals := process.Signals()
+	p := newProcess(s)
+	urls := make([]string, 0, len(s.Entries))
+	for _, u := range s.Entries {
+		urls = append(urls, u+peer.Path)
+	}
+	a := agent.New(oleandervalve.AgentID(s.ID), urls, agent.WithLog(p.Log()), agent.WithScope(p.Scope()),
+		agent.WithLocation(s.Location), agent.WithWorker(oleandervalve.WorkerID(s.Worker.ID)), agent.WithHeartbeat(s.Heartbeat.Interval))
+	if _, err := p.Listen("announcements", s.Listen.Announcements, longestExchange, a.AnnounceHandler()); err != nil {
+		a.Close()
+		p.Close()
+		return err
+	}
+	ready := func() string {
+		if a.Entries() == 0 {
+			return "an entry has to accept the connection"
+		}
+		return ""
+	}
+	if _, err := p.Listen("metrics", s.Listen.Metrics, longestExchange, p.HealthHandler(ready)); err != nil {
+		a.Close()
+		p.Close()
+		return err
+	}
+	err = p.Run(signals, process.Stop{Timeout: s.Drain.Timeout, Notice: s.Drain.Notice, Drain: func(ctx context.Context) bool {
+		return a.Drain(timeLeft(ctx))
+	}})
+	if err != nil {
+		a.Close()
+		return err
+	}
+	a.Shutdown()
+	return nil
+}
--- a/cmd/oleandervalve/commands.go
+++ b/cmd/oleandervalve/commands.go
@@ -6,25 +6,50 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
-	"github.com/sirupsen/logrus"
 
-	"oleandervalve/io/demo"
+	"oleandervalve"
+	"oleandervalve/io/settings"
 )
 
+// Exit codes; they are documented in the help text and in README.md.
 const (
-	exitError = 1
-	exitUsage = 2
+	exitError       = 1
+	exitUsage       = 2
+	exitConflict    = 3
+	exitUnavailable = 4
 )
 
 func addCommands(p *flags.Parser) {
-	add(p, "demo", "run the whole system with stand-ins, drive work and print the result",
+	add(p.Command, "entry", "run an entry, which accepts calls and routes them",
+		"Runs until SIGTERM or SIGINT, then refuses new calls and finishes those in flight. Example: oleandervalve entry --settings examples/entry-1.yaml", &entryCommand{})
+	add(p.Command, "agent", "run the agent of one instance",
+		"Runs until SIGTERM or SIGINT, then finishes the requests in flight. Example: oleandervalve agent --settings examples/agent-1.yaml", &agentCommand{})
+	add(p.Command, "check", "check a settings file and print the settings in force",
+		"Prints all problems at once, each with file, line, field and remedy. Example: oleandervalve check --settings examples/entry-1.yaml", &checkCommand{})
+	standin := add(p.Command, "standin", "run a stand-in of an external system",
+		"Example: oleandervalve standin endpoint --settings examples/endpoint-1.yaml", &struct{}{})
+	add(standin, "table", "run the stand-in of the transactional table service",
+		"Example: oleandervalve standin table --settings examples/table.yaml", newStandin(settings.RoleTable))
+	add(standin, "objects", "run the stand-in of the object store",
+		"Example: oleandervalve standin objects --settings examples/objects.yaml", newStandin(settings.RoleObjects))
+	add(standin, "platform", "run the stand-in of the worker platform",
+		"Example: oleandervalve standin platform --settings examples/platform.yaml", newStandin(settings.RolePlatform))
+	add(standin, "endpoint", "run the stand-in of an endpoint",
+		"On SIGTERM or SIGINT it leaves its agent, finishes its requests and prints their counts. Example: oleandervalve standin endpoint --settings examples/endpoint-1.yaml",
+		newStandin(settings.RoleEndpoint))
+	add(p.Command, "dev", "run the whole system with stand-ins in one process",
+		"Listens on loopback, prints its URLs and runs until SIGTERM or SIGINT. Example: oleandervalve dev --metrics 127.0.0.1:7100", &devCommand{})
+	add(p.Command, "demo", "run the whole system with stand-ins, drive work and print the result",
 		"Example: oleandervalve demo --scenario steady --seconds 10", &demoCommand{})
+	add(p.Command, "version", "print the version", "Example: oleandervalve version", &versionCommand{})
 }
 
-func add(p *flags.Parser, name, short, long string, command any) {
-	if _, err := p.AddCommand(name, short, long, command); err != nil {
+func add(to *flags.Command, name, short, long string, command any) *flags.Command {
+	c, err := to.AddCommand(name, short, long, command)
+	if err != nil {
 		panic(err)
 	}
+	return c
 }
 
 // report prints an error and returns the exit code.
@@ -41,41 +66,44 @@
 		fmt.Fprintln(os.Stderr, usage.Message)
 		return exitUsage
 	}
+	var problems *settings.InvalidError
+	if errors.As(err, &problems) {
+		fmt.Fprintln(os.Stderr, problems.Error())
+		return exitUsage
+	}
 	fmt.Fprintln(os.Stderr, "oleandervalve: "+err.Error())
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var (
+		invalid     *oleandervalve.InvalidError
+		conflict    *oleandervalve.ConflictError
+		exists      *oleandervalve.ExistsError
+		unavailable *oleandervalve.UnavailableError
+		unknown     *oleandervalve.UnknownOutcomeError
+		notRun      *oleandervalve.NotRunError
+	)
+	switch {
+	case errors.As(err, &invalid):
+		return exitUsage
+	case errors.As(err, &conflict), errors.As(err, &exists):
+		return exitConflict
+	case errors.As(err, &unavailable), errors.As(err, &unknown), errors.As(err, &notRun):
+		return exitUnavailable
+	}
 	return exitError
 }
 
-type demoCommand struct {
-	Scenario string `long:"scenario" default:"steady" choice:"steady" description:"what happens during the run"`
-	Policy   string `long:"policy" default:"fair" choice:"fair" description:"the policy in force"`
-	Seed     uint64 `long:"seed" default:"1" description:"seed of all random choices of the load"`
-	Seconds  int    `long:"seconds" default:"10" description:"how long work is driven"`
-	JSON     bool   `long:"json" description:"print the report as JSON"`
-	Verbose  bool   `long:"verbose" description:"print the processes' logs"`
+// settingsFlag is the option of the commands that read a settings file.
+type settingsFlag struct {
+	File string `long:"settings" value-name:"FILE" required:"true" description:"settings file; docs/settings.md lists its fields"`
 }
 
-// Execute runs the demonstration.
-func (c *demoCommand) Execute([]string) error {
-	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{})
-	if !c.Verbose {
-		log.SetLevel(logrus.ErrorLevel)
-	}
-	o := demo.Options{Scenario: c.Scenario, Policy: c.Policy, Seed: c.Seed, Seconds: c.Seconds, Log: logrus.NewEntry(log)}
-	if !c.JSON {
-		o.Progress = os.Stderr
-	}
-	r, err := demo.Run(o)
+func (f settingsFlag) load(roles ...settings.Role) (settings.Settings, error) {
+	s, err := settings.Load(f.File)
 	if err != nil {
-		return err
-	}
-	if c.JSON {
-		err = r.WriteJSON(os.Stdout)
-	} else {
-		err = r.WriteTable(os.Stdout)
-	}
-	if err == nil && r.Violations.Total() > 0 {
-		err = errors.Newf("%d violations: see the table", r.Violations.Total())
+		return s, err
 	}
-	return err
+	return s, s.Require(f.File, roles...)
 }
--- /dev/null
+++ b/cmd/oleandervalve/standin.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+
+	"oleandervalve"
+	"oleandervalve/io/process"
+	"oleandervalve/io/settings"
+	"oleandervalve/io/standin"
+)
+
+type standinCommand struct {
+	settingsFlag
+	role settings.Role
+}
+
+func newStandin(r settings.Role) *standinCommand { return &standinCommand{role: r} }
+
+// Execute runs a stand-in until it is stopped.
+func (c *standinCommand) Execute([]string) error {
+	s, err := c.load(c.role)
+	if err != nil {
+		return err
+	}
+	signals := process.Signals()
+	p := newProcess(s)
+	stop := process.Stop{Timeout: s.Drain.Timeout, Notice: s.Drain.Notice}
+	if _, err = p.Listen("metrics", s.Listen.Metrics, longestExchange, p.HealthHandler(func() string { return "" })); err != nil {
+		p.Close()
+		return err
+	}
+	if c.role == settings.RoleEndpoint {
+		return runEndpoint(p, s, signals, stop)
+	}
+	if _, err = p.Listen("service", s.Listen.Service, longestExchange, standinHandler(s)); err != nil {
+		p.Close()
+		return err
+	}
+	return p.Run(signals, stop)
+}
+
+func standinHandler(s settings.Settings) http.Handler {
+	clock := oleandervalve.SystemClock()
+	switch s.Role {
+	case settings.RoleTable:
+		return standin.NewTable(clock, s.Simulation.Seed).Handler()
+	case settings.RoleObjects:
+		return standin.NewObjects(s.Simulation.Seed).Handler()
+	}
+	workers := map[oleandervalve.WorkerID]oleandervalve.Resources{}
+	for _, w := range s.Simulation.Workers {
+		workers[oleandervalve.WorkerID(w)] = s.Worker.Capacity
+	}
+	return standin.NewPlatform(clock, standin.PlatformConfig{
+		Workers: workers, UsageLag: s.Simulation.UsageLag, Seed: s.Simulation.Seed,
+	}).Handler()
+}
+
+// runEndpoint serves requests until it is stopped and then prints what it executed.
+func runEndpoint(p *process.Process, s settings.Settings, signals <-chan struct{}, stop process.Stop) error {
+	books := standin.NewBooks()
+	x, err := standin.StartEndpoint(standin.EndpointConfig{
+		Announcement: oleandervalve.Announcement{
+			Endpoint: oleandervalve.EndpointID(s.ID), Service: oleandervalve.ServiceName(s.Endpoint.Service),
+			Address: s.Listen.Service, Slots: s.Endpoint.Slots, Connections: s.Endpoint.Connections,
+		},
+		Agent: s.Endpoint.Agent, Service: s.Endpoint.ServiceTime, Sigma: 0.3, Seed: s.Simulation.Seed,
+		Books: books, Interval: s.Announcement.Interval, Notice: s.Drain.Notice,
+	})
+	if err != nil {
+		p.Close()
+		return err
+	}
+	defer x.Close()
+	// The endpoint waits out its notice itself, between leaving and closing.
+	stop.Notice = 0
+	stop.Drain = func(ctx context.Context) bool {
+		if err := x.Drain(ctx); err != nil {
+			p.Log().WithError(err).Warn("endpoint stopped without leaving in order")
+		}
+		return ctx.Err() == nil
+	}
+	if err := p.Run(signals, stop); err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(books.Counts())
+}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,18 +16,23 @@
 	"oleandervalve/io/peer"
 )
 
-const tickEvery = 250 * time.Millisecond
+const (
+	tickEvery        = 250 * time.Millisecond
+	defaultHeartbeat = time.Second
+)
 
 // Agent is one agent process.
 type Agent struct {
-	id       oleandervalve.AgentID
-	worker   oleandervalve.WorkerID
-	location oleandervalve.Location
-	clock    oleandervalve.Clock
-	log      *logrus.Entry
-	scope    tally.Scope
-	client   oleandervalve.EndpointClient
-	dialer   *http.Client
+	id        oleandervalve.AgentID
+	worker    oleandervalve.WorkerID
+	location  oleandervalve.Location
+	clock     oleandervalve.Clock
+	log       *logrus.Entry
+	scope     tally.Scope
+	client    oleandervalve.EndpointClient
+	dialer    *http.Client
+	beatEvery time.Duration
+	stopping  atomic.Bool
 
 	mu        sync.Mutex
 	ledger    *instance.Ledger
@@ -61,6 +67,9 @@
 	return func(a *Agent) { a.client = c }
 }
 
+// WithHeartbeat sets the time between heartbeats to the entries.
+func WithHeartbeat(d time.Duration) Option { return func(a *Agent) { a.beatEvery = d } }
+
 // New returns a running agent that connects to the given entry URLs; Close ends it.
 func New(id oleandervalve.AgentID, entries []string, options ...Option) *Agent {
 	a := &Agent{
@@ -70,6 +79,7 @@
 		scope:     tally.NoopScope,
 		client:    endpointhttp.NewClient(0),
 		dialer:    &http.Client{},
+		beatEvery: defaultHeartbeat,
 		ledger:    instance.NewLedger(),
 		links:     map[oleandervalve.EntryID]*link{},
 		addresses: map[oleandervalve.EndpointID]string{},
@@ -103,7 +113,7 @@
 		a.ledger.Tick(now)
 		a.publishChange(before)
 		a.grant(now)
-		if now.Sub(beat) >= heartbeatEvery {
+		if now.Sub(beat) >= a.beatEvery {
 			beat = now
 			sequence++
 			for _, l := range a.links {
@@ -215,6 +225,23 @@
 	return false
 }
 
+// Shutdown ends the agent after Drain; everything sent to entries reaches them.
+func (a *Agent) Shutdown() {
+	a.stopping.Store(true)
+	a.mu.Lock()
+	var closing sync.WaitGroup
+	for _, l := range a.links {
+		closing.Add(1)
+		go func() {
+			defer closing.Done()
+			l.conn.Shutdown()
+		}()
+	}
+	a.mu.Unlock()
+	closing.Wait()
+	a.Close()
+}
+
 // Close ends the agent and its connections.
 func (a *Agent) Close() {
 	a.cancel()
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	heartbeatEvery = time.Second
-	firstRedial    = 100 * time.Millisecond
-	lastRedial     = 5 * time.Second
+	firstRedial = 100 * time.Millisecond
+	lastRedial  = 5 * time.Second
 )
 
 // link is the connection to one entry.
@@ -34,7 +33,7 @@
 	defer a.stopped.Done()
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = firstRedial, lastRedial
-	for a.ctx.Err() == nil {
+	for a.ctx.Err() == nil && !a.stopping.Load() {
 		if a.serveEntry(url) {
 			delay.Reset()
 		}
@@ -63,6 +62,7 @@
 		old.conn.Close()
 	}
 	a.links[l.entry] = l
+	a.countEntries()
 	now := a.clock.Now()
 	a.ledger.Connect(now, l.entry, epoch)
 	_ = conn.Send(endpointsMessage(a.ledger.Endpoints()))
@@ -75,6 +75,7 @@
 	if a.links[l.entry] == l {
 		delete(a.links, l.entry)
 	}
+	a.countEntries()
 	a.ledger.Disconnect(l.entry, epoch)
 	a.grant(a.clock.Now())
 	a.mu.Unlock()
@@ -109,10 +110,14 @@
 	case *peer.Body:
 		if s := l.find(m.ID); s != nil && s.body != nil {
 			s.body.Push(m.Data)
+		} else {
+			a.dropped(m)
 		}
 	case *peer.End:
 		if s := l.find(m.ID); s != nil && s.body != nil {
 			s.body.Finish(m.Length, m.Failed)
+		} else {
+			a.dropped(m)
 		}
 	case *peer.Window:
 		if s := l.find(m.ID); s != nil {
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -55,7 +55,7 @@
 	address := a.addresses[m.Endpoint]
 	a.mu.Unlock()
 	if err != nil {
-		refuse(l, m.ID, err)
+		a.refuse(l, m.ID, err)
 		return
 	}
 	s := &served{download: peer.NewBodyWriter(l.conn, m.ID)}
@@ -85,19 +85,21 @@
 	a.grant(now)
 }
 
-func refuse(l *link, id oleandervalve.RequestID, err error) {
+func (a *Agent) refuse(l *link, id oleandervalve.RequestID, err error) {
 	m := &peer.Refused{ID: id, Reason: "refused", Remedy: err.Error()}
 	var notRun *oleandervalve.NotRunError
 	if errors.As(err, &notRun) {
 		m.Reason, m.Remedy = notRun.Reason, notRun.Remedy
 	}
+	a.countRefusal(m.Reason)
+	a.log.WithError(err).WithField("requestId", id).WithField("entry", l.entry).Debug("request was refused")
 	_ = l.conn.Send(m)
 }
 
 // serve sends one request to its endpoint and the answer back to the entry.
 func (a *Agent) serve(ctx context.Context, l *link, s *served, address string, m *peer.Request, body io.Reader, deadline time.Time) {
 	if !s.begin() {
-		refuse(l, m.ID, &oleandervalve.NotRunError{Reason: "withdrawn", Remedy: "the request was withdrawn before it ran"})
+		a.refuse(l, m.ID, &oleandervalve.NotRunError{Reason: "withdrawn", Remedy: "the request was withdrawn before it ran"})
 		return
 	}
 	p, err := a.client.Do(ctx, address, oleandervalve.EndpointRequest{
@@ -111,13 +113,18 @@
 	first, err := readStart(p.Body)
 	switch {
 	case errors.Is(err, io.EOF):
+		a.countOutcome(oleandervalve.OutcomeAnswered)
 		_ = l.conn.Send(&peer.Response{ID: m.ID, Status: p.Status, Header: answerHeader(p.Header), Whole: true, Inline: first})
 	case err != nil:
 		a.reportFailure(l, m.ID, err)
 	default:
 		if l.conn.Send(&peer.Response{ID: m.ID, Status: p.Status, Header: answerHeader(p.Header)}) == nil {
-			_, _ = s.download.Copy(first, p.Body)
+			if _, err = s.download.Copy(first, p.Body); err == nil {
+				a.countOutcome(oleandervalve.OutcomeAnswered)
+				return
+			}
 		}
+		a.countOutcome(oleandervalve.OutcomeUnknown)
 	}
 }
 
@@ -140,9 +147,11 @@
 func (a *Agent) reportFailure(l *link, id oleandervalve.RequestID, err error) {
 	var notSent *oleandervalve.NotSentError
 	if errors.As(err, &notSent) {
-		refuse(l, id, &oleandervalve.NotRunError{Reason: "endpointUnreachable", Remedy: notSent.Error()})
+		a.refuse(l, id, &oleandervalve.NotRunError{Reason: "endpointUnreachable", Remedy: notSent.Error()})
 		return
 	}
+	a.countOutcome(oleandervalve.OutcomeUnknown)
+	a.log.WithError(err).WithField("requestId", id).WithField("entry", l.entry).Info("endpoint gave no whole answer")
 	_ = l.conn.Send(&peer.Failed{ID: id, Reason: "endpointFailed", Remedy: "the endpoint gave no whole answer; check its log"})
 }
 
--- a/io/demo/system.go
+++ b/io/demo/system.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
 	"oleandervalve/io/agent"
@@ -26,9 +27,16 @@
 	agents    []*runningAgent
 	servers   []*standin.Server
 	log       *logrus.Entry
+	scope     tally.Scope
 	seed      uint64
 }
 
+// Option changes a system.
+type Option func(*System)
+
+// WithScope sets the metrics scope of the entries and agents.
+func WithScope(t tally.Scope) Option { return func(s *System) { s.scope = t } }
+
 type runningEntry struct {
 	entry  *entry.Entry
 	server *standin.Server
@@ -40,11 +48,15 @@
 }
 
 // Start brings the system up with the given number of entries.
-func Start(entries int, seed uint64, log *logrus.Entry) (*System, error) {
+func Start(entries int, seed uint64, log *logrus.Entry, options ...Option) (*System, error) {
 	clock := oleandervalve.SystemClock()
 	s := &System{
 		Table: standin.NewTable(clock, seed), Objects: standin.NewObjects(seed),
 		Books: standin.NewBooks(), log: log, seed: seed,
+		scope: tally.NoopScope,
+	}
+	for _, o := range options {
+		o(s)
 	}
 	workers := map[oleandervalve.WorkerID]oleandervalve.Resources{}
 	for _, d := range deployments() {
@@ -86,7 +98,8 @@
 
 func (s *System) addEntry(i int) error {
 	id := oleandervalve.EntryID(fmt.Sprintf("entry-%d", i))
-	e := entry.New(id, entry.WithLog(s.log.WithField("entry", id)))
+	e := entry.New(id, entry.WithLog(s.log.WithField("entry", id)),
+		entry.WithScope(s.scope.Tagged(map[string]string{"entry": string(id)})))
 	m := http.NewServeMux()
 	m.Handle(peer.Path, e.PeerHandler())
 	m.Handle("/call/", callerhttp.Handler(e, callerhttp.TrustedHeaders{}))
@@ -106,6 +119,7 @@
 	}
 	id := oleandervalve.AgentID(fmt.Sprintf("%s-agent-%d", d.name, i))
 	a := agent.New(id, urls, agent.WithLog(s.log.WithField("agent", id)),
+		agent.WithScope(s.scope.Tagged(map[string]string{"agent": string(id)})),
 		agent.WithLocation(d.location(i)), agent.WithWorker(workerID(d, i)))
 	server, err := standin.Serve("127.0.0.1:0", a.AnnounceHandler())
 	if err != nil {
@@ -154,6 +168,35 @@
 	return out
 }
 
+// NamedURL is the base URL of one part of the system.
+type NamedURL struct {
+	Name string
+	URL  string
+}
+
+// URLs lists the base URLs of the entries and of the platform's stand-ins.
+func (s *System) URLs() []NamedURL {
+	var out []NamedURL
+	for i, u := range s.EntryURLs() {
+		out = append(out, NamedURL{fmt.Sprintf("entry-%d", i), u})
+	}
+	for i, name := range []string{"table", "objects", "platform"} {
+		out = append(out, NamedURL{name, s.servers[i].URL})
+	}
+	return out
+}
+
+// Drain refuses new calls at every entry and waits until those in flight are
+// answered or the time is over.
+func (s *System) Drain(within time.Duration) bool {
+	end := time.Now().Add(within)
+	whole := true
+	for _, e := range s.entries {
+		whole = e.entry.Drain(time.Until(end)) && whole
+	}
+	return whole
+}
+
 // Close ends everything.
 func (s *System) Close() {
 	for _, x := range s.Endpoints {
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -25,7 +25,17 @@
 var errRetry = errors.New("attempt may be repeated")
 
 // Dispatch runs a call: it waits for a place, sends the request and passes the answer on.
-func (e *Entry) Dispatch(ctx context.Context, c callerhttp.Call, w http.ResponseWriter) error {
+func (e *Entry) Dispatch(ctx context.Context, c callerhttp.Call, w http.ResponseWriter) (err error) {
+	started := e.clock.Now()
+	whole := false
+	// An answer that is cut while it is passed on leaves by a panic.
+	defer func() { e.observe(err, whole, e.clock.Now().Sub(started)) }()
+	err = e.dispatch(ctx, c, w)
+	whole = true
+	return err
+}
+
+func (e *Entry) dispatch(ctx context.Context, c callerhttp.Call, w http.ResponseWriter) error {
 	e.mu.Lock()
 	if e.draining {
 		e.mu.Unlock()
@@ -68,8 +78,10 @@
 
 func (e *Entry) attempt(ctx context.Context, c callerhttp.Call, arrived, deadline time.Time, w http.ResponseWriter) error {
 	id := e.newRequestID()
+	log := e.log.WithField("requestId", id).WithField("service", c.Service).WithField("class", c.Class)
 	place, err := e.acquire(ctx, id, c, arrived, deadline)
 	if err != nil {
+		log.WithError(err).Debug("request was not sent")
 		return err
 	}
 	started := e.clock.Now()
@@ -87,6 +99,9 @@
 		err = e.withdraw(ctx, place.link, x, id, w)
 	}
 	answered = err == nil
+	if !answered {
+		log.WithError(err).WithField("agent", place.assignment.Agent).WithField("endpoint", place.assignment.Endpoint).Info("attempt was not answered")
+	}
 	return err
 }
 
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -42,6 +42,7 @@
 	}
 	e.links[h.Agent] = l
 	e.directory.Connect(e.clock.Now(), h.Agent, h.Epoch, h.Location)
+	e.countAgents()
 	e.mu.Unlock()
 	log.Info("agent connected")
 	err := e.readLink(l)
@@ -51,6 +52,7 @@
 	if e.links[h.Agent] == l {
 		delete(e.links, h.Agent)
 	}
+	e.countAgents()
 	e.mu.Unlock()
 	l.failCalls()
 	log.WithError(err).Info("agent disconnected")
@@ -78,25 +80,31 @@
 	case *peer.Credit:
 		e.credit(l, m)
 	case *peer.Response:
-		l.deliver(m.ID, m)
+		e.deliver(l, m.ID, m)
 	case *peer.Refused:
-		l.deliver(m.ID, m)
+		e.deliver(l, m.ID, m)
 	case *peer.Failed:
-		l.deliver(m.ID, m)
+		e.deliver(l, m.ID, m)
 	case *peer.Cancelled:
 		if c := l.call(m.ID); c != nil {
 			select {
 			case c.cancelled <- m:
 			default:
 			}
+		} else {
+			e.dropped(m)
 		}
 	case *peer.Body:
 		if c := l.call(m.ID); c != nil {
 			c.body.Push(m.Data)
+		} else {
+			e.dropped(m)
 		}
 	case *peer.End:
 		if c := l.call(m.ID); c != nil {
 			c.body.Finish(m.Length, m.Failed)
+		} else {
+			e.dropped(m)
 		}
 	case *peer.Window:
 		if c := l.call(m.ID); c != nil && c.upload != nil {
@@ -156,14 +164,16 @@
 
 // deliver hands over the first message of an answer; a message for a request
 // that no longer waits is dropped.
-func (l *link) deliver(id oleandervalve.RequestID, m peer.Message) {
+func (e *Entry) deliver(l *link, id oleandervalve.RequestID, m peer.Message) {
 	c := l.call(id)
 	if c == nil {
+		e.dropped(m)
 		return
 	}
 	select {
 	case c.events <- m:
 	default:
+		e.dropped(m)
 	}
 }
 
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -29,6 +29,9 @@
 	queue     chan Message
 	closed    chan struct{}
 	closeOnce sync.Once
+	finishing chan struct{}
+	finished  sync.Once
+	written   chan struct{}
 	pending   []Message
 	received  atomic.Int64
 	sent      atomic.Int64
@@ -37,7 +40,7 @@
 // NewConn wraps a WebSocket connection and starts its writer.
 func NewConn(s *websocket.Conn) *Conn {
 	s.SetReadLimit(MaxFrame)
-	c := &Conn{socket: s, queue: make(chan Message, sendQueueSize), closed: make(chan struct{})}
+	c := &Conn{socket: s, queue: make(chan Message, sendQueueSize), closed: make(chan struct{}), finishing: make(chan struct{}), written: make(chan struct{})}
 	go c.write()
 	return c
 }
@@ -47,6 +50,8 @@
 	select {
 	case <-c.closed:
 		return ErrClosed
+	case <-c.finishing:
+		return ErrClosed
 	default:
 	}
 	select {
@@ -100,6 +105,13 @@
 	})
 }
 
+// Shutdown sends what is queued and closes the connection with a handshake, so
+// that the peer reads everything that was sent; later sends fail.
+func (c *Conn) Shutdown() {
+	c.finished.Do(func() { close(c.finishing) })
+	<-c.written
+}
+
 // Done is closed when the connection is.
 func (c *Conn) Done() <-chan struct{} { return c.closed }
 
@@ -107,16 +119,16 @@
 func (c *Conn) Traffic() (received, sent int64) { return c.received.Load(), c.sent.Load() }
 
 func (c *Conn) write() {
+	defer close(c.written)
 	var frame, one bytes.Buffer
 	for {
-		select {
-		case m := <-c.queue:
-			frame.Reset()
-			if err := appendMessage(&frame, m); err != nil {
-				c.Close()
-				return
-			}
-		case <-c.closed:
+		m := c.next()
+		if m == nil {
+			return
+		}
+		frame.Reset()
+		if err := appendMessage(&frame, m); err != nil {
+			c.Close()
 			return
 		}
 		for c.fill(&frame, &one) {
@@ -132,6 +144,27 @@
 	}
 }
 
+// next returns the next message to write, or nil after the connection closed.
+func (c *Conn) next() Message {
+	select {
+	case m := <-c.queue:
+		return m
+	case <-c.closed:
+		return nil
+	case <-c.finishing:
+	}
+	select {
+	case m := <-c.queue:
+		return m
+	default:
+	}
+	// Closing the socket with unread input would reset it and could discard
+	// answers that the peer has not read yet; the handshake prevents that.
+	_ = c.socket.Close(websocket.StatusNormalClosure, "planned stop")
+	c.Close()
+	return nil
+}
+
 // fill adds waiting messages to the frame. It returns true with the next
 // message in one if that message no longer fits.
 func (c *Conn) fill(frame, one *bytes.Buffer) bool {
