Report readiness of endpoint stand-ins and drain the development system

Cause: an endpoint stand-in reported ready before its agent knew it, a test could not make an endpoint process lose answers, and dev closed its listeners while last bytes could be on their way. Change: readiness waits for an accepted announcement; endpoint stand-ins take a fault over HTTP; dev shuts its listeners down after the drain.

--- a/cmd/oleandervalve/standin.go
+++ b/cmd/oleandervalve/standin.go
@@ -28,13 +28,13 @@
 	signals := process.Signals()
 	p := newProcess(s)
 	stop := process.Stop{Timeout: s.Drain.Timeout, Notice: s.Drain.Notice}
+	if c.role == settings.RoleEndpoint {
+		return runEndpoint(p, s, signals, stop)
+	}
 	if _, err = p.Listen("metrics", s.Listen.Metrics, longestExchange, p.HealthHandler(func() string { return "" })); err != nil {
 		p.Close()
 		return err
 	}
-	if c.role == settings.RoleEndpoint {
-		return runEndpoint(p, s, signals, stop)
-	}
 	if _, err = p.Listen("service", s.Listen.Service, longestExchange, standinHandler(s)); err != nil {
 		p.Close()
 		return err
@@ -75,6 +75,16 @@
 		return err
 	}
 	defer x.Close()
+	ready := func() string {
+		if !x.Announced() {
+			return "an agent has to accept the announcement"
+		}
+		return ""
+	}
+	if _, err := p.Listen("metrics", s.Listen.Metrics, longestExchange, p.HealthHandler(ready)); err != nil {
+		p.Close()
+		return err
+	}
 	// The endpoint waits out its notice itself, between leaving and closing.
 	stop.Notice = 0
 	stop.Drain = func(ctx context.Context) bool {
--- a/io/demo/system.go
+++ b/io/demo/system.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -189,10 +190,14 @@
 // Drain refuses new calls at every entry and waits until those in flight are
 // answered or the time is over.
 func (s *System) Drain(within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
 	end := time.Now().Add(within)
 	whole := true
 	for _, e := range s.entries {
 		whole = e.entry.Drain(time.Until(end)) && whole
+		// The last bytes of an answer may still be on their way to the caller.
+		whole = e.server.Shutdown(ctx) == nil && whole
 	}
 	return whole
 }
--- a/io/standin/endpoint.go
+++ b/io/standin/endpoint.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oleandervalve"
@@ -52,6 +53,9 @@
 // CountsPath is the path on which an endpoint stand-in reports its Counts.
 const CountsPath = "/standin/counts"
 
+// FaultPath is the path on which an endpoint stand-in takes an EndpointFault.
+const FaultPath = "/standin/fault"
+
 // NewBooks returns empty books.
 func NewBooks() *Books { return &Books{runs: map[string]int{}} }
 
@@ -119,6 +123,7 @@
 	leave    sync.Once
 	done     sync.WaitGroup
 	silent   chan struct{}
+	heard    atomic.Bool
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -129,13 +134,13 @@
 // EndpointFault makes an endpoint misbehave.
 type EndpointFault struct {
 	// CutAfter closes the connection after this many body bytes, if positive.
-	CutAfter int
+	CutAfter int `json:"cutAfter,omitempty"`
 	// DropAnswer closes the connection after the request was executed.
-	DropAnswer bool
+	DropAnswer bool `json:"dropAnswer,omitempty"`
 	// Slow multiplies the service time, if above 1.
-	Slow float64
+	Slow float64 `json:"slow,omitempty"`
 	// Status answers with this status instead of 200, if positive.
-	Status int
+	Status int `json:"status,omitempty"`
 }
 
 // StartEndpoint listens on a loopback port and announces itself until closed.
@@ -174,6 +179,9 @@
 // Address returns the endpoint's address.
 func (x *Endpoint) Address() string { return x.config.Announcement.Address }
 
+// Announced reports whether the agent accepted the newest announcement.
+func (x *Endpoint) Announced() bool { return x.heard.Load() }
+
 // SetFault changes how the endpoint misbehaves.
 func (x *Endpoint) SetFault(f EndpointFault) {
 	x.mu.Lock()
@@ -181,11 +189,22 @@
 	x.mu.Unlock()
 }
 
+func (x *Endpoint) serveFault(w http.ResponseWriter, r *http.Request) {
+	var f EndpointFault
+	if r.Method != http.MethodPut || json.NewDecoder(http.MaxBytesReader(w, r.Body, 4<<10)).Decode(&f) != nil {
+		http.Error(w, "send the fault as a JSON object with PUT", http.StatusBadRequest)
+		return
+	}
+	x.SetFault(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (x *Endpoint) announce(ctx context.Context) {
 	defer x.done.Done()
 	defer close(x.silent)
 	for {
-		_ = endpointhttp.Announce(ctx, x.client, x.config.Agent, x.config.Announcement)
+		err := endpointhttp.Announce(ctx, x.client, x.config.Agent, x.config.Announcement)
+		x.heard.Store(err == nil)
 		select {
 		case <-ctx.Done():
 			return
@@ -218,10 +237,14 @@
 
 // serve executes a request and answers with a digest of what it was asked.
 func (x *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == CountsPath {
+	switch r.URL.Path {
+	case CountsPath:
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(x.config.Books.Counts())
 		return
+	case FaultPath:
+		x.serveFault(w, r)
+		return
 	}
 	d, fault, over := x.begin()
 	defer x.end()
--- a/io/standin/fault.go
+++ b/io/standin/fault.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
@@ -152,6 +153,13 @@
 	return s, nil
 }
 
+// Shutdown stops the server after the requests in flight have ended or the context is done.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.server.Shutdown(ctx)
+	s.Close()
+	return err
+}
+
 // Close stops the server at once.
 func (s *Server) Close() {
 	_ = s.server.Close()
