--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -74,6 +74,8 @@
 	if errors.As(err, &notRun) {
 		m.Reason, m.Remedy = notRun.Reason, notRun.Remedy
 	}
+	a.countRefusal(m.Reason)
+	a.log.WithError(err).WithField("requestId", id).WithField("entry", l.entry).Debug("request was refused")
 	_ = l.conn.Send(m)
 }
 
@@ -100,13 +102,18 @@
 	first, err := readStart(p.Body)
 	switch {
 	case errors.Is(err, io.EOF):
+		a.countOutcome(oleandervalve.OutcomeAnswered)
 		_ = l.conn.Send(&peer.Response{ID: m.ID, Status: p.Status, Header: answerHeader(p.Header), Whole: true, Inline: first})
 	case err != nil:
 		a.reportFailure(l, m.ID, err)
 	default:
 		if l.conn.Send(&peer.Response{ID: m.ID, Status: p.Status, Header: answerHeader(p.Header)}) == nil {
-			_, _ = s.download.Copy(first, p.Body)
+			if _, err = s.download.Copy(first, p.Body); err == nil {
+				a.countOutcome(oleandervalve.OutcomeAnswered)
+				return
+			}
 		}
+		a.countOutcome(oleandervalve.OutcomeUnknown)
 	}
 }
 
@@ -132,6 +139,8 @@
 		a.refuse(l, id, &oleandervalve.NotRunError{Reason: "endpointUnreachable", Remedy: notSent.Error()})
 		return
 	}
+	a.countOutcome(oleandervalve.OutcomeUnknown)
+	a.log.WithError(err).WithField("requestId", id).WithField("entry", l.entry).Info("endpoint gave no whole answer")
 	_ = l.conn.Send(&peer.Failed{ID: id, Reason: "endpointFailed", Remedy: "the endpoint gave no whole answer; check its log"})
 }
 
--- a/io/demo/system.go
+++ b/io/demo/system.go
@@ -1,11 +1,13 @@
 package demo
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
 	"oleandervalve/core/table"
@@ -37,6 +39,7 @@
 	agents    []*runningAgent
 	servers   []*standin.Server
 	log       *logrus.Entry
+	scope     tally.Scope
 	seed      uint64
 	policy    Policy
 
@@ -45,6 +48,12 @@
 	platform oleandervalve.Platform
 }
 
+// Option changes a system.
+type Option func(*System)
+
+// WithScope sets the metrics scope of the entries and agents.
+func WithScope(t tally.Scope) Option { return func(s *System) { s.scope = t } }
+
 type runningEntry struct {
 	entry  *entry.Entry
 	owner  *taskowner.Owner
@@ -57,11 +66,15 @@
 }
 
 // Start brings the system up with the given number of entries.
-func Start(entries int, seed uint64, policy Policy, log *logrus.Entry) (*System, error) {
+func Start(entries int, seed uint64, policy Policy, log *logrus.Entry, options ...Option) (*System, error) {
 	clock := oleandervalve.SystemClock()
 	s := &System{
 		Table: standin.NewTable(clock, seed), Objects: standin.NewObjects(seed),
 		Books: standin.NewBooks(), log: log, seed: seed, policy: policy,
+		scope: tally.NoopScope,
+	}
+	for _, o := range options {
+		o(s)
 	}
 	workers := map[oleandervalve.WorkerID]oleandervalve.Resources{}
 	for _, d := range deployments() {
@@ -107,7 +120,7 @@
 func (s *System) addEntry(i int) error {
 	id := oleandervalve.EntryID(fmt.Sprintf("entry-%d", i))
 	log := s.log.WithField("entry", id)
-	options := []entry.Option{entry.WithLog(log)}
+	options := []entry.Option{entry.WithLog(log), entry.WithScope(s.scope.Tagged(map[string]string{"entry": string(id)}))}
 	for _, d := range deployments() {
 		options = append(options, entry.WithPolicy(d.service, d.policies()))
 	}
@@ -151,6 +164,7 @@
 	}
 	id := oleandervalve.AgentID(fmt.Sprintf("%s-agent-%d", d.name, i))
 	a := agent.New(id, urls, agent.WithLog(s.log.WithField("agent", id)),
+		agent.WithScope(s.scope.Tagged(map[string]string{"agent": string(id)})),
 		agent.WithLocation(d.location(i)), agent.WithWorker(workerID(d, i)),
 		agent.WithLabels(map[string]string{"site": d.name, "dataCentre": string(d.location(i).DataCentre)}),
 		agent.WithPlatform(s.platform, s.objects), agent.WithUsageEvery(time.Second),
@@ -200,6 +214,39 @@
 	return out
 }
 
+// NamedURL is the base URL of one part of the system.
+type NamedURL struct {
+	Name string
+	URL  string
+}
+
+// URLs lists the base URLs of the entries and of the platform's stand-ins.
+func (s *System) URLs() []NamedURL {
+	var out []NamedURL
+	for i, u := range s.EntryURLs() {
+		out = append(out, NamedURL{fmt.Sprintf("entry-%d", i), u})
+	}
+	for i, name := range []string{"table", "objects", "platform"} {
+		out = append(out, NamedURL{name, s.servers[i].URL})
+	}
+	return out
+}
+
+// Drain refuses new calls at every entry and waits until those in flight are
+// answered or the time is over.
+func (s *System) Drain(within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	end := time.Now().Add(within)
+	whole := true
+	for _, e := range s.entries {
+		whole = e.entry.Drain(time.Until(end)) && whole
+		// The last bytes of an answer may still be on their way to the caller.
+		whole = e.server.Shutdown(ctx) == nil && whole
+	}
+	return whole
+}
+
 // Close ends everything.
 func (s *System) Close() {
 	for _, x := range s.Endpoints {
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -55,7 +55,17 @@
 func (x *exchange) repeatable() bool { return x.call.Rest == nil && x.attempts < maxAttempts }
 
 // Dispatch runs a call: it waits for a place, sends the request and passes the answer on.
-func (e *Entry) Dispatch(ctx context.Context, c callerhttp.Call, w http.ResponseWriter) error {
+func (e *Entry) Dispatch(ctx context.Context, c callerhttp.Call, w http.ResponseWriter) (err error) {
+	started := e.clock.Now()
+	whole := false
+	// An answer that is cut while it is passed on leaves by a panic.
+	defer func() { e.observe(err, whole, e.clock.Now().Sub(started)) }()
+	err = e.dispatch(ctx, c, w)
+	whole = true
+	return err
+}
+
+func (e *Entry) dispatch(ctx context.Context, c callerhttp.Call, w http.ResponseWriter) error {
 	e.mu.Lock()
 	if e.draining {
 		e.mu.Unlock()
@@ -74,7 +84,6 @@
 	ctx, cancel := context.WithDeadline(ctx, x.request.Deadline)
 	defer cancel()
 	err := e.exchange(ctx, x)
-	e.count(c, err)
 	if errors.Is(err, errAnswerCut) {
 		// The status is sent already, so only an aborted connection tells the
 		// caller that the answer is not whole.
@@ -285,19 +294,3 @@
 	}
 	return lost(ctx.Err())
 }
-
-// count records the outcome of a call.
-func (e *Entry) count(c callerhttp.Call, err error) {
-	outcome, reason := oleandervalve.OutcomeAnswered, oleandervalve.Reason("none")
-	var notRun *oleandervalve.NotRunError
-	switch {
-	case err == nil:
-	case errors.As(err, &notRun):
-		outcome, reason = oleandervalve.OutcomeNotRun, notRun.Reason
-	default:
-		outcome = oleandervalve.OutcomeUnknown
-	}
-	e.scope.Tagged(map[string]string{
-		"service": string(c.Service), "class": string(c.Class), "outcome": string(outcome), "reason": string(reason),
-	}).Counter("requests").Inc(1)
-}
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -45,6 +45,7 @@
 		e.workers[h.Worker] = l
 	}
 	e.directory.Connect(e.clock.Now(), h.Agent, h.Epoch, h.Location)
+	e.countAgents()
 	e.mu.Unlock()
 	log.Info("agent connected")
 	if e.owner != nil && h.Worker != "" {
@@ -60,6 +61,7 @@
 	if e.workers[h.Worker] == l {
 		delete(e.workers, h.Worker)
 	}
+	e.countAgents()
 	e.mu.Unlock()
 	l.failCalls()
 	log.WithError(err).Info("agent disconnected")
@@ -96,25 +98,31 @@
 		e.directory.Draining(l.agent, l.epoch)
 		e.mu.Unlock()
 	case *peer.Response:
-		l.deliver(m.ID, m)
+		e.deliver(l, m.ID, m)
 	case *peer.Refused:
-		l.deliver(m.ID, m)
+		e.deliver(l, m.ID, m)
 	case *peer.Failed:
-		l.deliver(m.ID, m)
+		e.deliver(l, m.ID, m)
 	case *peer.Cancelled:
 		if c := l.call(m.ID); c != nil {
 			select {
 			case c.cancelled <- m:
 			default:
 			}
+		} else {
+			e.dropped(m)
 		}
 	case *peer.Body:
 		if c := l.call(m.ID); c != nil {
 			c.body.Push(m.Data)
+		} else {
+			e.dropped(m)
 		}
 	case *peer.End:
 		if c := l.call(m.ID); c != nil {
 			c.body.Finish(m.Length, m.Failed)
+		} else {
+			e.dropped(m)
 		}
 	case *peer.Window:
 		if c := l.call(m.ID); c != nil {
@@ -191,14 +199,16 @@
 
 // deliver hands over the first message of an answer; a message for a request
 // that no longer waits is dropped.
-func (l *link) deliver(id oleandervalve.RequestID, m peer.Message) {
+func (e *Entry) deliver(l *link, id oleandervalve.RequestID, m peer.Message) {
 	c := l.call(id)
 	if c == nil {
+		e.dropped(m)
 		return
 	}
 	select {
 	case c.events <- m:
 	default:
+		e.dropped(m)
 	}
 }
 
--- a/io/peer/messages.go
+++ b/io/peer/messages.go
@@ -57,6 +57,8 @@
 // HeartbeatAck answers a heartbeat.
 type HeartbeatAck struct {
 	Sequence uint64 `cbor:"sequence"`
+	// Revision is the configuration in force at the entry.
+	Revision oleandervalve.Revision `cbor:"revision"`
 }
 
 // EndpointState says whether an endpoint takes new requests.
