--- /dev/null
+++ b/core/callerkey/key.go
@@ -0,0 +1,105 @@
+package callerkey
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"strconv"
+	"time"
+
+	"oleandervalve"
+	"oleandervalve/core/keyrange"
+)
+
+const (
+	// Header is the name of the header that carries a key.
+	Header = "Idempotency-Key"
+	// MaxKeyLength is the longest accepted key in bytes.
+	MaxKeyLength = 128
+	// minRandomLength keeps two callers' requests of one millisecond apart.
+	minRandomLength = 8
+	// timestampDigits is the length of a unix time in milliseconds from 2001 to 2286.
+	timestampDigits = 13
+)
+
+// Scope separates the keys of different callers and services.
+type Scope struct {
+	Caller  oleandervalve.CallerID
+	Service oleandervalve.ServiceName
+}
+
+// Key is a parsed idempotency key.
+type Key struct {
+	Text string
+	// At is the key's timestamp; zero if it has none.
+	At time.Time
+}
+
+// ParseKey reads a key; keys of the form "<unix ms>-<random>" have a timestamp,
+// and every other accepted key has none. It returns a *oleandervalve.InvalidError.
+func ParseKey(text string) (Key, error) {
+	if text == "" || len(text) > MaxKeyLength {
+		return Key{}, invalidKey(text, fmt.Sprintf("send 1 to %d characters", MaxKeyLength))
+	}
+	digits := 0
+	for i := range len(text) {
+		c := text[i]
+		switch {
+		case c >= '0' && c <= '9':
+			if digits == i {
+				digits++
+			}
+		case c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_' || c == '.' || c == '~' || c == ':':
+		default:
+			return Key{}, invalidKey(text, "use only ASCII letters, digits and - _ . ~ :")
+		}
+	}
+	k := Key{Text: text}
+	if digits != timestampDigits || len(text) == digits || text[digits] != '-' {
+		return k, nil
+	}
+	if len(text)-digits-1 < minRandomLength {
+		return Key{}, invalidKey(text, fmt.Sprintf("put at least %d random characters after the timestamp", minRandomLength))
+	}
+	ms, err := strconv.ParseInt(text[:digits], 10, 64)
+	if err != nil {
+		return Key{}, invalidKey(text, "start the key with a unix time in milliseconds")
+	}
+	k.At = time.UnixMilli(ms)
+	return k, nil
+}
+
+func invalidKey(text, remedy string) error {
+	return &oleandervalve.InvalidError{Field: Header, Value: text[:min(len(text), MaxKeyLength)], Remedy: remedy}
+}
+
+// CheckAhead refuses a timestamp so far ahead that no home can have admitted it.
+//
+// The home decides about AheadLimit by its own clock. An entry that refused
+// at AheadLimit by its clock could say "not run" about a key that has run
+// through another entry with a faster clock, so it allows for the difference.
+func (k Key) CheckAhead(now time.Time) error {
+	if k.At.Sub(now) > keyrange.AheadLimit+keyrange.MaxClockDifference {
+		return &oleandervalve.NotRunError{Reason: ReasonKeyAhead, Remedy: remedies[ReasonKeyAhead]}
+	}
+	return nil
+}
+
+// Range returns the range of a key in its scope.
+func (s Scope) Range(key string) keyrange.ID { return keyrange.Of(s.Caller, s.Service, key) }
+
+// Digest tells the bodies of requests apart.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a request's method, path and body.
+func DigestOf(method, path string, body []byte) Digest {
+	h := sha256.New()
+	var n [8]byte
+	for _, p := range [...]string{method, path} {
+		binary.BigEndian.PutUint64(n[:], uint64(len(p)))
+		h.Write(n[:])
+		h.Write([]byte(p))
+	}
+	h.Write(body)
+	return Digest(h.Sum(nil))
+}
--- a/io/peer/messages.go
+++ b/io/peer/messages.go
@@ -317,6 +317,16 @@
 		return &Cancelled{}
 	case typeDrain:
 		return &Drain{}
+	case typeKeyBegin:
+		return &KeyBegin{}
+	case typeKeyState:
+		return &KeyState{}
+	case typeKeyFinish:
+		return &KeyFinish{}
+	case typeKeyExport:
+		return &KeyExport{}
+	case typeKeyImport:
+		return &KeyImport{}
 	}
 	return nil
 }
