--- a/core/callerkey/home.go
+++ b/core/callerkey/home.go
@@ -16,7 +16,7 @@
 	closedRetention = time.Minute
 	maxClosed       = 4
 	// recordBytes is the memory of a record without its strings and answer; see docs/measurements-keys.md.
-	recordBytes = 600
+	recordBytes = 400
 	bucketWidth = 10 * time.Second
 	// MaxKeptAnswer is the largest answer in bytes that fits a frame together with other records.
 	MaxKeptAnswer = 24 << 10
--- a/core/callerkey/property_test.go
+++ b/core/callerkey/property_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"sort"
 	"strconv"
@@ -173,7 +172,7 @@
 			found := rapid.Custom(func(t *rapid.T) string { return scenario(t, v).fault })
 			for seed := range 3000 {
 				if fault := found.Example(seed); fault != "" {
-					t.Log(fmt.Sprintf("case %d: %s", seed, fault))
+					t.Logf("case %d: %s", seed, fault)
 					return
 				}
 			}
