core/callerkey: drive an entry's attempts and a planned move

Cause: the simulation carried logic that entry and agent need as well. Change: Attempts holds an entry's attempts; MoveNext drives a planned move.

--- a/core/callerkey/property_test.go
+++ b/core/callerkey/property_test.go
@@ -44,7 +44,7 @@
 		// The successor of a lost entry reports the loss to every home.
 		id := e.id
 		e.run++
-		e.paused, e.attempts = time.Time{}, nil
+		e.paused, e.attempts = time.Time{}, NewAttempts()
 		for _, g := range w.agents {
 			w.send(&g.process, func(now time.Time) { g.home.EntryLost(now, id) })
 		}
@@ -114,7 +114,7 @@
 		w.next++
 		id := uint64(w.next)
 		if len(ranges) > 0 && a.transfer == 0 && a.home.HandOver(now, id, keyrange.Home{Agent: to.id, Incarnation: to.run}, ranges) == nil {
-			a.transfer, a.started = id, now
+			a.transfer = id
 			w.counts["moves"]++
 			w.export(a, now)
 		}
--- a/core/callerkey/transfer.go
+++ b/core/callerkey/transfer.go
@@ -28,6 +28,7 @@
 	next     int
 	complete bool
 	refused  oleandervalve.Reason
+	started  time.Time
 	// base is the version of the map that the commit started from; 0 before the commit is sent.
 	base oleandervalve.Version
 }
@@ -56,7 +57,7 @@
 		}
 		moving[r] = true
 	}
-	t := &transfer{id: id, to: to, ranges: ranges}
+	t := &transfer{id: id, to: to, ranges: ranges, started: now}
 	var all []*record
 	for _, r := range h.records {
 		if moving[r.key.scope.Range(r.key.text)] {
--- a/core/callerkey/world_test.go
+++ b/core/callerkey/world_test.go
@@ -62,12 +62,11 @@
 	home     *Home
 	view     keyrange.Map
 	transfer uint64
-	started  time.Time
 	commits  int
 }
 
 type simAttempt struct {
-	*Attempt
+	id        oleandervalve.RequestID
 	key, body string
 }
 
@@ -75,7 +74,7 @@
 	process
 	id       oleandervalve.EntryID
 	view     keyrange.Map
-	attempts []*simAttempt
+	attempts *Attempts
 }
 
 type simKey struct {
@@ -104,24 +103,27 @@
 	agents  []*simAgent
 	entries []*simEntry
 	events  []simEvent
-	keys    []string
-	ran     map[string]*simKey
-	next    int
-	fault   string
-	counts  map[string]int
+	// requests holds what was asked for in each attempt.
+	requests map[oleandervalve.RequestID]*simAttempt
+	keys     []string
+	ran      map[string]*simKey
+	next     int
+	fault    string
+	counts   map[string]int
 }
 
 func newWorld(seed uint64, v variant) *world {
 	w := &world{
 		variant: v, r: rand.New(rand.NewPCG(seed, 1)), now: simStart, ran: map[string]*simKey{}, counts: map[string]int{},
-		table: simTable{rows: map[oleandervalve.Key]oleandervalve.Row{}},
+		requests: map[oleandervalve.RequestID]*simAttempt{},
+		table:    simTable{rows: map[oleandervalve.Key]oleandervalve.Row{}},
 	}
 	w.table.offset = w.skew()
 	for i := range 3 {
 		a := &simAgent{id: oleandervalve.AgentID("a" + strconv.Itoa(i)), process: process{offset: w.skew()}}
 		w.agents = append(w.agents, a)
 		w.startAgent(a)
-		e := &simEntry{id: oleandervalve.EntryID("e" + strconv.Itoa(i)), process: process{offset: w.skew(), run: 1}}
+		e := &simEntry{id: oleandervalve.EntryID("e" + strconv.Itoa(i)), process: process{offset: w.skew(), run: 1}, attempts: NewAttempts()}
 		w.entries = append(w.entries, e)
 	}
 	w.advance(5 * time.Second)
@@ -332,35 +334,30 @@
 }
 
 func (w *world) export(a *simAgent, now time.Time) {
-	id := a.transfer
-	t := a.home.outgoing[id]
-	if t == nil {
-		a.transfer = 0
-		return
-	}
-	committed := t.base != 0
-	if w.abortAfterCommit {
-		t.base = 0
+	if t := a.home.outgoing[a.transfer]; w.abortAfterCommit && t != nil && t.base != 0 {
+		t.base, t.refused = 0, "broken"
 	}
-	if (now.Sub(a.started) > 20*time.Second || w.abortAfterCommit && committed || t.refused != "") && t.base == 0 {
-		if e, ok := a.home.Abort(id); ok {
+	x := a.home.MoveNext(now, a.transfer, a.view, oleandervalve.MutationID(w.id()))
+	for _, e := range x.Send {
+		if e.Abort {
 			w.counts["aborted"]++
-			w.sendExport(a, e)
 		}
-		return
+		w.sendExport(a, e)
 	}
-	if t.complete && t.base < a.view.Version() {
-		if x, err := a.home.Commit(id, a.view, oleandervalve.MutationID(w.id())); err == nil {
-			w.commit(&a.process, x, func(_ oleandervalve.Committed, err error) {
-				if err == nil {
-					w.counts["moved"]++
-				}
-			})
-		}
-		return
+	if x.Commit != nil {
+		w.commit(&a.process, *x.Commit, w.count("moved"))
 	}
-	for _, e := range a.home.Outgoing(id) {
-		w.sendExport(a, e)
+	if x.Ended {
+		a.transfer = 0
+	}
+}
+
+// count returns a commit's continuation that counts its success.
+func (w *world) count(what string) func(oleandervalve.Committed, error) {
+	return func(_ oleandervalve.Committed, err error) {
+		if err == nil {
+			w.counts[what]++
+		}
 	}
 }
 
@@ -381,14 +378,14 @@
 }
 
 func (w *world) tickEntry(e *simEntry, now time.Time) {
-	for _, a := range e.attempts {
-		w.act(e, a, a.Tick(now, w.route(e, a)), w.now)
+	for _, x := range e.attempts.Tick(now, e.route(w)) {
+		w.act(e, w.requests[x.Request], x.Actions, w.now)
 	}
 	if e != w.entries[0] || !e.view.Get(0).Home.IsZero() {
 		return
 	}
 	if x, ok := e.view.Assign(oleandervalve.MutationID(w.id()), w.homes()); ok {
-		w.commit(&e.process, x, func(oleandervalve.Committed, error) {})
+		w.commit(&e.process, x, w.count("assigned"))
 	}
 }
 
@@ -413,17 +410,15 @@
 	}
 	l := keyrange.Lost{Home: h, Lease: w.table.rows[keyrange.LeaseKey(a.id)], Proof: proof}
 	if x, ok := e.view.TakeOver(oleandervalve.MutationID(w.id()), l, o, w.homes()); ok {
-		w.commit(&e.process, x, func(_ oleandervalve.Committed, err error) {
-			if err == nil {
-				w.counts["takenOver "+string(proof)]++
-			}
-		})
+		w.commit(&e.process, x, w.count("takenOver "+string(proof)))
 	}
 }
 
-func (w *world) route(e *simEntry, a *simAttempt) Route {
-	h := e.view.Get(a.Range()).Home
-	return Route{Home: h, Connected: !h.IsZero() && w.chance(95), MapVersion: e.view.Version()}
+func (e *simEntry) route(w *world) func(keyrange.ID) Route {
+	return func(r keyrange.ID) Route {
+		h := e.view.Get(r).Home
+		return Route{Home: h, Connected: !h.IsZero() && w.chance(95), MapVersion: e.view.Version()}
+	}
 }
 
 func (w *world) request(e *simEntry, now time.Time, key, body string, timeout time.Duration) {
@@ -437,9 +432,9 @@
 		w.notRun(key, body, now.Add(-e.offset), "refused by the entry")
 		return
 	}
-	s := &simAttempt{a, key, body}
-	e.attempts = append(e.attempts, s)
-	w.act(e, s, a.Tick(now, w.route(e, s)), w.now)
+	s := &simAttempt{b.Request, key, body}
+	w.requests[b.Request] = s
+	w.act(e, s, e.attempts.Add(now, a, e.route(w)(a.Range())), w.now)
 }
 
 // act carries out an attempt's actions; decided is when the home gave the reply behind them.
@@ -479,7 +474,7 @@
 		}
 		w.send(&g.process, func(now time.Time) {
 			s, decided := do(g.home, now), now.Add(-g.offset)
-			w.send(&e.process, func(now time.Time) { w.act(e, a, a.Handle(now, s), decided) })
+			w.send(&e.process, func(now time.Time) { w.act(e, a, e.attempts.Handle(now, s), decided) })
 		})
 	}
 }
@@ -501,7 +496,7 @@
 		w.counts["ran"]++
 	}
 	report := func(x Execution) func(time.Time) {
-		return func(now time.Time) { w.act(e, a, a.Executed(now, x), w.now) }
+		return func(now time.Time) { w.act(e, a, e.attempts.Executed(now, a.id, x), w.now) }
 	}
 	unknown := Execution{Outcome: oleandervalve.OutcomeUnknown, Reason: "noAnswer"}
 	answered := Execution{Outcome: oleandervalve.OutcomeAnswered, HTTPStatus: 200, Kept: true}
