core/keyrange, core/callerkey: plan map changes, count answers, map statuses

Cause: entry and agent processes need the next map change, the HTTP status of a result and counters. Change: Observation.Next plans takeover, assignment and moves; ResponseStatus and Counters; the simulation is shorter and has the same checks.

--- a/core/callerkey/home.go
+++ b/core/callerkey/home.go
@@ -91,6 +91,7 @@
 	swept    int64
 	outgoing map[uint64]*transfer
 	incoming map[uint64]*intake
+	counters Counters
 }
 
 // NewHome returns a home without records; the lease must be of the same agent run.
@@ -105,7 +106,9 @@
 func bucketOf(t time.Time) int64 { return t.UnixNano() / int64(bucketWidth) }
 
 // Begin decides whether an attempt may execute its request.
-func (h *Home) Begin(now time.Time, b Begin) State {
+func (h *Home) Begin(now time.Time, b Begin) State { return h.counters.add(h.begin(now, b)) }
+
+func (h *Home) begin(now time.Time, b Begin) State {
 	s := State{Entry: b.Entry, Request: b.Request, MapVersion: h.version}
 	key, err := ParseKey(b.Key)
 	if err != nil {
@@ -187,7 +190,9 @@
 }
 
 // Finish records how an attempt ended. Only StatusRecorded ends the sender's repetition.
-func (h *Home) Finish(now time.Time, f Finish) State {
+func (h *Home) Finish(now time.Time, f Finish) State { return h.counters.add(h.finish(now, f)) }
+
+func (h *Home) finish(now time.Time, f Finish) State {
 	s := State{Entry: f.Entry, Request: f.Request, MapVersion: h.version}
 	k := recordKey{Scope{f.Caller, f.Service}, f.Key}
 	g := &h.ranges[k.scope.Range(f.Key)]
@@ -236,6 +241,7 @@
 	r.measure()
 	if n := answerSize(f.Header, f.Body); n > int64(h.limits.MaxAnswer) || h.bytes+r.size > int64(h.limits.MaxBytes) {
 		r.header, r.body, r.kept = nil, nil, false
+		h.counters.TooLarge++
 		r.measure()
 	}
 	h.bytes += r.size
--- a/core/callerkey/key_test.go
+++ b/core/callerkey/key_test.go
@@ -143,6 +143,7 @@
 		out := a.Tick(now.Add(routeWait), Route{})
 		is.Equal(len(out), 1)
 		is.Equal(out[0].Result.Outcome, oleandervalve.OutcomeUnknown)
+		is.Equal(out[0].Result.ResponseStatus(), map[bool]int{true: 504, false: 502}[reachable])
 		is.Equal(out[0].Result.Reason == ReasonKeyNoReply, reachable)
 		is.Equal(a.Closed(), !reachable) // If Begin was sent, the home must hear that nothing ran.
 		late := a.Handle(now.Add(routeWait), State{Status: StatusFresh})
--- a/core/callerkey/property_test.go
+++ b/core/callerkey/property_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"flag"
+	"maps"
 	"os"
-	"sort"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -106,9 +107,9 @@
 	to := w.agents[w.r.IntN(len(w.agents))]
 	w.after(0, &a.process, func(now time.Time) {
 		var ranges []keyrange.ID
-		for i := range a.home.ranges {
-			if g := &a.home.ranges[i]; g.serving && g.transfer == nil && (i%2 == 0 || to.down) {
-				ranges = append(ranges, keyrange.ID(i))
+		for _, r := range a.view.Ranges(a.home.self) {
+			if r%2 == 0 || to.down {
+				ranges = append(ranges, r)
 			}
 		}
 		w.next++
@@ -144,12 +145,7 @@
 			total[k] += n
 		}
 	})
-	names := make([]string, 0, len(total))
-	for k := range total {
-		names = append(names, k)
-	}
-	sort.Strings(names)
-	for _, k := range names {
+	for _, k := range slices.Sorted(maps.Keys(total)) {
 		t.Logf("%7d %s", total[k], k)
 	}
 	// Guards against a scenario that no longer reaches the cases it is for.
--- a/core/callerkey/world_test.go
+++ b/core/callerkey/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -250,44 +251,32 @@
 func (w *world) second() {
 	for _, a := range w.agents {
 		w.after(0, &a.process, func(now time.Time) { w.tickAgent(a, now) })
-		w.read(&a.process, func(now time.Time, rows map[oleandervalve.Key]oleandervalve.Row) {
+		w.read(&a.process, &a.view, func(now time.Time, rows map[oleandervalve.Key]oleandervalve.Row) {
 			a.lease.Observe(rows[keyrange.LeaseKey(a.id)])
-			if m, ok := w.newer(a.view, rows[keyrange.MapKey]); ok {
-				a.view = m
-				a.home.ApplyMap(now, m)
-			}
+			a.home.ApplyMap(now, a.view)
 		})
 	}
 	for _, e := range w.entries {
 		w.after(0, &e.process, func(now time.Time) { w.tickEntry(e, now) })
-		w.read(&e.process, func(_ time.Time, rows map[oleandervalve.Key]oleandervalve.Row) {
-			if m, ok := w.newer(e.view, rows[keyrange.MapKey]); ok {
-				e.view = m
-			}
-		})
+		w.read(&e.process, &e.view, func(time.Time, map[oleandervalve.Key]oleandervalve.Row) {})
 	}
 }
 
-func (w *world) newer(old keyrange.Map, row oleandervalve.Row) (keyrange.Map, bool) {
-	if row.Version <= old.Version() {
-		return old, false
-	}
-	m, err := keyrange.Decode(row)
-	if err != nil {
-		w.failf("map: %v", err)
-	}
-	return m, err == nil
-}
-
-func (w *world) read(p *process, do func(time.Time, map[oleandervalve.Key]oleandervalve.Row)) {
+// read delivers the rows late and updates the process's view of the map.
+func (w *world) read(p *process, view *keyrange.Map, do func(time.Time, map[oleandervalve.Key]oleandervalve.Row)) {
 	if w.table.down.After(w.now) || p.cut.After(w.now) {
 		return
 	}
-	rows := map[oleandervalve.Key]oleandervalve.Row{}
-	for k, r := range w.table.rows {
-		rows[k] = r
-	}
-	w.after(w.delay(), p, func(now time.Time) { do(now, rows) })
+	rows := maps.Clone(w.table.rows)
+	w.after(w.delay(), p, func(now time.Time) {
+		if row := rows[keyrange.MapKey]; row.Version > view.Version() {
+			var err error
+			if *view, err = keyrange.Decode(row); err != nil {
+				w.failf("map: %v", err)
+			}
+		}
+		do(now, rows)
+	})
 }
 
 // commit applies a transaction late and may lose or delay its result.
@@ -362,19 +351,15 @@
 }
 
 func (w *world) sendExport(a *simAgent, e Export) {
-	for _, b := range w.agents {
-		if b.id != e.ToAgent {
-			continue
-		}
-		w.send(&b.process, func(now time.Time) {
-			i := b.home.Import(now, e)
-			w.send(&a.process, func(now time.Time) {
-				if a.home.Imported(i) {
-					w.export(a, now)
-				}
-			})
+	b := w.agents[e.ToAgent[1]-'0']
+	w.send(&b.process, func(now time.Time) {
+		i := b.home.Import(now, e)
+		w.send(&a.process, func(now time.Time) {
+			if a.home.Imported(i) {
+				w.export(a, now)
+			}
 		})
-	}
+	})
 }
 
 func (w *world) tickEntry(e *simEntry, now time.Time) {
@@ -468,15 +453,14 @@
 }
 
 func (w *world) toHome(e *simEntry, a *simAttempt, to keyrange.Home, do func(*Home, time.Time) State) {
-	for _, g := range w.agents {
-		if g.id != to.Agent || g.run != to.Incarnation {
-			continue
-		}
-		w.send(&g.process, func(now time.Time) {
-			s, decided := do(g.home, now), now.Add(-g.offset)
-			w.send(&e.process, func(now time.Time) { w.act(e, a, e.attempts.Handle(now, s), decided) })
-		})
+	g := w.agents[to.Agent[1]-'0']
+	if g.run != to.Incarnation {
+		return
 	}
+	w.send(&g.process, func(now time.Time) {
+		s, decided := do(g.home, now), now.Add(-g.offset)
+		w.send(&e.process, func(now time.Time) { w.act(e, a, e.attempts.Handle(now, s), decided) })
+	})
 }
 
 // forgotten reports whether a key without a timestamp may run again, because the retention time has passed.
@@ -503,15 +487,19 @@
 	if k := w.ran[a.key]; k != nil {
 		answered.Body = []byte(k.answer)
 	}
+	first, second := unknown, Execution{}
 	switch {
 	case kind < 60:
-		w.after(w.delay(), &e.process, report(answered))
+		first = answered
 	case kind < 70:
-		w.after(time.Second, &e.process, report(unknown))
-		w.after(2*time.Second, &e.process, report(answered))
-	case kind < 80 || kind >= 95:
-		w.after(w.delay(), &e.process, report(unknown))
-	default:
-		w.after(w.delay(), &e.process, report(Execution{Outcome: oleandervalve.OutcomeNotRun, Reason: "noSlot"}))
-	}
+		second = answered
+	case kind >= 80 && kind < 95:
+		first = Execution{Outcome: oleandervalve.OutcomeNotRun, Reason: "noSlot"}
+	}
+	w.after(w.delay(), &e.process, func(now time.Time) {
+		report(first)(now)
+		if second.Outcome != "" {
+			w.after(time.Second, &e.process, report(second))
+		}
+	})
 }
--- a/core/keyrange/plan_test.go
+++ b/core/keyrange/plan_test.go
@@ -67,6 +67,17 @@
 	_, err = p.HandOver("5", 78, p.Ranges(homes("c")[0]), homes("b")[0], homes("d")[0])
 	is.True(err != nil) // Only the home itself hands over.
 	is.Equal(p.Choose(homes("a", "c", "d", "e"), 3), homes("c", "d", "a"))
+	o := Observation{Map: p, At: at, MaxHomes: 8, Leases: []oleandervalve.Row{
+		{Version: 1, Value: []byte(leaseValue(homes("c")[0])), WrittenAt: at.Add(-11 * time.Minute)},
+		{Version: 1, Value: []byte(leaseValue(homes("d")[0])), WrittenAt: at},
+	}}
+	is.True(o.Next("6", DefaultLease()).Commit == nil) // A silent home keeps its ranges until its lease has run out.
+	o.At = at.Add(30 * time.Second)
+	o.Leases[1].WrittenAt = o.At
+	is.Equal(o.Next("6", DefaultLease()).Lost, homes("c")[0])
+	o.Ended = map[Home]bool{homes("c")[0]: true}
+	o.At = at
+	is.Equal(o.Next("6", DefaultLease()).Lost, homes("c")[0]) // A proven end needs no wait.
 }
 
 // Guards against a lease counted from the reply, extended by an unresolved
