--- a/core/instance/property_test.go
+++ b/core/instance/property_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,12 +44,11 @@
 	sent   []*attempt
 }
 
+// execution is an admitted attempt at its agent.
 type execution struct {
-	entry    oleandervalve.EntryID
-	epoch    oleandervalve.ConnectionEpoch
-	wire     oleandervalve.RequestID
-	endpoint oleandervalve.EndpointID
-	begun    bool
+	*attempt
+	entry *testEntry
+	begun bool
 }
 
 type testAgent struct {
@@ -221,7 +221,7 @@
 		if a.left[x.assignment.Endpoint] {
 			w.t.Fatalf("leaving endpoint %s got request %s", x.assignment.Endpoint, x.wire)
 		}
-		a.running = append(a.running, &execution{entry: e.id, epoch: x.assignment.Epoch, wire: x.wire, endpoint: x.assignment.Endpoint})
+		a.running = append(a.running, &execution{attempt: x, entry: e})
 	case errors.As(err, &refused):
 		w.send(func() { w.refused(e, x) })
 	}
@@ -241,7 +241,7 @@
 }
 
 func (w *world) begin(a *testAgent, x *execution) {
-	if a.ledger.Begin(w.now, x.entry, x.epoch, x.wire) == nil {
+	if a.ledger.Begin(w.now, x.entry.id, x.assignment.Epoch, x.wire) == nil {
 		x.begun = true
 		w.ran[x.wire]++
 		return
@@ -252,27 +252,16 @@
 }
 
 func (a *testAgent) remove(x *execution) {
-	for i, o := range a.running {
-		if o == x {
-			a.running = append(a.running[:i], a.running[i+1:]...)
-			return
-		}
-	}
+	a.running = slices.DeleteFunc(a.running, func(o *execution) bool { return o == x })
 }
 
 func (w *world) finish(a *testAgent, x *execution) {
-	a.ledger.Finish(w.now, x.entry, x.epoch, x.wire)
+	a.ledger.Finish(w.now, x.entry.id, x.assignment.Epoch, x.wire)
 	a.remove(x)
-	for _, e := range w.entries {
-		for _, s := range e.sent {
-			if s.wire == x.wire {
-				w.send(func() {
-					e.dir.Result(w.now, s.assignment, len(s.wire)%3 > 0, time.Millisecond)
-					w.answer(e, s)
-				})
-			}
-		}
-	}
+	w.send(func() {
+		x.entry.dir.Result(w.now, x.assignment, len(x.wire)%3 > 0, time.Millisecond)
+		w.answer(x.entry, x.attempt)
+	})
 }
 
 func (w *world) cancel(e *testEntry, x *attempt) {
@@ -358,7 +347,7 @@
 		executing := map[oleandervalve.EndpointID]int{}
 		for _, x := range a.running {
 			if x.begun {
-				executing[x.endpoint]++
+				executing[x.assignment.Endpoint]++
 			}
 		}
 		for _, x := range a.endpoints {
