Add the commit queue, worker expiries, throttling and drain

Cause: the processes would otherwise decide themselves in which order commits use the budget, when a takeover is tried and how an agent drains. Change: table.Queue, lease.Expiries, Runner.Throttle, Drain and Idle, Shard.Throttle, EvictWorker and Counts, job.Message. Explorations repeat their events instead of copying states and no longer count the length of the path as part of a state. Throttle, Drain, EvictWorker and Counts have no test of their own yet. Conclusion: the three packages can be wired into the processes.

--- a/core/job/action.go
+++ b/core/job/action.go
@@ -10,6 +10,13 @@
 // Action is something that a Shard or Runner asks its process to do.
 type Action interface{ action() }
 
+// Message is an action that is sent to the agent of one worker.
+type Message interface {
+	Action
+	// To returns the worker of the agent.
+	To() oleandervalve.WorkerID
+}
+
 // Reserve asks an agent to reserve resources for a run.
 type Reserve struct {
 	Worker oleandervalve.WorkerID   `cbor:"-"`
@@ -62,6 +69,13 @@
 	Reason     oleandervalve.Reason `cbor:"reason,omitempty"`
 }
 
+// Throttle asks an agent to limit a run to a share of its processors, from 0 to 1.
+type Throttle struct {
+	Worker oleandervalve.WorkerID `cbor:"-"`
+	Run    Run                    `cbor:"run"`
+	Share  float64                `cbor:"share"`
+}
+
 // Query asks an agent what became of a run.
 type Query struct {
 	Worker oleandervalve.WorkerID `cbor:"-"`
@@ -89,7 +103,9 @@
 	Run    Run                    `cbor:"run"`
 	Status Status                 `cbor:"status"`
 	// Started is false only if it is proven that the run never started.
-	Started    bool                 `cbor:"started"`
+	Started bool `cbor:"started"`
+	// Progress is the platform's last known progress of the run, from 0 to 1.
+	Progress   float64              `cbor:"progress,omitempty"`
 	Checkpoint string               `cbor:"checkpoint,omitempty"`
 	Reason     oleandervalve.Reason `cbor:"reason,omitempty"`
 }
@@ -117,6 +133,14 @@
 	NotAfter time.Time
 }
 
+// PlatformThrottle limits a run at the platform; the process drops the call if
+// it could not be sent before NotAfter. Its result is not needed.
+type PlatformThrottle struct {
+	Run      Run
+	Share    float64
+	NotAfter time.Time
+}
+
 // PlatformStop stops a run at the platform; the result goes to StopDone.
 type PlatformStop struct{ Run Run }
 
@@ -143,6 +167,8 @@
 func (Start) action()              {}
 func (Stop) action()               {}
 func (Query) action()              {}
+func (Throttle) action()           {}
+func (PlatformThrottle) action()   {}
 func (Report) action()             {}
 func (Acknowledge) action()        {}
 func (PlatformStart) action()      {}
@@ -151,3 +177,24 @@
 func (PlatformCheckpoint) action() {}
 func (StoreCheckpoint) action()    {}
 func (PlatformStatus) action()     {}
+
+// To returns the worker of the agent.
+func (m Reserve) To() oleandervalve.WorkerID { return m.Worker }
+
+// To returns the worker of the agent.
+func (m Release) To() oleandervalve.WorkerID { return m.Worker }
+
+// To returns the worker of the agent.
+func (m Start) To() oleandervalve.WorkerID { return m.Worker }
+
+// To returns the worker of the agent.
+func (m Stop) To() oleandervalve.WorkerID { return m.Worker }
+
+// To returns the worker of the agent.
+func (m Query) To() oleandervalve.WorkerID { return m.Worker }
+
+// To returns the worker of the agent.
+func (m Acknowledge) To() oleandervalve.WorkerID { return m.Worker }
+
+// To returns the worker of the agent.
+func (m Throttle) To() oleandervalve.WorkerID { return m.Worker }
--- a/core/job/calls.go
+++ b/core/job/calls.go
@@ -110,6 +110,8 @@
 			// delayed on its way to the platform.
 			list = append(list, PlatformStop{Run: run})
 		case c != nil && askedAt.After(c.since):
+			c.progress = max(c.progress, t.Progress)
+			c.report.Progress = c.progress
 			list = append(list, r.compare(now, run, c, t.State, t.Reason)...)
 		}
 	}
@@ -123,7 +125,7 @@
 }
 
 func (r *Runner) adopt(now time.Time, run Run, t oleandervalve.PlatformTask) []Action {
-	c := &activity{spec: t.Spec, started: true}
+	c := &activity{spec: t.Spec, started: true, progress: t.Progress}
 	r.runs[run] = c
 	r.mark(now, run)
 	if t.State == oleandervalve.PlatformRunning {
@@ -179,7 +181,7 @@
 func (r *Runner) running(now time.Time, run Run, c *activity) Action {
 	c.started = true
 	r.enter(now, c, phaseRunning)
-	c.report = Report{Worker: r.worker, Run: run, Status: StatusRunning, Started: true}
+	c.report = Report{Worker: r.worker, Run: run, Status: StatusRunning, Started: true, Progress: c.progress}
 	return r.send(now, c)
 }
 
--- a/core/job/events_test.go
+++ b/core/job/events_test.go
@@ -99,7 +99,9 @@
 
 // happen carries out an event.
 func (w *world) happen(e event) {
-	w.budget[e.fault]--
+	if e.fault != "" {
+		w.budget[e.fault]--
+	}
 	e.do()
 	w.check()
 }
--- a/core/job/clone_test.go
+++ b/core/job/hash_test.go
@@ -13,69 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// clone copies a world with everything that it points to, so that an
-// exploration can go on from it in several ways.
-func (w *world) clone() *world {
-	seen := map[unsafe.Pointer]reflect.Value{}
-	return copyOf(reflect.ValueOf(w), seen).Interface().(*world)
-}
-
 var timeType = reflect.TypeFor[time.Time]()
 
-func copyOf(v reflect.Value, seen map[unsafe.Pointer]reflect.Value) reflect.Value {
-	switch v.Kind() {
-	case reflect.Pointer:
-		if v.IsNil() {
-			return v
-		}
-		if c, ok := seen[v.UnsafePointer()]; ok {
-			return c
-		}
-		c := reflect.New(v.Type().Elem())
-		seen[v.UnsafePointer()] = c
-		c.Elem().Set(copyOf(v.Elem(), seen))
-		return c
-	case reflect.Interface:
-		if v.IsNil() {
-			return v
-		}
-		c := reflect.New(v.Type()).Elem()
-		c.Set(copyOf(v.Elem(), seen))
-		return c
-	case reflect.Map:
-		if v.IsNil() {
-			return v
-		}
-		c := reflect.MakeMapWithSize(v.Type(), v.Len())
-		for it := v.MapRange(); it.Next(); {
-			c.SetMapIndex(it.Key(), copyOf(it.Value(), seen))
-		}
-		return c
-	case reflect.Slice:
-		if v.IsNil() || v.Type().Elem().Kind() == reflect.Uint8 {
-			return v // bytes are never written in place
-		}
-		c := reflect.MakeSlice(v.Type(), v.Len(), v.Len())
-		for i := range v.Len() {
-			c.Index(i).Set(copyOf(v.Index(i), seen))
-		}
-		return c
-	case reflect.Struct:
-		c := reflect.New(v.Type()).Elem()
-		c.Set(v)
-		if v.Type() == timeType {
-			return c
-		}
-		for i := range v.NumField() {
-			f := c.Field(i)
-			f = reflect.NewAt(f.Type(), unsafe.Pointer(f.UnsafeAddr())).Elem()
-			f.Set(copyOf(f, seen))
-		}
-		return c
-	}
-	return v
-}
-
 var idPattern = regexp.MustCompile(`e\d\.\d+-0-\d+`)
 
 // hash identifies the state of a world: times relative to now, ids numbered by
--- a/core/job/property_test.go
+++ b/core/job/property_test.go
@@ -29,7 +29,8 @@
 // Guards against any interleaving of pauses, restarts, lost answers, delayed
 // and repeated messages, cancels and evictions that runs a task in two places,
 // starts an epoch or resumes an eviction twice, reports notRun falsely,
-// overfills a worker, or leaves a task stuck once the faults end.
+// overfills a worker, or leaves a task stuck or a result unacknowledged once
+// the faults end.
 func TestRandomInterleavings(t *testing.T) {
 	total := map[string]int{}
 	runs := 0
@@ -73,6 +74,14 @@
 		if w.violation == "" && !w.settled() {
 			w.fail("not settled: %s", w.states())
 		}
+		for range 40 {
+			w.pass(both, both)
+		}
+		for _, a := range w.agents {
+			if w.violation == "" && !a.runner.Idle() {
+				w.fail("worker %s keeps %d runs", a.name, len(a.runner.runs))
+			}
+		}
 		for k, row := range w.rows {
 			if s, err := ParseTask(row); err == nil && strings.HasPrefix(string(k), "tasks/") {
 				n := 0
--- a/core/job/runner.go
+++ b/core/job/runner.go
@@ -41,6 +41,7 @@
 	ReasonNoGrant      oleandervalve.Reason = "noReservation"
 	ReasonStartRefused oleandervalve.Reason = "startRefused"
 	ReasonPlatform     oleandervalve.Reason = "platformStopped"
+	ReasonDraining     oleandervalve.Reason = "draining"
 )
 
 // Ledger holds the reserved resources of the worker.
@@ -84,6 +85,7 @@
 	checkpoint bool
 	kept       bool
 	reason     oleandervalve.Reason
+	progress   float64
 	report     Report
 	reportedAt time.Time
 	known      bool // the running state has been acknowledged
@@ -107,6 +109,7 @@
 	asked    bool
 	purgeAt  time.Time
 	urgent   bool
+	draining bool
 }
 
 type mark struct {
@@ -140,6 +143,9 @@
 	if !r.lease.Valid(now) {
 		return ReasonNoLease
 	}
+	if r.draining {
+		return ReasonDraining
+	}
 	if c := r.runs[m.Run]; c != nil && c.phase == phaseReserved && c.reservation == m.ID {
 		return "" // a repeated request
 	}
@@ -266,6 +272,25 @@
 	return nil // the run is changing and will be reported
 }
 
+// Throttle limits a run to a share of its processors. A repeated or delayed
+// request does no harm, as the share is absolute and names the run.
+func (r *Runner) Throttle(now time.Time, m Throttle) []Action {
+	list := r.check(now)
+	c := r.runs[m.Run]
+	if c == nil || c.phase != phaseRunning || !r.lease.Valid(now) {
+		return list
+	}
+	share := min(1, max(0, m.Share))
+	return append(list, PlatformThrottle{Run: m.Run, Share: share, NotAfter: r.lease.Deadline()})
+}
+
+// Drain refuses new reservations from now on, before a planned stop. The owners
+// of the shards evict what runs; Idle tells when the agent may exit.
+func (r *Runner) Drain() { r.draining = true }
+
+// Idle reports whether nothing runs, is reserved or waits for an acknowledgement.
+func (r *Runner) Idle() bool { return r.adopted && len(r.runs) == 0 }
+
 // Acknowledge forgets a report that an entry has recorded.
 func (r *Runner) Acknowledge(now time.Time, m Acknowledge) []Action {
 	list := r.check(now)
@@ -332,7 +357,7 @@
 func (r *Runner) end(now time.Time, run Run, c *activity, s Status) []Action {
 	r.ledger.Release(run)
 	r.enter(now, c, phaseEnded)
-	c.report = Report{Worker: r.worker, Run: run, Status: s, Started: c.started, Reason: c.reason}
+	c.report = Report{Worker: r.worker, Run: run, Status: s, Started: c.started, Progress: c.progress, Reason: c.reason}
 	if c.kept {
 		c.report.Checkpoint = run.CheckpointName()
 	}
--- a/core/job/shard.go
+++ b/core/job/shard.go
@@ -210,6 +210,41 @@
 	return s.settle(now, t), nil
 }
 
+// EvictWorker asks for all running tasks of a worker to be evicted, before a
+// planned stop of the worker or its agent.
+func (s *Shard) EvictWorker(now time.Time, w oleandervalve.WorkerID, why oleandervalve.Reason) []Action {
+	var list []Action
+	for _, t := range s.placed() {
+		if t.stored.Worker == w && t.stored.State == StateRunning {
+			t.evict = why
+			list = append(list, s.settle(now, t)...)
+		}
+	}
+	return list
+}
+
+// Throttle asks for a running task to be limited to a share of its processors.
+// It is not recorded: a task that moves runs unthrottled again.
+func (s *Shard) Throttle(id oleandervalve.TaskID, share float64) ([]Action, error) {
+	t := s.tasks[id]
+	if t == nil {
+		return nil, &oleandervalve.NotFoundError{Kind: "task", Name: string(id), Remedy: "check the task's id"}
+	}
+	if t.stored.State != StateRunning {
+		return nil, t.stored.refuse("throttled")
+	}
+	return []Action{Throttle{Worker: t.stored.Worker, Run: t.stored.Run(), Share: share}}, nil
+}
+
+// Counts returns the number of tasks in each state, with cancelled jobs applied.
+func (s *Shard) Counts() map[State]int {
+	n := map[State]int{}
+	for _, t := range s.tasks {
+		n[ViewOf(t.stored.Record, s.job(t.stored.Job).stored.Group).State]++
+	}
+	return n
+}
+
 // Unpark returns a parked task to the queue.
 func (s *Shard) Unpark(id oleandervalve.TaskID) ([]Action, error) {
 	t := s.tasks[id]
--- a/core/job/world_test.go
+++ b/core/job/world_test.go
@@ -296,18 +296,8 @@
 		for _, a := range list {
 			t := &item{from: i, to: i, act: a, toAgent: true}
 			switch m := a.(type) {
-			case Reserve:
-				t.to = index(m.Worker)
-			case Release:
-				t.to = index(m.Worker)
-			case Start:
-				t.to = index(m.Worker)
-			case Stop:
-				t.to = index(m.Worker)
-			case Query:
-				t.to = index(m.Worker)
-			case Acknowledge:
-				t.to = index(m.Worker)
+			case Message:
+				t.to = index(m.To())
 			case Commit:
 				t.toAgent, t.from = false, -1
 				t.attempt, _ = table.NewAttempt(m.Transaction)
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -43,26 +43,17 @@
 
 // resolve commits a transaction, loses the answer if told to, and returns the result.
 func (m *memory) resolve(t oleandervalve.Transaction, lose bool) table.Result {
-	a, _ := table.NewAttempt(t)
 	c, err := m.commit(t)
-	if lose {
-		err = &oleandervalve.UnknownOutcomeError{Operation: "commit"}
+	if err == nil && !lose {
+		return table.Result{Resolution: table.Applied, Versions: c.Versions, At: c.At}
 	}
-	s := a.Answered(c, err)
-	for s.Kind != table.StepDone {
-		if s.Kind == table.StepCommit {
-			s = a.Answered(m.commit(t))
-			continue
-		}
-		var rows []oleandervalve.Row
-		for _, k := range s.Keys {
-			r := m.rows[k]
-			r.Key = k
-			rows = append(rows, r)
-		}
-		s = a.ReadBack(rows, nil)
+	var rows []oleandervalve.Row
+	for _, c := range t.Conditions {
+		r := m.rows[c.Key]
+		r.Key = c.Key
+		rows = append(rows, r)
 	}
-	return s.Result
+	return table.Resolve(t, rows)
 }
 
 func (m *memory) scan(prefix oleandervalve.Key) oleandervalve.Page {
@@ -320,6 +311,7 @@
 	key := RenewalKey(0)
 	owners := []*Renewals{NewRenewals(0, "a"), NewRenewals(0, "b")}
 	writes, acks := 0, map[oleandervalve.WorkerID]time.Time{}
+	view, proposed := NewExpiries(WorkerLease, Guard), time.Time{}
 	takeover := func(w oleandervalve.WorkerID) bool {
 		c, err := Expired(m.rows[key], w, WorkerLease, Guard)
 		is.NoErr(err)
@@ -348,6 +340,15 @@
 			}
 		}
 		is.True(!takeover("w2"))
+		if view.ReadDue(m.now) {
+			view.Observe(m.now, m.scan("workerLeases/"))
+		}
+		due, err := view.Due(m.now)
+		is.NoErr(err)
+		if len(due) > 0 && proposed.IsZero() {
+			is.Equal(due[0].Worker, oleandervalve.WorkerID("w1"))
+			proposed = m.now
+		}
 		if taken.IsZero() && takeover("w1") {
 			taken = m.now
 		}
@@ -355,6 +356,7 @@
 	renewed := acks["w1"]
 	t.Logf("%d writes in 13 min by two owners; w1 renewed at %s, taken over at %s", writes, renewed.Sub(start), taken.Sub(start))
 	is.True(!taken.Before(renewed.Add(WorkerLease + Guard)))
+	is.True(!proposed.Before(taken) && proposed.Sub(taken) <= expiryRead) // tried in time, not too early
 	is.True(taken.Sub(renewed) <= WorkerLease+Guard+2*RenewEvery)
 	list, err := ExpiredBy(m.rows[key], m.now, WorkerLease, Guard)
 	is.NoErr(err)
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -60,6 +60,27 @@
 	is.True(starts > 2000) // the rest of the budget is used
 }
 
+// Guards against a queue that sends by arrival instead of priority, passes the
+// budget, or refuses to finish tasks when it is full.
+func TestQueueSendsByPriority(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	q := NewQueue(NewLimiter(Limits{Writes: 5}), 2)
+	for i, p := range []Priority{Starting, Starting, Starting, Finishing, Finishing, Finishing, Renewing} {
+		err := q.Add(oleandervalve.Transaction{ID: oleandervalve.MutationID(rune('a' + i)), Puts: make([]oleandervalve.Put, 1)}, p)
+		is.Equal(err != nil, i == 2) // only the third start finds the queue full
+	}
+	sent := ""
+	for q.Waiting(Finishing)+q.Waiting(Renewing)+q.Waiting(Starting) > 0 {
+		tx, wait, ok := q.Next(now)
+		is.Equal(ok, wait == 0)
+		now = now.Add(wait)
+		sent += string(tx.ID)
+	}
+	is.Equal(sent, "defgab")
+	is.True(now.Sub(time.Unix(1000, 0)) >= 600*time.Millisecond) // 5 at once, the sixth above the reserve
+}
+
 // Guards against grants above the rate, against a wait after which the same
 // request is refused again, and against a lower priority that passes a higher.
 func TestLimiterNeverExceedsBudget(t *testing.T) {
