Offer a refused task to another worker

Cause: a task whose reservation the agent refused was offered to the same worker again, since the entry's view had not changed. Change: the task avoids that worker unless there is no other; test. Conclusion: a stale view costs one attempt per task.

--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -175,11 +175,13 @@
 }
 
 // Refused records that the agent did not accept a placed task; it is queued
-// again and its worker is avoided until the next heartbeat corrects the view.
+// again and takes the same worker only if there is no other.
 func (s *Scheduler) Refused(t oleandervalve.TaskID, now time.Time) {
 	if r := s.release(t, now); r != nil {
 		s.probeLost(r, now)
-		s.requeue(r.Task, now)
+		task := r.Task
+		task.Avoid = r.Worker.ID
+		s.requeue(task, now)
 	}
 }
 
--- a/core/scheduler/scheduler_test.go
+++ b/core/scheduler/scheduler_test.go
@@ -218,6 +218,16 @@
 	is.Equal(s.fleet.Worker("w3").StartCap, 1)
 }
 
+// Guards against a task that is offered again and again to an agent that refuses it.
+func TestRefusedTaskGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	s := rig(3)
+	s.Submit(epoch, tasksOf("j", 1, worker.Spec{})...)
+	first := pick(s.Step(epoch, 1), Place)[0].Worker
+	s.Refused("j/0", epoch)
+	is.True(pick(s.Step(epoch, 1), Place)[0].Worker != first)
+}
+
 // Guards against explanations without figures.
 func TestExplain(t *testing.T) {
 	is := is.New(t)
