Let callers that name no class share what the others leave

Cause: queues refuse classes without a policy, so the development mode refused every call without a class header (TestDevServesUntilStopped). Change: the demonstration's policies include the class default with no floor. Conclusion: callers need no class header.

--- a/io/demo/deployment.go
+++ b/io/demo/deployment.go
@@ -69,7 +69,8 @@
 
 // policies are the class policies of the deployment's service at the entries.
 func (d deployment) policies() []caller.ClassPolicy {
-	var out []caller.ClassPolicy
+	// Callers that name no class share what the others leave.
+	out := []caller.ClassPolicy{{Class: "default", Weight: 1}}
 	for _, t := range d.traffic {
 		out = append(out, caller.ClassPolicy{Class: t.class, Weight: t.weight, Floor: t.floor})
 	}
@@ -78,7 +79,7 @@
 
 // shares are the class shares of the deployment's service at the agents.
 func (d deployment) shares() []credit.ClassShare {
-	var out []credit.ClassShare
+	out := []credit.ClassShare{{Class: "default", Weight: 1}}
 	for _, t := range d.traffic {
 		out = append(out, credit.ClassShare{Class: t.class, Weight: t.weight, Floor: t.floor})
 	}
