--- a/core/instance/flood_test.go
+++ b/core/instance/flood_test.go
@@ -40,6 +40,9 @@
 // classes within their floor, leaves capacity unused, or leaves requests
 // unanswered past their deadline.
 func TestFlood(t *testing.T) {
+	if testing.Short() {
+		t.Skip("single-threaded figures run without the race detector")
+	}
 	for seed := uint64(1); seed <= 5; seed++ {
 		calm := simulate(seed, withCredits, floodClasses(""))
 		calmBase := simulate(seed, fifoLeast, floodClasses(""))
@@ -75,6 +78,9 @@
 // Guards against credits beyond the ledger: at the same load as the other
 // choices, no request is refused at its endpoint and none is lost.
 func TestRoutingComparison(t *testing.T) {
+	if testing.Short() {
+		t.Skip("single-threaded figures run without the race detector")
+	}
 	is := is.New(t)
 	for _, load := range []float64{0.85, 0.95} {
 		for seed := uint64(1); seed <= 5; seed++ {
--- a/core/operator/spread_test.go
+++ b/core/operator/spread_test.go
@@ -217,6 +217,9 @@
 // Guards against a configuration that spreads too slowly or uses up the
 // agents' message budget, at 1,400 changes a day and in a burst of 50.
 func TestSpread(t *testing.T) {
+	if testing.Short() {
+		t.Skip("single-threaded figures run without the race detector")
+	}
 	hb, err := peer.EncodeFrame(&peer.Heartbeat{
 		Sequence: 1 << 20, SentAfter: 400 * 24 * time.Hour, Revision: 1 << 20, Digest: 1 << 63,
 		Free: oleandervalve.Resources{CPU: 64000, Memory: 1 << 38, Accelerators: 2},
--- a/core/scheduler/policy_test.go
+++ b/core/scheduler/policy_test.go
@@ -31,6 +31,9 @@
 // Guards against a policy that protects services by starving batch work, or
 // serves batch work by slowing services or by evicting as much as the baseline.
 func TestPolicyTargets(t *testing.T) {
+	if testing.Short() {
+		t.Skip("single-threaded figures run without the race detector")
+	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
@@ -64,6 +67,9 @@
 
 // Guards against workers that fail everything and so look idle and drain the queue.
 func TestFailingWorkersCostLittleThroughput(t *testing.T) {
+	if testing.Short() {
+		t.Skip("single-threaded figures run without the race detector")
+	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -233,6 +233,7 @@
 	before := a.ledger.Endpoints()
 	now := a.clock.Now()
 	a.ledger.Drain(now)
+	a.drainTasks()
 	for _, l := range a.links {
 		l.conn.TrySend(&peer.Drain{Reason: "plannedStop", Within: within})
 	}
@@ -242,7 +243,7 @@
 	end := now.Add(within)
 	for a.clock.Now().Before(end) {
 		a.mu.Lock()
-		idle := a.ledger.Idle()
+		idle := a.ledger.Idle() && a.tasksIdle()
 		a.mu.Unlock()
 		if idle {
 			return true
--- a/io/agent/tasks.go
+++ b/io/agent/tasks.go
@@ -30,7 +30,6 @@
 	lease       *lease.Worker
 	boot        time.Time
 	checkpoints map[job.Run][]byte
-	shares      map[job.Run]float64
 	capacity    oleandervalve.Resources
 	residents   []peer.Resident
 	usageAt     time.Time
@@ -56,7 +55,7 @@
 		return
 	}
 	t.worker, t.boot, t.lease = a.worker, a.clock.Now(), lease.NewWorker(lease.WorkerLease)
-	t.checkpoints, t.shares = map[job.Run][]byte{}, map[job.Run]float64{}
+	t.checkpoints = map[job.Run][]byte{}
 	t.runner = job.NewRunner(a.worker, job.Incarnation(rand.Uint64()), t.lease, taskLedger{a})
 }
 
@@ -142,6 +141,16 @@
 	return &peer.Residents{Capacity: a.tasks.capacity, Residents: a.tasks.residents}
 }
 
+// drainTasks refuses new tasks; the entries move those that run elsewhere.
+func (a *Agent) drainTasks() {
+	if a.tasks != nil {
+		a.tasks.runner.Drain()
+	}
+}
+
+// tasksIdle reports whether no task is left.
+func (a *Agent) tasksIdle() bool { return a.tasks == nil || a.tasks.runner.Idle() }
+
 // handleTask takes a message about tasks; the caller holds the lock.
 func (a *Agent) handleTask(l *link, m peer.Message) {
 	t := a.tasks
@@ -165,25 +174,8 @@
 	case *peer.AcknowledgeTask:
 		a.perform(now, l, t.runner.Acknowledge(now, m.Acknowledge))
 	case *peer.ThrottleTask:
-		a.throttle(m)
-	}
-}
-
-// throttle passes a changed share on to the platform.
-func (a *Agent) throttle(m *peer.ThrottleTask) {
-	t := a.tasks
-	if old, ok := t.shares[m.Run]; ok && old == m.Share {
-		return
+		a.perform(now, l, t.runner.Throttle(now, m.Throttle))
 	}
-	t.shares[m.Run] = m.Share
-	a.goPlatform(func(ctx context.Context) {
-		if err := t.platform.Throttle(ctx, t.worker, m.Run.Task, m.Share); err != nil {
-			a.mu.Lock()
-			delete(t.shares, m.Run)
-			a.mu.Unlock()
-			a.log.WithError(err).WithField("taskId", m.Run.Task).Warn("platform did not throttle the task")
-		}
-	})
 }
 
 // perform carries out the runner's actions; l is the entry that caused them.
@@ -208,7 +200,6 @@
 func (a *Agent) forgetRun(r job.Report) {
 	if r.Status != job.StatusRunning {
 		delete(a.tasks.checkpoints, r.Run)
-		delete(a.tasks.shares, r.Run)
 	}
 }
 
@@ -251,6 +242,15 @@
 				_ = t.platform.Renew(ctx, t.worker, x.Tasks, x.Lease)
 			}
 		})
+	case job.PlatformThrottle:
+		a.goPlatform(func(ctx context.Context) {
+			if !a.clock.Now().Before(x.NotAfter) {
+				return
+			}
+			if err := t.platform.Throttle(ctx, t.worker, x.Run.Task, x.Share); err != nil {
+				a.log.WithError(err).WithField("taskId", x.Run.Task).Warn("platform did not throttle the task")
+			}
+		})
 	case job.PlatformStop:
 		a.goPlatform(func(ctx context.Context) {
 			o := outcomeOf(t.platform.Stop(ctx, t.worker, x.Run.Task, x.Run.Epoch))
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -97,6 +97,9 @@
 		e.mu.Lock()
 		e.directory.Draining(l.agent, l.epoch)
 		e.mu.Unlock()
+		if e.owner != nil && l.worker != "" {
+			e.owner.Handle(l.worker, m)
+		}
 	case *peer.Response:
 		e.deliver(l, m.ID, m)
 	case *peer.Refused:
--- a/io/peer/tasks.go
+++ b/io/peer/tasks.go
@@ -32,10 +32,7 @@
 type AcknowledgeTask struct{ job.Acknowledge }
 
 // ThrottleTask limits a running task to a share of its processor allowance.
-type ThrottleTask struct {
-	Run   job.Run `cbor:"run"`
-	Share float64 `cbor:"share"`
-}
+type ThrottleTask struct{ job.Throttle }
 
 // Usage passes lagging measurements of a worker's tasks on to an entry.
 type Usage struct {
--- a/io/standin/platform.go
+++ b/io/standin/platform.go
@@ -62,6 +62,9 @@
 	samples map[oleandervalve.WorkerID][]oleandervalve.UsageSample
 	counts  PlatformCounts
 	resumed map[string]int
+	// stopped holds the highest epoch of each task that was told to stop; a
+	// start that arrives later than its stop has no effect.
+	stopped map[oleandervalve.TaskID]oleandervalve.Epoch
 }
 
 // PlatformCounts is what the stand-in observed.
@@ -85,6 +88,7 @@
 		broken:  map[oleandervalve.WorkerID]bool{},
 		samples: map[oleandervalve.WorkerID][]oleandervalve.UsageSample{},
 		resumed: map[string]int{},
+		stopped: map[oleandervalve.TaskID]oleandervalve.Epoch{},
 	}
 }
 
@@ -143,6 +147,9 @@
 	}
 	switch operation {
 	case "start":
+		if q.Spec.Epoch <= p.stopped[q.Spec.Task] {
+			return http.StatusGone, platformhttp.Response{}
+		}
 		p.start(w, q)
 		return http.StatusOK, platformhttp.Response{}
 	case "renew":
@@ -157,6 +164,9 @@
 	case "usage":
 		return http.StatusOK, platformhttp.Response{Samples: p.usage(w, q.Since)}
 	}
+	if operation == "stop" {
+		p.stopped[q.Task] = max(q.Epoch, p.stopped[q.Task])
+	}
 	t := p.tasks[w][q.Task]
 	if t == nil || t.spec.Epoch != q.Epoch && operation != "throttle" {
 		return http.StatusNotFound, platformhttp.Response{}
--- a/io/taskowner/owner.go
+++ b/io/taskowner/owner.go
@@ -319,12 +319,10 @@
 		if s == nil {
 			continue // the owner of the task sees the same measurements
 		}
-		t, ok := s.Task(d.Task)
-		if !ok {
-			continue
-		}
 		if d.Action == scheduler.Throttle {
-			o.sender.SendWorker(t.Worker, &peer.ThrottleTask{Run: t.Run(), Share: d.Share})
+			if actions, err := s.Throttle(d.Task, d.Share); err == nil {
+				o.run(now, i, actions)
+			}
 			continue
 		}
 		if actions, err := s.Evict(now, d.Task, d.Reason); err == nil {
@@ -353,6 +351,8 @@
 			o.sender.SendWorker(a.Worker, &peer.StopTask{Stop: a})
 		case job.Query:
 			o.sender.SendWorker(a.Worker, &peer.QueryTask{Query: a})
+		case job.Throttle:
+			o.sender.SendWorker(a.Worker, &peer.ThrottleTask{Throttle: a})
 		case job.Acknowledge:
 			o.sender.SendWorker(a.Worker, &peer.AcknowledgeTask{Acknowledge: a})
 		default:
--- a/io/taskowner/workers.go
+++ b/io/taskowner/workers.go
@@ -23,6 +23,7 @@
 	}
 	v.location, v.labels, v.heard = l, labels.Set(set), true
 	o.suspicion.Heard(now, w)
+	o.placer.scheduler.KeepWorker(w)
 	for i, s := range o.shards {
 		o.run(now, i, s.WorkerConnected(now, w))
 	}
@@ -55,6 +56,8 @@
 	case *peer.TaskReport:
 		m.Worker = w
 		o.report(now, m.Report)
+	case *peer.Drain:
+		o.drain(now, w, m.Within)
 	case *peer.Usage:
 		for _, u := range m.Samples {
 			o.placer.scheduler.Sample(u, now)
@@ -62,6 +65,17 @@
 	}
 }
 
+// reasonDraining marks tasks that leave a worker because its agent stops as planned.
+const reasonDraining = oleandervalve.Reason("workerDraining")
+
+// drain moves the tasks off a worker whose agent is about to stop.
+func (o *Owner) drain(now time.Time, w oleandervalve.WorkerID, within time.Duration) {
+	o.placer.scheduler.Replace(w, now.Add(within))
+	for i, s := range o.shards {
+		o.run(now, i, s.EvictWorker(now, w, reasonDraining))
+	}
+}
+
 func (o *Owner) report(now time.Time, r job.Report) {
 	i := job.ShardOf(job.Parent(r.Run.Task))
 	if s := o.shards[i]; s != nil {
--- a/platform.go
+++ b/platform.go
@@ -78,7 +78,8 @@
 	Start(ctx context.Context, w WorkerID, spec TaskSpec, lease time.Duration) error
 	// Renew extends the leases of the tasks on a worker.
 	Renew(ctx context.Context, w WorkerID, tasks []TaskID, lease time.Duration) error
-	// Stop ends a task and returns when it has stopped.
+	// Stop ends a task and returns when it has stopped; a later Start of the
+	// task at this or a lower epoch has no effect.
 	Stop(ctx context.Context, w WorkerID, t TaskID, e Epoch) error
 	// Checkpoint returns the state of a running task.
 	Checkpoint(ctx context.Context, w WorkerID, t TaskID, e Epoch) ([]byte, error)
