Cut allocations and lock time on the request path

Cause: a profile of 64 callers showed 16 KiB buffers allocated twice for each request, Surplus rebuilding all held credits on each dispatch (3.8% of the processor time), and agents comparing endpoint lists after each request under their lock (33% of the time spent waiting for locks). Change: pooled start buffers, Surplus skips endpoints without class credits, endpoint lists are compared with the last published one on changes and ticks, answer and credits leave in one frame.

--- a/core/endpoint/credits.go
+++ b/core/endpoint/credits.go
@@ -124,6 +124,9 @@
 func (d *Directory) Surplus(service oleandervalve.ServiceName) []CreditReturn {
 	var out []CreditReturn
 	for _, x := range d.services[service] {
+		if !x.hasClassCredit() {
+			continue
+		}
 		var give []heldCredit
 		keep := x.credits[:0]
 		for _, c := range x.credits {
@@ -139,6 +142,17 @@
 	return out
 }
 
+// hasClassCredit reports whether any credit was granted for a class. Most of
+// the time none was, and then nothing has to be rebuilt.
+func (x *endpointView) hasClassCredit() bool {
+	for i := range x.credits {
+		if x.credits[i].class != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // forget notes that the agent has no demand for a class any more, so that
 // Demands tells it anew if requests wait.
 func (v *agentView) forget(s oleandervalve.ServiceName, c oleandervalve.ClassName) {
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -41,6 +41,8 @@
 	tasks     *tasks
 	links     map[oleandervalve.EntryID]*link
 	addresses map[oleandervalve.EndpointID]string
+	// published is the endpoint list that the entries were told last.
+	published []instance.Endpoint
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -121,9 +123,8 @@
 		}
 		a.mu.Lock()
 		now := a.clock.Now()
-		before := a.ledger.Endpoints()
 		a.ledger.Tick(now)
-		a.publishChange(before)
+		a.publishChange()
 		a.grant(now)
 		a.tickTasks(now)
 		if now.Sub(beat) >= a.beatEvery {
@@ -165,13 +166,12 @@
 func (a *Agent) Announce(n oleandervalve.Announcement) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	before := a.ledger.Endpoints()
 	now := a.clock.Now()
 	if err := a.ledger.Announce(now, n); err != nil {
 		return err
 	}
 	a.addresses[n.Endpoint] = n.Address
-	if a.publishChange(before) {
+	if a.publishChange() {
 		a.grant(now)
 	}
 	return nil
@@ -181,18 +181,18 @@
 func (a *Agent) Leave(id oleandervalve.EndpointID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	before := a.ledger.Endpoints()
 	a.ledger.Leave(a.clock.Now(), id)
-	a.publishChange(before)
+	a.publishChange()
 }
 
-// publishChange sends the endpoint list to the entries if it differs from
-// before; the caller holds the lock.
-func (a *Agent) publishChange(before []instance.Endpoint) bool {
+// publishChange sends the endpoint list to the entries if it has changed; the
+// caller holds the lock.
+func (a *Agent) publishChange() bool {
 	after := a.ledger.Endpoints()
-	if sameEndpoints(before, after) {
+	if sameEndpoints(a.published, after) {
 		return false
 	}
+	a.published = after
 	m := endpointsMessage(after)
 	for _, l := range a.links {
 		l.conn.TrySend(m)
@@ -230,7 +230,6 @@
 // Drain stops new work and waits until the requests in flight end or the time is over.
 func (a *Agent) Drain(within time.Duration) bool {
 	a.mu.Lock()
-	before := a.ledger.Endpoints()
 	now := a.clock.Now()
 	a.ledger.Drain(now)
 	a.drainTasks()
@@ -238,7 +237,7 @@
 		l.conn.TrySend(&peer.Drain{Reason: "plannedStop", Within: within})
 	}
 	a.grant(now)
-	a.publishChange(before)
+	a.publishChange()
 	a.mu.Unlock()
 	end := now.Add(within)
 	for a.clock.Now().Before(end) {
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,11 @@
 	err := a.ledger.Admit(now, instance.Admission{
 		ID: m.ID, Entry: l.entry, Epoch: l.epoch, Endpoint: m.Endpoint, Class: m.Class, Deadline: deadline,
 	})
+	if err == nil {
+		// Nothing delays the request between admission and execution here, so a
+		// withdrawal can't come in between.
+		err = a.ledger.Begin(now, l.entry, l.epoch, m.ID)
+	}
 	address := a.addresses[m.Endpoint]
 	a.mu.Unlock()
 	if err != nil {
@@ -46,20 +52,24 @@
 	l.add(m.ID, s)
 	go func() {
 		defer cancel()
-		a.serve(ctx, l, s, address, m, body, deadline)
+		answer := a.serve(ctx, l, s, address, m, body, deadline)
 		l.remove(m.ID)
-		a.release(l, m.ID)
+		a.release(l, m.ID, answer)
 	}()
 }
 
-func (a *Agent) release(l *link, id oleandervalve.RequestID) {
+// release frees the slot of a request and sends its answer, if it is one
+// message, together with the credits that the free slot gives.
+func (a *Agent) release(l *link, id oleandervalve.RequestID, answer peer.Message) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	now := a.clock.Now()
-	before := a.ledger.Endpoints()
 	a.ledger.Finish(now, l.entry, l.epoch, id)
-	a.publishChange(before)
+	sent := answer == nil || l.conn.TrySend(answer)
 	a.grant(now)
+	a.mu.Unlock()
+	if !sent {
+		_ = l.conn.Send(answer)
+	}
 }
 
 // refuse answers a request that did not run; a frame that must not be answered is dropped.
@@ -69,79 +79,80 @@
 		a.scope.Tagged(map[string]string{"reason": string(drop.Reason)}).Counter("droppedRequests").Inc(1)
 		return
 	}
+	_ = l.conn.Send(a.refusal(id, err))
+}
+
+// refusal returns the message that a request did not run.
+func (a *Agent) refusal(id oleandervalve.RequestID, err error) *peer.Refused {
 	m := &peer.Refused{ID: id, Reason: "refused", Remedy: err.Error()}
 	var notRun *oleandervalve.NotRunError
 	if errors.As(err, &notRun) {
 		m.Reason, m.Remedy = notRun.Reason, notRun.Remedy
 	}
 	a.countRefusal(m.Reason)
-	a.log.WithError(err).WithField("requestId", id).WithField("entry", l.entry).Debug("request was refused")
-	_ = l.conn.Send(m)
-}
-
-func (a *Agent) begin(l *link, id oleandervalve.RequestID) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.ledger.Begin(a.clock.Now(), l.entry, l.epoch, id)
+	a.log.WithError(err).WithField("requestId", id).Debug("request was refused")
+	return m
 }
 
-// serve sends one request to its endpoint and the answer back to the entry.
-func (a *Agent) serve(ctx context.Context, l *link, s *served, address string, m *peer.Request, body io.Reader, deadline time.Time) {
-	if err := a.begin(l, m.ID); err != nil {
-		a.refuse(l, m.ID, err)
-		return
-	}
+// serve sends one request to its endpoint. It returns an answer that is one
+// message, and sends a longer one to the entry itself.
+func (a *Agent) serve(ctx context.Context, l *link, s *served, address string, m *peer.Request, body io.Reader, deadline time.Time) peer.Message {
 	p, err := a.client.Do(ctx, address, oleandervalve.EndpointRequest{
 		ID: m.ID, Method: m.Method, Path: m.Path, Header: m.Header, Body: body, Deadline: deadline,
 	})
 	if err != nil {
-		a.reportFailure(l, m.ID, err)
-		return
+		return a.failure(m.ID, err)
 	}
 	defer p.Body.Close()
 	first, err := readStart(p.Body)
 	switch {
 	case errors.Is(err, io.EOF):
 		a.countOutcome(oleandervalve.OutcomeAnswered)
-		_ = l.conn.Send(&peer.Response{ID: m.ID, Status: p.Status, Header: answerHeader(p.Header), Whole: true, Inline: first})
+		return &peer.Response{ID: m.ID, Status: p.Status, Header: answerHeader(p.Header), Whole: true, Inline: first}
 	case err != nil:
-		a.reportFailure(l, m.ID, err)
-	default:
-		if l.conn.Send(&peer.Response{ID: m.ID, Status: p.Status, Header: answerHeader(p.Header)}) == nil {
-			if _, err = s.download.Copy(first, p.Body); err == nil {
-				a.countOutcome(oleandervalve.OutcomeAnswered)
-				return
-			}
+		return a.failure(m.ID, err)
+	}
+	if l.conn.Send(&peer.Response{ID: m.ID, Status: p.Status, Header: answerHeader(p.Header)}) == nil {
+		if _, err = s.download.Copy(first, p.Body); err == nil {
+			a.countOutcome(oleandervalve.OutcomeAnswered)
+			return nil
 		}
-		a.countOutcome(oleandervalve.OutcomeUnknown)
 	}
+	a.countOutcome(oleandervalve.OutcomeUnknown)
+	return nil
 }
 
+// startBuffers holds buffers for the start of answers; most answers are far
+// smaller than a buffer, which would be garbage after each of them.
+var startBuffers = sync.Pool{New: func() any { b := make([]byte, inlineAnswer); return &b }}
+
 // readStart reads the start of an answer; the error is io.EOF only if that is
 // the whole answer. io.ReadFull can't be used: its io.ErrUnexpectedEOF is also
 // what a cut body returns.
 func readStart(r io.Reader) ([]byte, error) {
-	b := make([]byte, inlineAnswer)
+	p := startBuffers.Get().(*[]byte)
+	defer startBuffers.Put(p)
+	b := *p
 	n := 0
 	for n < len(b) {
 		k, err := r.Read(b[n:])
 		n += k
 		if err != nil {
-			return b[:n], err
+			return bytes.Clone(b[:n]), err
 		}
 	}
-	return b, nil
+	return bytes.Clone(b), nil
 }
 
-func (a *Agent) reportFailure(l *link, id oleandervalve.RequestID, err error) {
+// failure returns the message for a request without a whole answer.
+func (a *Agent) failure(id oleandervalve.RequestID, err error) peer.Message {
 	var notSent *oleandervalve.NotSentError
 	if errors.As(err, &notSent) {
-		a.refuse(l, id, &oleandervalve.NotRunError{Reason: "endpointUnreachable", Remedy: notSent.Error()})
-		return
+		return a.refusal(id, &oleandervalve.NotRunError{Reason: "endpointUnreachable", Remedy: notSent.Error()})
 	}
 	a.countOutcome(oleandervalve.OutcomeUnknown)
-	a.log.WithError(err).WithField("requestId", id).WithField("entry", l.entry).Info("endpoint gave no whole answer")
-	_ = l.conn.Send(&peer.Failed{ID: id, Reason: "endpointFailed", Remedy: "the endpoint gave no whole answer; check its log"})
+	a.log.WithError(err).WithField("requestId", id).Info("endpoint gave no whole answer")
+	return &peer.Failed{ID: id, Reason: "endpointFailed", Remedy: "the endpoint gave no whole answer; check its log"}
 }
 
 func answerHeader(h http.Header) http.Header {
--- a/io/callerhttp/handler.go
+++ b/io/callerhttp/handler.go
@@ -1,12 +1,14 @@
 package callerhttp
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -183,11 +185,15 @@
 	return nil
 }
 
+// inlineBuffers holds buffers for the start of request bodies.
+var inlineBuffers = sync.Pool{New: func() any { b := make([]byte, InlineBody+1); return &b }}
+
 // readBody reads a small body whole, so that the server notices when the caller goes away.
 func (c *Call) readBody(r io.Reader) error {
-	b := make([]byte, InlineBody+1)
-	n, err := io.ReadFull(r, b)
-	c.Inline = b[:n]
+	p := inlineBuffers.Get().(*[]byte)
+	defer inlineBuffers.Put(p)
+	n, err := io.ReadFull(r, *p)
+	c.Inline = bytes.Clone((*p)[:n])
 	switch {
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
 		return nil
