Learn from the epoch that runs and resize reservations at the agent

Cause: the scheduler knew a task by the epoch of its submission, so every usage sample of its run was ignored; decisions to resize were dropped, so the agent's ledger refused what the entry's view had room for; a reservation that was given up unused could not be taken again under its epoch. Change: Scheduler.SetEpoch on every record that names a worker, the message resizeTask, Ledger.Resize and Ledger.Free.

--- a/core/instance/ledger_test.go
+++ b/core/instance/ledger_test.go
@@ -150,3 +150,22 @@
 		l.Finish(now, "0", 1, id)
 	}
 }
+
+// Guards against a resize that exceeds the worker or reaches another epoch, and
+// against a freed reservation that can't be taken again under its epoch.
+func TestResizeAndFree(t *testing.T) {
+	is := is.New(t)
+	l := instance.NewLedger()
+	size := func(cpu oleandervalve.Millicores) oleandervalve.Resources { return oleandervalve.Resources{CPU: cpu} }
+	l.Rebuild(size(10), nil)
+	is.NoErr(l.Reserve(start, "a/0", 1, size(4)))
+	is.NoErr(l.Reserve(start, "b/0", 1, size(4)))
+	is.True(l.Resize("a/0", 1, size(7)) != nil) // does not fit beside the other task
+	is.True(l.Resize("a/0", 2, size(1)) != nil) // another epoch
+	is.NoErr(l.Resize("b/0", 1, size(1)))
+	is.NoErr(l.Resize("a/0", 1, size(7)))
+	is.Equal(l.FreeResources(), size(2))
+	is.True(l.Free("a/0", 1))
+	is.NoErr(l.Reserve(start, "a/0", 1, size(9)))
+	is.True(l.Resize("a/0", 1, size(10)) != nil)
+}
--- a/core/instance/reservations.go
+++ b/core/instance/reservations.go
@@ -99,6 +99,14 @@
 	if e >= w.released[t].epoch {
 		w.released[t] = released{e, now}
 	}
+	return l.Free(t, e)
+}
+
+// Free gives the resources of a task back if it holds them under this or an
+// earlier epoch, and reports whether it did. Unlike Release it leaves the epochs
+// usable, for a caller that fences them itself.
+func (l *Ledger) Free(t oleandervalve.TaskID, e oleandervalve.Epoch) bool {
+	w := &l.worker
 	held, ok := w.tasks[t]
 	if !ok || held.Epoch > e {
 		return false
@@ -108,6 +116,27 @@
 	return true
 }
 
+// Resize changes what a task holds under an epoch; growth beyond the free
+// resources is refused with a *oleandervalve.NotRunError and changes nothing.
+func (l *Ledger) Resize(t oleandervalve.TaskID, e oleandervalve.Epoch, size oleandervalve.Resources) error {
+	w := &l.worker
+	held, ok := w.tasks[t]
+	after := w.reserved.Sub(held.Size).Add(size)
+	switch {
+	case !ok || held.Epoch != e:
+		return refuse("staleEpoch", "read the task's record and use its current epoch")
+	case size.IsNegative():
+		return refuse("invalidSize", "use a size without negative amounts")
+	case grows(held.Size, size) && !after.Fits(w.capacity):
+		return refuse("noCapacity", "move another task away first")
+	}
+	w.tasks[t] = Reservation{t, e, size}
+	w.reserved = after
+	return nil
+}
+
+func grows(from, to oleandervalve.Resources) bool { return !to.Fits(from) }
+
 // FreeResources returns the worker's resources that no task holds.
 func (l *Ledger) FreeResources() oleandervalve.Resources {
 	return l.worker.capacity.Sub(l.worker.reserved)
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -167,6 +167,14 @@
 // Forget drops a task that another entry owns and that has left its worker.
 func (s *Scheduler) Forget(t oleandervalve.TaskID, now time.Time) { s.release(t, now) }
 
+// SetEpoch records the epoch under which a placed task runs; samples of other
+// epochs are ignored.
+func (s *Scheduler) SetEpoch(t oleandervalve.TaskID, e oleandervalve.Epoch) {
+	if r := s.fleet.Resident(t); r != nil {
+		r.Epoch = e
+	}
+}
+
 // Started records that a placed task runs.
 func (s *Scheduler) Started(t oleandervalve.TaskID, now time.Time) { s.fleet.Start(t, now) }
 
--- a/io/agent/tasks.go
+++ b/io/agent/tasks.go
@@ -70,8 +70,8 @@
 // Adopt relies on the rebuilt ledger, which holds everything that runs.
 func (l taskLedger) Adopt(job.Run, oleandervalve.Resources) {}
 
-// Release returns the resources of a run.
-func (l taskLedger) Release(r job.Run) { l.a.ledger.Release(l.a.clock.Now(), r.Task, r.Epoch) }
+// Release returns the resources of a run; the runner itself fences its epochs.
+func (l taskLedger) Release(r job.Run) { l.a.ledger.Free(r.Task, r.Epoch) }
 
 // tickTasks does what is due; the caller holds the lock.
 func (a *Agent) tickTasks(now time.Time) {
@@ -173,6 +173,10 @@
 		a.perform(now, l, t.runner.Query(now, m.Query))
 	case *peer.AcknowledgeTask:
 		a.perform(now, l, t.runner.Acknowledge(now, m.Acknowledge))
+	case *peer.ResizeTask:
+		if err := a.ledger.Resize(m.Run.Task, m.Run.Epoch, m.Size); err != nil {
+			a.log.WithError(err).WithField("taskId", m.Run.Task).WithField("epoch", m.Run.Epoch).Info("reservation was not resized")
+		}
 	case *peer.ThrottleTask:
 		a.perform(now, l, t.runner.Throttle(now, m.Throttle))
 	}
--- a/io/peer/tasks.go
+++ b/io/peer/tasks.go
@@ -34,6 +34,12 @@
 // ThrottleTask limits a running task to a share of its processor allowance.
 type ThrottleTask struct{ job.Throttle }
 
+// ResizeTask changes what a running task reserves, as its true size is learned.
+type ResizeTask struct {
+	Run  job.Run                 `cbor:"run"`
+	Size oleandervalve.Resources `cbor:"size"`
+}
+
 // Usage passes lagging measurements of a worker's tasks on to an entry.
 type Usage struct {
 	Samples []oleandervalve.UsageSample `cbor:"samples"`
@@ -70,6 +76,7 @@
 	typeTaskReport      Type = "taskReport"
 	typeAcknowledgeTask Type = "acknowledgeTask"
 	typeThrottleTask    Type = "throttleTask"
+	typeResizeTask      Type = "resizeTask"
 	typeUsage           Type = "usage"
 	typeResidents       Type = "residents"
 	typeLeaseRenewed    Type = "leaseRenewed"
@@ -102,6 +109,9 @@
 // Type returns "throttleTask".
 func (*ThrottleTask) Type() Type { return typeThrottleTask }
 
+// Type returns "resizeTask".
+func (*ResizeTask) Type() Type { return typeResizeTask }
+
 // Type returns "usage".
 func (*Usage) Type() Type { return typeUsage }
 
@@ -131,6 +141,8 @@
 		return &AcknowledgeTask{}
 	case typeThrottleTask:
 		return &ThrottleTask{}
+	case typeResizeTask:
+		return &ResizeTask{}
 	case typeUsage:
 		return &Usage{}
 	case typeResidents:
--- a/io/taskowner/owner.go
+++ b/io/taskowner/owner.go
@@ -319,6 +319,12 @@
 		if s == nil {
 			continue // the owner of the task sees the same measurements
 		}
+		if d.Action == scheduler.Resize {
+			if t, ok := s.Task(d.Task); ok {
+				o.sender.SendWorker(t.Worker, &peer.ResizeTask{Run: t.Run(), Size: d.Size})
+			}
+			continue
+		}
 		if d.Action == scheduler.Throttle {
 			if actions, err := s.Throttle(d.Task, d.Share); err == nil {
 				o.run(now, i, actions)
--- a/io/taskowner/placer.go
+++ b/io/taskowner/placer.go
@@ -119,6 +119,9 @@
 	case job.StateAssigned, job.StateRunning, job.StateCheckpointing:
 		p.adopt(now, r, x)
 	case job.StateFinished:
+		if x != nil && x.stage == stageQueued {
+			p.withdraw(r.Job)
+		}
 		if x != nil {
 			delete(p.tasks, id)
 			return p.scheduler.Finished(id, now)
@@ -150,6 +153,7 @@
 // adopt records that a task occupies the worker that its record names.
 func (p *placer) adopt(now time.Time, r job.Record, x *placement) {
 	id := r.Task()
+	defer p.scheduler.SetEpoch(id, r.Epoch)
 	if x != nil && x.stage != stageQueued && x.worker == r.Worker {
 		if r.State == job.StateRunning && x.stage == stagePlaced {
 			p.scheduler.Started(id, now)
@@ -215,8 +219,12 @@
 		case scheduler.Place:
 			if x := p.tasks[d.Task]; x != nil {
 				x.stage, x.worker, x.size, x.at = stagePlaced, d.Worker, d.Size, now
+			} else {
+				p.scheduler.Forget(d.Task, now)
 			}
 			delete(p.blocked, d.Job)
+		case scheduler.Resize:
+			out = append(out, d)
 		case scheduler.Throttle, scheduler.Evict:
 			out = append(out, d)
 			log.WithField("taskId", d.Task).WithField("slowdown", d.Slowdown).Info("task is held back for others")
