Divide the table budget among the live entries; ask less often about silent workers

Cause: each owner used the whole default table budget, so that eight entries could write 2,400 rows/s where all entries together have 300. Each entry also asked the platform about every silent worker each second: 350 workers of a region that is cut off make 2,800 calls/s from eight entries.

Change: the owner divides the budget by the entries whose session is valid, which it reads every two seconds anyway. The time between two questions about the same worker doubles from 1 s to 16 s. WithLimits still sets a fixed share.

Figures (TestQuestionsAboutSilentWorkersBackOff): 350 silent workers over two minutes cause 3,850 questions of one entry; before, one each second would have been 42,000 (calculated).

Conclusion: an end of silence that only the platform can tell may be noticed up to 16 s later; the lease guard of 30 s is longer.

--- /dev/null
+++ b/io/measure/agent_test.go
@@ -0,0 +1,296 @@
+package measure
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"oleandervalve"
+	"oleandervalve/core/table"
+	"oleandervalve/io/agent"
+	"oleandervalve/io/callerhttp"
+	"oleandervalve/io/entry"
+	"oleandervalve/io/objecthttp"
+	"oleandervalve/io/peer"
+	"oleandervalve/io/platformhttp"
+	"oleandervalve/io/standin"
+	"oleandervalve/io/tablehttp"
+	"oleandervalve/io/taskowner"
+)
+
+const (
+	envEntries = "OLEANDERVALVE_MEASURE_ENTRIES"
+	envAgent   = "OLEANDERVALVE_MEASURE_AGENT"
+
+	// residentTasks is the design size's 8,000 tasks over 700 workers, rounded up.
+	residentTasks = 12
+	// startEvery is the worker's share of the peak: 69 starts/s over 700 workers.
+	startEvery = 10 * time.Second
+	// requestsPerSecond is the share of one of 11 executors in the 200 requests/s of a deployment's demonstration load.
+	requestsPerSecond = 18
+
+	settle   = 20 * time.Second
+	measured = 30 * time.Second
+)
+
+// peers is what the other side prints when it is ready.
+type peers struct {
+	Entries  []string
+	Platform string
+	Objects  string
+}
+
+// report is what the other side has counted.
+type report struct {
+	Table         operations
+	PlatformBytes int64
+	Started       int
+}
+
+// servePeers runs entries, stand-ins and the load of the agent benchmark until
+// its input ends; a line of input starts the load, and the next one reports.
+func servePeers(entries int) {
+	clock := oleandervalve.SystemClock()
+	objects := standin.NewObjects(1)
+	platform := standin.NewPlatform(clock, standin.PlatformConfig{
+		Workers:   map[oleandervalve.WorkerID]oleandervalve.Resources{"worker-1": {CPU: 64000, Memory: 250 * gib}},
+		Behaviour: map[oleandervalve.KindName]standin.Behaviour{"routeSheet": {Pressure: 0.02}},
+		UsageLag:  2 * time.Second, Load: objects.Load, Seed: 1,
+	})
+	var out peers
+	var platformBytes atomic.Int64
+	out.Platform, out.Objects = serveCounted(platform.Handler(), &platformBytes), serve(objects.Handler())
+	counted := &countingTable{Table: tablehttp.NewClient(serve(standin.NewTable(clock, 1).Handler()), 2*time.Second)}
+	var owners []*taskowner.Owner
+	for i := range entries {
+		id := oleandervalve.EntryID(fmt.Sprint("entry-", i))
+		e := entry.New(id, entry.WithLog(quiet()))
+		o := taskowner.New(id, string(id), counted, platformhttp.NewClient(out.Platform, 2*time.Second), e,
+			taskowner.WithLog(quiet()), taskowner.WithLimits(table.DefaultLimits.Share(entries)))
+		e.SetTaskOwner(o)
+		owners = append(owners, o)
+		m := http.NewServeMux()
+		m.Handle(peer.Path, e.PeerHandler())
+		m.Handle("/call/", callerhttp.Handler(e, callerhttp.TrustedHeaders{}))
+		out.Entries = append(out.Entries, serve(m))
+	}
+	_, err := standin.StartEndpoint(standin.EndpointConfig{
+		Announcement: oleandervalve.Announcement{Endpoint: "executor-1", Service: "formaro", Slots: 8, Connections: 64},
+		Agent:        os.Getenv(envAgent), Service: 20 * time.Millisecond, Sigma: 0.3, Seed: 1, Books: standin.NewBooks(),
+	})
+	must(err)
+	must(json.NewEncoder(os.Stdout).Encode(out))
+	in := bufio.NewScanner(os.Stdin)
+	for in.Scan() {
+		switch in.Text() {
+		case "tasks":
+			submit(owners[0], "resident", residentTasks, 0)
+		case "load":
+			go load(owners, out.Entries)
+		case "table":
+			must(json.NewEncoder(os.Stdout).Encode(report{counted.operations(), platformBytes.Load(), platform.Counts().Started}))
+		}
+	}
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func serve(h http.Handler) string {
+	s, err := standin.Serve("127.0.0.1:0", h)
+	must(err)
+	return s.URL
+}
+
+// countingListener counts the bytes of the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	n *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.n}, err
+}
+
+func serveCounted(h http.Handler, n *atomic.Int64) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.Serve(countingListener{l, n}) }()
+	return "http://" + l.Addr().String()
+}
+
+func submit(o *taskowner.Owner, name string, tasks int, work time.Duration) {
+	must(o.Submit(context.Background(), taskowner.JobSpec{
+		Job: oleandervalve.JobID(name), Team: "riviere", Kind: "routeSheet", Tasks: tasks, Size: size(), RunTime: work,
+	}))
+}
+
+func load(owners []*taskowner.Owner, entries []string) {
+	requests := time.NewTicker(time.Second / requestsPerSecond)
+	starts := time.NewTicker(startEvery)
+	for i := 0; ; i++ {
+		select {
+		case <-requests.C:
+			go func() {
+				r, err := http.Get(entries[i%len(entries)] + "/call/formaro/instructions")
+				if err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					r.Body.Close()
+				}
+			}()
+		case <-starts.C:
+			submit(owners[i%len(owners)], fmt.Sprint("batch-", i), 1, 5*time.Second)
+		}
+	}
+}
+
+// countingConn counts the bytes of a connection in both directions.
+type countingConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// traffic counts the bytes that this process exchanges with each address.
+type traffic struct {
+	mu    sync.Mutex
+	bytes map[string]*atomic.Int64
+}
+
+func (t *traffic) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	t.mu.Lock()
+	n := t.bytes[address]
+	if n == nil {
+		n = &atomic.Int64{}
+		t.bytes[address] = n
+	}
+	t.mu.Unlock()
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	return countingConn{c, n}, err
+}
+
+func (t *traffic) sum(urls ...string) (total int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, u := range urls {
+		if n := t.bytes[strings.TrimPrefix(u, "http://")]; n != nil {
+			total += n.Load()
+		}
+	}
+	return total
+}
+
+// BenchmarkAgent reports the processor time, memory and network use of one
+// agent with 12 resident tasks and an endpoint: without load, and with its
+// share of the peak of task starts and an ordinary load of requests.
+func BenchmarkAgent(b *testing.B) {
+	for _, n := range []int{1, 4, 8} {
+		for _, mode := range []string{"rest", "peak"} {
+			b.Run(fmt.Sprintf("%s/entries=%d", mode, n), func(b *testing.B) {
+				for b.Loop() {
+					measureAgent(b, n, mode == "peak")
+				}
+			})
+		}
+	}
+}
+
+func measureAgent(b *testing.B, n int, peak bool) {
+	t := &traffic{bytes: map[string]*atomic.Int64{}}
+	http.DefaultTransport.(*http.Transport).DialContext = t.dial
+	var a atomic.Pointer[agent.Agent]
+	server, err := standin.Serve("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if x := a.Load(); x != nil {
+			x.AnnounceHandler().ServeHTTP(w, r)
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer server.Close()
+	child := exec.Command(os.Args[0])
+	child.Env = append(os.Environ(), envEntries+"="+strconv.Itoa(n), envAgent+"="+server.URL)
+	child.Stderr = os.Stderr
+	in, _ := child.StdinPipe()
+	out, _ := child.StdoutPipe()
+	if err := child.Start(); err != nil {
+		b.Fatal(err)
+	}
+	defer func() {
+		_ = in.Close()
+		_ = child.Wait()
+	}()
+	answers := json.NewDecoder(out)
+	var p peers
+	if err := answers.Decode(&p); err != nil {
+		b.Fatal(err)
+	}
+	var urls []string
+	for _, u := range p.Entries {
+		urls = append(urls, u+peer.Path)
+	}
+	x := agent.New("agent-1", urls, agent.WithLog(quiet()), agent.WithWorker("worker-1"),
+		agent.WithLocation(oleandervalve.Location{Region: "r1", DataCentre: "d1", Rack: "k1"}),
+		agent.WithPlatform(platformhttp.NewClient(p.Platform, 2*time.Second), objecthttp.NewClient(p.Objects, 2*time.Second)))
+	a.Store(x)
+	defer x.Close()
+	say := func(line string) { _, _ = fmt.Fprintln(in, line) }
+	ask := func() (r report) {
+		say("table")
+		if err := answers.Decode(&r); err != nil {
+			b.Fatal(err)
+		}
+		return r
+	}
+	say("tasks")
+	if peak {
+		say("load")
+	}
+	time.Sleep(settle)
+	before, cpu, entries := ask(), processorTime(), t.sum(p.Entries...)
+	if before.Started < residentTasks {
+		b.Fatalf("only %d tasks have started", before.Started)
+	}
+	time.Sleep(measured)
+	s := measured.Seconds()
+	b.ReportMetric((processorTime()-cpu).Seconds()/s*100, "%core")
+	b.ReportMetric(float64(t.sum(p.Entries...)-entries)/s, "entries-B/s")
+	after := ask()
+	b.ReportMetric(float64(after.PlatformBytes-before.PlatformBytes)/s, "platform-B/s")
+	b.ReportMetric(residentBytes()/(1<<20), "resident-MiB")
+	b.ReportMetric(memory()/(1<<20), "heap-MiB")
+	b.ReportMetric(float64(after.Started-before.Started), "starts")
+	d := after.Table.sub(before.Table)
+	b.ReportMetric(float64(d.RowsWritten)/s, "rows-written/s")
+	b.ReportMetric(float64(d.ReadCalls)/s, "read-calls/s")
+}
--- a/io/taskowner/owner.go
+++ b/io/taskowner/owner.go
@@ -41,6 +41,10 @@
 	labels   labels.Set
 	capacity oleandervalve.Resources
 	heard    bool
+	// askAt is when the platform is asked next about a silent worker, and wait
+	// the time from then to the question after it.
+	askAt time.Time
+	wait  time.Duration
 }
 
 // Owner runs the tasks of the shards that its entry owns.
@@ -55,6 +59,7 @@
 	store    *store
 	config   scheduler.Config
 	limits   table.Limits
+	shared   bool
 
 	mu        sync.Mutex
 	session   *lease.Session
@@ -90,8 +95,14 @@
 // WithScheduler sets the placement policy.
 func WithScheduler(c scheduler.Config) Option { return func(o *Owner) { o.config = c } }
 
-// WithLimits sets this entry's share of the table budget.
-func WithLimits(l table.Limits) Option { return func(o *Owner) { o.limits = l } }
+// WithLimits sets a fixed share of the table budget for this entry.
+func WithLimits(l table.Limits) Option { return func(o *Owner) { o.limits, o.shared = l, false } }
+
+// WithSharedLimits sets the table budget of all entries together, which the
+// owner divides by the number of entries that live; table.DefaultLimits by default.
+func WithSharedLimits(l table.Limits) Option {
+	return func(o *Owner) { o.limits, o.shared = l, true }
+}
 
 // New returns a running owner; address is where agents reach the entry.
 func New(id oleandervalve.EntryID, address string, t oleandervalve.Table, p oleandervalve.Platform, s Sender, options ...Option) *Owner {
@@ -100,7 +111,7 @@
 	o := &Owner{
 		id: id, prefix: string(id) + "-" + hex.EncodeToString(b),
 		clock: oleandervalve.SystemClock(), log: logrus.NewEntry(logrus.StandardLogger()), scope: tally.NoopScope,
-		platform: p, sender: s, config: scheduler.DefaultConfig(), limits: table.DefaultLimits,
+		platform: p, sender: s, config: scheduler.DefaultConfig(), limits: table.DefaultLimits, shared: true,
 		shards:    map[oleandervalve.ShardID]*job.Shard{},
 		loading:   map[oleandervalve.ShardID]bool{},
 		renewals:  map[oleandervalve.ShardID]*lease.Renewals{},
--- /dev/null
+++ b/io/taskowner/owner_test.go
@@ -0,0 +1,59 @@
+package taskowner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandervalve"
+	"oleandervalve/core/lease"
+	"oleandervalve/core/table"
+)
+
+// Guards against questions about silent workers that flood the platform while
+// a region is cut off, and against a wait that outlives the silence.
+func TestQuestionsAboutSilentWorkersBackOff(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_800_000_000, 0)
+	o := &Owner{suspicion: lease.NewSuspicion(lease.SuspectAfter), workers: map[oleandervalve.WorkerID]*workerView{}}
+	for i := range 350 {
+		id := oleandervalve.WorkerID(fmt.Sprint("w", i))
+		o.workers[id] = &workerView{}
+		o.suspicion.Heard(start, id)
+	}
+	is.Equal(len(o.dueSuspects(start)), 0)
+	asked := 0
+	for i := range 120 {
+		n := len(o.dueSuspects(start.Add(lease.SuspectAfter + time.Duration(i+1)*suspectScan)))
+		if i == 0 {
+			is.Equal(n, 350) // a worker that has just fallen silent is asked about at once
+		}
+		asked += n
+	}
+	is.Equal(asked, 350*(5+6)) // after 0, 1, 3, 7 and 15 s, then every 16 s up to 111 s
+
+	back := start.Add(time.Hour)
+	o.suspicion.Heard(back, "w1")
+	o.dueSuspects(back)
+	is.Equal(o.workers["w1"].wait, time.Duration(0)) // a worker that is heard again starts anew
+}
+
+// Guards against entries that each use the whole table budget.
+func TestSharedLimitsFollowTheLiveEntries(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1_800_000_000, 0)
+	page := oleandervalve.Page{At: at, Rows: []oleandervalve.Row{
+		{Key: "entries/a", WrittenAt: at.Add(-time.Second)},
+		{Key: "entries/b", WrittenAt: at.Add(-lease.SessionLease)}, // expired
+		{Key: "entries/c", WrittenAt: at.Add(-lease.SessionRenewEvery)},
+	}}
+	is.Equal(liveEntries(page), 2)
+	o := &Owner{}
+	WithSharedLimits(table.Limits{Writes: 300, Reads: 1500})(o)
+	is.True(o.shared)
+	is.Equal(o.limits.Share(liveEntries(page)), table.Limits{Writes: 150, Reads: 750})
+	WithLimits(table.Limits{Writes: 100})(o)
+	is.True(!o.shared) // a share that was set is not divided again
+}
--- a/io/taskowner/store.go
+++ b/io/taskowner/store.go
@@ -27,6 +27,13 @@
 	return &store{table: t, clock: c, limit: table.NewLimiter(l), lock: make(chan struct{}, 1)}
 }
 
+// setLimits changes the budget.
+func (s *store) setLimits(l table.Limits) {
+	s.lock <- struct{}{}
+	s.limit.SetLimits(s.clock.Now(), l)
+	<-s.lock
+}
+
 // admit waits until the budget permits a number of row reads or writes.
 func (s *store) admit(ctx context.Context, take func(now time.Time) time.Duration) bool {
 	for ctx.Err() == nil {
--- a/io/taskowner/workers.go
+++ b/io/taskowner/workers.go
@@ -124,16 +124,34 @@
 	}
 }
 
-// checkSuspects asks the platform about silent workers.
-func (o *Owner) checkSuspects() {
-	o.mu.Lock()
-	now := o.clock.Now()
+// askAtMost is the longest time between two questions about a silent worker:
+// when a region of 350 workers is cut off for minutes, eight entries that ask
+// about each of them every second would send the platform 2,800 calls a second.
+const askAtMost = 16 * time.Second
+
+// dueSuspects returns the silent workers that the platform is asked about now;
+// the wait between questions about the same worker doubles.
+func (o *Owner) dueSuspects(now time.Time) []oleandervalve.WorkerID {
 	var list []oleandervalve.WorkerID
-	for w := range o.workers {
-		if o.suspicion.Suspect(now, w) {
-			list = append(list, w)
+	for id, w := range o.workers {
+		if !o.suspicion.Suspect(now, id) {
+			w.askAt, w.wait = time.Time{}, 0
+			continue
 		}
+		if now.Before(w.askAt) {
+			continue
+		}
+		w.wait = min(max(2*w.wait, suspectScan), askAtMost)
+		w.askAt = now.Add(w.wait)
+		list = append(list, id)
 	}
+	return list
+}
+
+// checkSuspects asks the platform about silent workers.
+func (o *Owner) checkSuspects() {
+	o.mu.Lock()
+	list := o.dueSuspects(o.clock.Now())
 	o.mu.Unlock()
 	for _, w := range list {
 		s, err := o.platform.Status(o.ctx, w)
@@ -262,6 +280,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.tableLag = entries.At.Sub(o.clock.Now())
+	if o.shared {
+		o.store.setLimits(o.limits.Share(liveEntries(entries)))
+	}
 	own := oleandervalve.Row{Key: lease.SessionKey(o.id)}
 	for _, r := range entries.Rows {
 		if r.Key == own.Key {
@@ -272,3 +293,14 @@
 	o.owned.Observe(owned, entries)
 	o.leases.Observe(leases, entries)
 }
+
+// liveEntries counts the entries whose session had not expired when their rows were read.
+func liveEntries(p oleandervalve.Page) int {
+	n := 0
+	for _, r := range p.Rows {
+		if p.At.Sub(r.WrittenAt) < lease.SessionLease {
+			n++
+		}
+	}
+	return n
+}
