--- /dev/null
+++ b/docs/doc.go
@@ -0,0 +1,2 @@
+// Package docs holds the tests of the documentation pages.
+package docs
