Put the configuration in force at entries and agents

The logic of configuration and operators was finished but no process used it.

Entries poll the table, apply class policies, team weights, service defaults and quotas at once, and send deltas to the agents that subscribe to them. Agents apply class shares and report their revision in heartbeats. Callers and teams are found by bearer tokens. Jobs get the defaults and constraints of the configuration at submission; workers get configured labels. The administration API answers status, explanations, drains and cancellations. Without configuration objects the options of the constructors stay in force.

Before: 0 of 7 object kinds had an effect. After: all 7 but for endpoint labels and the fields class and maxAttempts of job defaults.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -38,6 +38,7 @@
 
 	mu        sync.Mutex
 	ledger    *instance.Ledger
+	config    *configuration
 	tasks     *tasks
 	links     map[oleandervalve.EntryID]*link
 	addresses map[oleandervalve.EndpointID]string
@@ -73,9 +74,12 @@
 	return func(a *Agent) { a.client = c }
 }
 
-// WithShares sets the shares of the classes of a service.
+// WithShares sets the shares of the classes of a service until the service is configured.
 func WithShares(s oleandervalve.ServiceName, list []credit.ClassShare) Option {
-	return func(a *Agent) { a.ledger.Configure(s, list) }
+	return func(a *Agent) {
+		a.config.fallback[s] = list
+		a.ledger.Configure(s, list)
+	}
 }
 
 // WithHeartbeat sets the time between heartbeats to the entries.
@@ -92,6 +96,7 @@
 		dialer:    &http.Client{},
 		beatEvery: defaultHeartbeat,
 		ledger:    instance.NewLedger(),
+		config:    newConfiguration(id),
 		links:     map[oleandervalve.EntryID]*link{},
 		addresses: map[oleandervalve.EndpointID]string{},
 	}
@@ -126,11 +131,12 @@
 		a.publishChange(before)
 		a.grant(now)
 		a.tickTasks(now)
+		a.tickConfig(now)
 		if now.Sub(beat) >= a.beatEvery {
 			beat = now
 			sequence++
 			for _, l := range a.links {
-				l.conn.TrySend(&peer.Heartbeat{Sequence: sequence, SentAfter: a.sinceBoot(now), Free: a.ledger.FreeResources()})
+				l.conn.TrySend(&peer.Heartbeat{Sequence: sequence, SentAfter: a.sinceBoot(now), Revision: a.config.replica.Revision(), Free: a.ledger.FreeResources()})
 			}
 		}
 		a.mu.Unlock()
@@ -229,17 +235,8 @@
 
 // Drain stops new work and waits until the requests in flight end or the time is over.
 func (a *Agent) Drain(within time.Duration) bool {
-	a.mu.Lock()
-	before := a.ledger.Endpoints()
-	now := a.clock.Now()
-	a.ledger.Drain(now)
-	for _, l := range a.links {
-		l.conn.TrySend(&peer.Drain{Reason: "plannedStop", Within: within})
-	}
-	a.grant(now)
-	a.publishChange(before)
-	a.mu.Unlock()
-	end := now.Add(within)
+	a.beginDrain(&peer.Drain{Reason: "plannedStop", Within: within})
+	end := a.clock.Now().Add(within)
 	for a.clock.Now().Before(end) {
 		a.mu.Lock()
 		idle := a.ledger.Idle()
--- /dev/null
+++ b/io/agent/config.go
@@ -0,0 +1,131 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleandervalve"
+	"oleandervalve/core/credit"
+	"oleandervalve/core/operator"
+	"oleandervalve/io/peer"
+)
+
+// configuration is the agent's part in the configuration; the agent's lock guards it.
+type configuration struct {
+	subscriber *operator.Subscriber
+	replica    *operator.Replica
+	// fallback holds the shares of services that are not configured.
+	fallback map[oleandervalve.ServiceName][]credit.ClassShare
+	applied  map[oleandervalve.ServiceName][]credit.ClassShare
+}
+
+func newConfiguration(id oleandervalve.AgentID) *configuration {
+	return &configuration{
+		subscriber: operator.NewSubscriber(id), replica: operator.NewReplica(),
+		fallback: map[oleandervalve.ServiceName][]credit.ClassShare{},
+		applied:  map[oleandervalve.ServiceName][]credit.ClassShare{},
+	}
+}
+
+// Revision returns the revision of the configuration in force.
+func (a *Agent) Revision() oleandervalve.Revision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.config.replica.Revision()
+}
+
+// Shares returns the class shares in force for a service.
+func (a *Agent) Shares(s oleandervalve.ServiceName) []credit.ClassShare {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if list, ok := a.config.applied[s]; ok {
+		return slices.Clone(list)
+	}
+	return slices.Clone(a.config.fallback[s])
+}
+
+// connectConfig notes an entry that accepted a connection; the caller holds the lock.
+func (a *Agent) connectConfig(now time.Time, w peer.Welcome) {
+	a.config.subscriber.Connected(w.Entry, w.Revision, now)
+}
+
+// tickConfig subscribes to the entry that sends deltas; the caller holds the lock.
+func (a *Agent) tickConfig(now time.Time) {
+	start, stop := a.config.subscriber.Choose(now)
+	if l := a.links[stop]; l != nil {
+		l.conn.TrySend(&peer.ConfigResync{Resync: operator.Resync{Stop: true}})
+	}
+	if l := a.links[start]; l != nil {
+		rev := a.config.replica.Revision()
+		l.conn.TrySend(&peer.ConfigResync{Resync: operator.Resync{From: rev, Full: rev == 0}})
+	}
+}
+
+// handleConfig takes a message about the configuration.
+func (a *Agent) handleConfig(l *link, m peer.Message) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.links[l.entry] != l {
+		a.dropped(m) // A newer connection to the same entry has replaced this one.
+		return
+	}
+	switch m := m.(type) {
+	case *peer.HeartbeatAck:
+		a.config.subscriber.Announced(l.entry, m.Revision, a.clock.Now())
+	case *peer.ConfigDelta:
+		a.applyDelta(l, m.Delta)
+	}
+}
+
+func (a *Agent) applyDelta(l *link, d operator.Delta) {
+	changed, err := a.config.replica.Apply(d)
+	var gap *operator.GapError
+	if errors.As(err, &gap) {
+		a.log.WithError(err).WithField("entry", l.entry).Warn("configuration has a gap; asking for a resync")
+		l.conn.TrySend(&peer.ConfigResync{Resync: gap.Resync()})
+		return
+	}
+	if changed {
+		a.applyShares()
+		a.log.WithField("revision", a.config.replica.Revision()).Info("configuration is in force")
+	}
+	l.conn.TrySend(&peer.ConfigAck{Ack: a.config.replica.Ack()})
+}
+
+// applyShares passes changed class shares on to the ledger.
+func (a *Agent) applyShares() {
+	c := a.config
+	next := map[oleandervalve.ServiceName][]credit.ClassShare{}
+	for _, o := range c.replica.List(operator.KindService) {
+		s := oleandervalve.ServiceName(o.Name)
+		var list []credit.ClassShare
+		for _, r := range c.replica.Classes(s) {
+			list = append(list, credit.ClassShare{Class: r.Name, Weight: r.Weight, Floor: r.Floor})
+		}
+		next[s] = list
+		if !slices.Equal(list, c.applied[s]) {
+			a.ledger.Configure(s, list)
+		}
+	}
+	for s := range c.applied {
+		if _, ok := next[s]; !ok {
+			a.ledger.Configure(s, c.fallback[s])
+		}
+	}
+	c.applied = next
+	a.grant(a.clock.Now())
+}
+
+// beginDrain stops new work and tells every entry, whoever asked for it.
+func (a *Agent) beginDrain(m *peer.Drain) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.ledger.Endpoints()
+	now := a.clock.Now()
+	a.ledger.Drain(now)
+	a.broadcast(m)
+	a.grant(now)
+	a.publishChange(before)
+}
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -48,7 +48,7 @@
 func (a *Agent) serveEntry(url string) bool {
 	epoch := oleandervalve.ConnectionEpoch(rand.Uint64())
 	conn, welcome, err := peer.Dial(a.ctx, url, a.dialer, peer.Hello{
-		Agent: a.id, Worker: a.worker, Location: a.location, Epoch: epoch, Labels: a.labels,
+		Agent: a.id, Worker: a.worker, Location: a.location, Epoch: epoch, Labels: a.labels, Revision: a.Revision(),
 	})
 	if err != nil {
 		if a.ctx.Err() == nil {
@@ -58,6 +58,7 @@
 	}
 	l := &link{entry: welcome.Entry, epoch: epoch, conn: conn, served: map[oleandervalve.RequestID]*served{}}
 	a.mu.Lock()
+	a.connectConfig(a.clock.Now(), welcome)
 	if old := a.links[l.entry]; old != nil {
 		old.conn.Close()
 	}
@@ -75,6 +76,7 @@
 	a.mu.Lock()
 	if a.links[l.entry] == l {
 		delete(a.links, l.entry)
+		a.config.subscriber.Disconnected(l.entry)
 	}
 	a.countEntries()
 	a.ledger.Disconnect(a.clock.Now(), l.entry, epoch)
@@ -107,6 +109,10 @@
 		a.ledger.Return(now, l.entry, l.epoch, m.Endpoint, m.Class, m.Count)
 		a.grant(now)
 		a.mu.Unlock()
+	case *peer.HeartbeatAck, *peer.ConfigDelta:
+		a.handleConfig(l, m)
+	case *peer.Drain:
+		a.beginDrain(m)
 	case *peer.Cancel:
 		a.withdraw(l, m.ID)
 	case *peer.Body:
--- a/io/callerhttp/handler.go
+++ b/io/callerhttp/handler.go
@@ -90,11 +90,18 @@
 // DefaultTimeout sets the timeout of requests that name none.
 func DefaultTimeout(d time.Duration) Option { return func(h *handler) { h.timeout = d } }
 
+// ServiceTimeout sets a function that returns the timeout of a service's
+// requests that name none, or 0 for the default.
+func ServiceTimeout(f func(oleandervalve.ServiceName) time.Duration) Option {
+	return func(h *handler) { h.timeoutOf = f }
+}
+
 type handler struct {
 	dispatcher Dispatcher
 	auth       Authenticator
 	maxBody    int64
 	timeout    time.Duration
+	timeoutOf  func(oleandervalve.ServiceName) time.Duration
 }
 
 // Handler serves /call/{service}/{path}.
@@ -137,6 +144,11 @@
 		Path:     strings.TrimPrefix(r.URL.RequestURI(), "/call/"+service),
 		Header:   forwarded(r.Header),
 	}
+	if h.timeoutOf != nil {
+		if d := h.timeoutOf(c.Service); d > 0 {
+			c.Timeout = min(d, maxTimeout)
+		}
+	}
 	if !strings.HasPrefix(c.Path, "/") {
 		c.Path = "/" + c.Path
 	}
--- /dev/null
+++ b/io/entry/auth.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"oleandervalve"
+	"oleandervalve/core/operator"
+	"oleandervalve/io/callerhttp"
+)
+
+// maxToken bounds the tokens that are hashed, in bytes.
+const maxToken = 512
+
+// holder is what the configuration says about the holder of a token.
+type holder struct {
+	actor   operator.Actor
+	callers []oleandervalve.CallerID
+}
+
+// Authenticator finds the team and the caller behind bearer tokens.
+type Authenticator struct {
+	configuration *Configuration
+
+	mu       sync.Mutex
+	revision oleandervalve.Revision
+	// holders caches valid tokens by hash for one revision; wrong ones are not
+	// cached, so the number of configured tokens bounds it.
+	holders map[[sha256.Size]byte]holder
+}
+
+// Authenticator returns an authenticator of callers and teams.
+func (c *Configuration) Authenticator() *Authenticator {
+	return &Authenticator{configuration: c, holders: map[[sha256.Size]byte]holder{}}
+}
+
+// Authenticate returns the holder of the request's token. The header
+// Oleandervalve-Caller chooses one of the team's callers; without it the
+// caller is the token. Errors are *callerhttp.UnauthorizedError and
+// *oleandervalve.NotRunError.
+func (a *Authenticator) Authenticate(r *http.Request) (callerhttp.Identity, error) {
+	if a.configuration.WaitsFor() != "" {
+		return callerhttp.Identity{}, &oleandervalve.NotRunError{
+			Reason: "notReady", Remedy: "send the request again; another entry takes it", RetryAfter: time.Second,
+		}
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" || len(token) > maxToken {
+		return callerhttp.Identity{}, &callerhttp.UnauthorizedError{}
+	}
+	h, ok := a.find(token)
+	if !ok {
+		return callerhttp.Identity{}, &callerhttp.UnauthorizedError{}
+	}
+	if !h.actor.Has(operator.RoleCaller) {
+		return callerhttp.Identity{}, &oleandervalve.NotRunError{Reason: "forbidden", Remedy: "use a token with the role caller"}
+	}
+	id := callerhttp.Identity{Team: h.actor.Team, Caller: oleandervalve.CallerID(h.actor.Name)}
+	if c := oleandervalve.CallerID(r.Header.Get(callerhttp.HeaderCaller)); c != "" {
+		if !slices.Contains(h.callers, c) {
+			return callerhttp.Identity{}, &oleandervalve.NotRunError{Reason: "forbidden", Remedy: "name a caller that the team's configuration lists"}
+		}
+		id.Caller = c
+	}
+	return id, nil
+}
+
+func (a *Authenticator) find(token string) (holder, bool) {
+	hash := sha256.Sum256([]byte(token))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now := a.configuration.Revision(); now != a.revision {
+		a.revision = now
+		clear(a.holders)
+	}
+	if h, ok := a.holders[hash]; ok {
+		return h, true
+	}
+	var h holder
+	var found bool
+	a.configuration.watcher.Do(func(r *operator.Replica) {
+		h.actor, found = r.Authenticate(token)
+		if t, ok := r.Team(h.actor.Team); found && ok {
+			h.callers = t.Callers
+		}
+	})
+	if found {
+		a.holders[hash] = h
+	}
+	return h, found
+}
--- /dev/null
+++ b/io/entry/config_test.go
@@ -0,0 +1,242 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"oleandervalve"
+	"oleandervalve/core/operator"
+	"oleandervalve/io/agent"
+	"oleandervalve/io/callerhttp"
+	"oleandervalve/io/entry"
+	"oleandervalve/io/operatorhttp"
+	"oleandervalve/io/peer"
+	"oleandervalve/io/standin"
+	"oleandervalve/io/tablehttp"
+)
+
+const bootstrap = "bootstrap-secret"
+
+// rig is a system over real sockets in one process.
+type rig struct {
+	t        *testing.T
+	is       *is.I
+	log      *logrus.Entry
+	table    *standin.Table
+	client   *tablehttp.Client
+	entries  []*entry.Entry
+	configs  []*entry.Configuration
+	urls     []string
+	agents   []*agent.Agent
+	announce string
+}
+
+func newRig(t *testing.T) *rig {
+	l := logrus.New()
+	l.SetLevel(logrus.PanicLevel)
+	r := &rig{t: t, is: is.New(t), log: logrus.NewEntry(l), table: standin.NewTable(oleandervalve.SystemClock(), 1)}
+	r.client = tablehttp.NewClient(r.serve(r.table.Handler()), 2*time.Second)
+	for i := range 2 {
+		r.addEntry(i)
+	}
+	for i := range 2 {
+		r.addAgent(i)
+	}
+	return r
+}
+
+func (r *rig) serve(h http.Handler) string {
+	s, err := standin.Serve("127.0.0.1:0", h)
+	r.is.NoErr(err)
+	r.t.Cleanup(s.Close)
+	return s.URL
+}
+
+func (r *rig) addEntry(i int) {
+	e := entry.New(oleandervalve.EntryID(fmt.Sprint("entry-", i)), entry.WithLog(r.log))
+	r.t.Cleanup(e.Close)
+	c, err := entry.NewConfiguration(e, r.client, entry.ConfigurationOptions{
+		BootstrapTokenHash: operator.HashToken(bootstrap), FloorWait: time.Millisecond,
+	})
+	r.is.NoErr(err)
+	r.t.Cleanup(c.Close)
+	m := http.NewServeMux()
+	m.Handle(peer.Path, e.PeerHandler())
+	m.Handle("/call/", callerhttp.Handler(e, c.Authenticator(), callerhttp.ServiceTimeout(e.DefaultTimeout)))
+	m.Handle("/v1/", c.Handler())
+	r.entries, r.configs, r.urls = append(r.entries, e), append(r.configs, c), append(r.urls, r.serve(m))
+}
+
+func (r *rig) addAgent(i int) *agent.Agent {
+	var urls []string
+	for _, u := range r.urls {
+		urls = append(urls, u+peer.Path)
+	}
+	a := agent.New(oleandervalve.AgentID(fmt.Sprint("agent-", i)), urls, agent.WithLog(r.log), agent.WithHeartbeat(100*time.Millisecond))
+	r.t.Cleanup(a.Close)
+	r.agents = append(r.agents, a)
+	r.announce = r.serve(a.AnnounceHandler())
+	return a
+}
+
+func (r *rig) operator(entry int) *operatorhttp.Client {
+	c, err := operatorhttp.NewClient(r.urls[entry], bootstrap, http.DefaultClient, oleandervalve.SystemClock())
+	r.is.NoErr(err)
+	return c
+}
+
+// put sends one object through an entry.
+func (r *rig) put(entry int, k operator.Kind, name string, expected oleandervalve.Version, spec any) (operatorhttp.ChangeResult, error) {
+	b, err := json.Marshal(spec)
+	r.is.NoErr(err)
+	o := operator.Object{Kind: k, Name: name, Spec: b}
+	id := operator.ChangeID(fmt.Sprintf("change-%s-%s-%d", k, name, time.Now().UnixNano()))
+	return r.operator(entry).Put(context.Background(), o, id, expected, false)
+}
+
+// until waits for a condition; the test's own timeout ends a wait that never succeeds.
+func until(condition func() bool) {
+	for !condition() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// reached reports whether a revision is in force at every entry and agent.
+func (r *rig) reached(rev oleandervalve.Revision) bool {
+	for _, c := range r.configs {
+		if c.Revision() < rev {
+			return false
+		}
+	}
+	for _, a := range r.agents {
+		if a.Revision() < rev {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *rig) call(header ...string) (int, string) {
+	q, err := http.NewRequest(http.MethodGet, r.urls[0]+"/call/formaro/x", nil)
+	r.is.NoErr(err)
+	for i := 0; i+1 < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	p, err := http.DefaultClient.Do(q)
+	r.is.NoErr(err)
+	defer p.Body.Close()
+	return p.StatusCode, p.Header.Get(callerhttp.HeaderReason)
+}
+
+func policy(weight float64) operator.PolicySpec {
+	return operator.PolicySpec{Classes: []operator.ClassPolicy{{Name: "board", Weight: weight, Floor: 0.5, QueueLimit: 7}}}
+}
+
+var service = operator.ServiceSpec{DefaultDeadlineMS: 1500, Classes: []oleandervalve.ClassName{"board", "export"}}
+
+// Guards against an accepted change that does not come into force at some entry
+// or agent, a conflict that loses one of two changes, a restarted agent without
+// a configuration, a revision that goes back, and an outage of the table that
+// stops calls or accepts changes.
+func TestConfigurationReachesEntriesAndAgents(t *testing.T) {
+	r := newRig(t)
+	is := r.is
+	for _, c := range r.configs {
+		until(func() bool { return c.WaitsFor() == "" })
+	}
+	_, err := r.put(0, operator.KindService, "formaro", 0, service)
+	is.NoErr(err)
+	hash := operator.HashToken("cutter-secret")
+	_, err = r.put(1, operator.KindToken, "cutters", 0, operator.TokenSpec{Hash: hash, Team: "cutting", Roles: []operator.Role{operator.RoleCaller}})
+	is.NoErr(err)
+	first, err := r.put(0, operator.KindPolicy, "boards", 0, policy(3))
+	is.NoErr(err)
+	until(func() bool { return r.reached(first.Revision) })
+	for _, e := range r.entries {
+		p := e.Policies("formaro")
+		is.Equal(len(p), 2)
+		is.Equal(p[0].Weight, 3.0)
+		is.Equal(p[0].MaxQueued, 7)
+		is.Equal(e.DefaultTimeout("formaro"), 1500*time.Millisecond)
+	}
+	for _, a := range r.agents {
+		is.Equal(a.Shares("formaro")[0].Floor, 0.5)
+	}
+	for i := range r.urls {
+		until(func() bool {
+			s, err := r.operator(i).Status(context.Background())
+			is.NoErr(err)
+			return s.Ready && s.Spread.Agents == 2 && s.Spread.InForce == 2 && s.Spread.Revision == first.Revision
+		})
+	}
+
+	second, err := r.put(1, operator.KindPolicy, "boards", first.Version, policy(5))
+	is.NoErr(err)
+	_, err = r.put(0, operator.KindPolicy, "boards", first.Version, policy(9))
+	var refused *operatorhttp.APIError
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Reason, operatorhttp.ReasonConflict)
+	is.Equal(*refused.CurrentVersion, second.Version)
+	until(func() bool { return r.reached(second.Revision) })
+	is.Equal(r.entries[0].Policies("formaro")[0].Weight, 5.0)
+
+	r.agents[1].Close()
+	r.agents = r.agents[:1]
+	restarted := r.addAgent(1)
+	until(func() bool { return restarted.Revision() == second.Revision })
+	is.Equal(restarted.Shares("formaro")[0].Weight, 5.0)
+
+	r.outage(second)
+
+	// A head row of an earlier revision, as after a restore of the table.
+	rows, err := r.client.Get(context.Background(), operator.HeadKey)
+	is.NoErr(err)
+	old, err := json.Marshal(operator.Head{Revision: 1})
+	is.NoErr(err)
+	_, err = r.client.Commit(context.Background(), oleandervalve.Transaction{
+		ID: "restore", Conditions: []oleandervalve.Condition{{Key: operator.HeadKey, Version: rows[0].Version}},
+		Puts: []oleandervalve.Put{{Key: operator.HeadKey, Value: old}},
+	})
+	is.NoErr(err)
+	reads, _ := r.table.Operations()
+	until(func() bool { now, _ := r.table.Operations(); return now >= reads+4 }) // both entries polled
+	is.True(r.reached(second.Revision))
+}
+
+func (r *rig) outage(last operatorhttp.ChangeResult) {
+	is := r.is
+	x, err := standin.StartEndpoint(standin.EndpointConfig{
+		Announcement: oleandervalve.Announcement{Endpoint: "executor-0", Service: "formaro", Slots: 2, Connections: 4},
+		Agent:        r.announce, Service: time.Millisecond, Seed: 1, Books: standin.NewBooks(),
+	})
+	is.NoErr(err)
+	r.t.Cleanup(x.Close)
+	until(func() bool { return r.entries[0].Slots("formaro") == 2 })
+	r.table.Faults.Set(standin.Fault{Down: true})
+	status, _ := r.call("Authorization", "Bearer cutter-secret")
+	is.Equal(status, http.StatusOK)
+	status, _ = r.call()
+	is.Equal(status, http.StatusUnauthorized)
+	status, reason := r.call("Authorization", "Bearer cutter-secret", callerhttp.HeaderClass, "unheard")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(reason, "unknownClass")
+	_, err = r.put(0, operator.KindPolicy, "boards", last.Version, policy(1))
+	var down *operatorhttp.APIError
+	is.True(errors.As(err, &down))
+	is.Equal(down.Reason, operatorhttp.ReasonUnavailable)
+	is.True(down.Remedy != "")
+	e, err := r.operator(0).Explain(context.Background(), operatorhttp.Question{Subject: "class", Name: "formaro", Detail: "unheard"})
+	is.NoErr(err)
+	is.True(strings.Contains(strings.Join(e.Details, "\n"), "unknownClass"))
+	is.True(r.reached(last.Revision))
+	r.table.Faults.Set()
+}
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -59,7 +59,10 @@
 	started := e.clock.Now()
 	whole := false
 	// An answer that is cut while it is passed on leaves by a panic.
-	defer func() { e.observe(err, whole, e.clock.Now().Sub(started)) }()
+	defer func() {
+		e.observe(err, whole, e.clock.Now().Sub(started))
+		e.noteRefusal(c.Service, c.Class, err)
+	}()
 	err = e.dispatch(ctx, c, w)
 	whole = true
 	return err
@@ -71,12 +74,16 @@
 		e.mu.Unlock()
 		return &oleandervalve.NotRunError{Reason: "draining", Remedy: "send the request again; another entry takes it", RetryAfter: time.Second}
 	}
+	if e.configuration != nil && e.configuration.WaitsFor() != "" {
+		e.mu.Unlock()
+		return &oleandervalve.NotRunError{Reason: "notReady", Remedy: "send the request again; another entry takes it", RetryAfter: time.Second}
+	}
 	e.inFlight.Add(1)
-	e.mu.Unlock()
-	defer e.inFlight.Done()
 	if c.Class == "" {
-		c.Class = defaultClass
+		c.Class = e.classOf(c.Service)
 	}
+	e.mu.Unlock()
+	defer e.inFlight.Done()
 	now := e.clock.Now()
 	x := &exchange{call: c, w: w, request: caller.Request{
 		ID: e.newRequestID(), Class: c.Class, Team: c.Team, Caller: c.Caller, Arrived: now, Deadline: now.Add(c.Timeout),
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -43,7 +43,11 @@
 	workers   map[oleandervalve.WorkerID]*link
 	owner     TaskOwner
 	draining  bool
-	inFlight  sync.WaitGroup
+	// configured and teamWeights come from the configuration in force.
+	configured    map[oleandervalve.ServiceName]configured
+	teamWeights   map[oleandervalve.TeamID]float64
+	configuration *Configuration
+	inFlight      sync.WaitGroup
 
 	stop    chan struct{}
 	stopped sync.WaitGroup
@@ -53,6 +57,8 @@
 type service struct {
 	queue   *caller.Queue
 	retries *caller.RetryBudget
+	// retryRatio is the configured ratio of the retry budget; 0 means the standard.
+	retryRatio float64
 }
 
 // acquired is a place for a request at an endpoint.
@@ -220,10 +226,9 @@
 func (e *Entry) service(name oleandervalve.ServiceName) *service {
 	s := e.services[name]
 	if s == nil {
-		s = &service{queue: caller.NewQueue(), retries: caller.NewRetryBudget(0)}
-		if p := e.policies[name]; p != nil {
-			s.queue.Configure(p)
-		}
+		s = &service{queue: caller.NewQueue()}
+		s.queue.ConfigureTeams(e.teamWeights)
+		e.configureService(name, s)
 		e.services[name] = s
 	}
 	return s
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -33,7 +33,8 @@
 func (e *Entry) serveLink(conn *peer.Conn, h peer.Hello) {
 	l := &link{agent: h.Agent, worker: h.Worker, epoch: h.Epoch, conn: conn, calls: map[oleandervalve.RequestID]*call{}}
 	log := e.log.WithField("agent", h.Agent).WithField("connectionEpoch", h.Epoch)
-	if err := conn.Send(&peer.Welcome{Version: peer.ProtocolVersion, Entry: e.id}); err != nil {
+	config := e.settings()
+	if err := conn.Send(&peer.Welcome{Version: peer.ProtocolVersion, Entry: e.id, Revision: config.inForce()}); err != nil {
 		return
 	}
 	e.mu.Lock()
@@ -46,6 +47,9 @@
 	}
 	e.directory.Connect(e.clock.Now(), h.Agent, h.Epoch, h.Location)
 	e.countAgents()
+	if config != nil {
+		config.connect(h)
+	}
 	e.mu.Unlock()
 	log.Info("agent connected")
 	if e.owner != nil && h.Worker != "" {
@@ -57,6 +61,9 @@
 	e.directory.Disconnect(h.Agent, h.Epoch)
 	if e.links[h.Agent] == l {
 		delete(e.links, h.Agent)
+		if config != nil {
+			config.disconnect(h.Agent)
+		}
 	}
 	if e.workers[h.Worker] == l {
 		delete(e.workers, h.Worker)
@@ -83,7 +90,11 @@
 		e.mu.Lock()
 		e.directory.Heartbeat(e.clock.Now(), l.agent, l.epoch)
 		e.mu.Unlock()
-		l.conn.TrySend(&peer.HeartbeatAck{Sequence: m.Sequence})
+		config := e.settings()
+		if config != nil {
+			config.handle(l, m)
+		}
+		l.conn.TrySend(&peer.HeartbeatAck{Sequence: m.Sequence, Revision: config.inForce()})
 		if e.owner != nil && l.worker != "" {
 			e.owner.Heartbeat(l.worker, m)
 		}
@@ -93,10 +104,17 @@
 		e.credit(l, m)
 	case *peer.CreditRevoke:
 		e.revoke(l, m)
+	case *peer.ConfigAck, *peer.ConfigResync:
+		if c := e.settings(); c != nil {
+			c.handle(l, m)
+		}
 	case *peer.Drain:
 		e.mu.Lock()
 		e.directory.Draining(l.agent, l.epoch)
 		e.mu.Unlock()
+		if e.owner != nil && l.worker != "" {
+			e.owner.Handle(l.worker, m)
+		}
 	case *peer.Response:
 		e.deliver(l, m.ID, m)
 	case *peer.Refused:
--- a/io/jobhttp/handler.go
+++ b/io/jobhttp/handler.go
@@ -115,6 +115,8 @@
 		status, reason = http.StatusConflict, "jobExists"
 	case errors.As(err, &missing):
 		status, reason = http.StatusNotFound, "notFound"
+	case errors.As(err, &notRun) && notRun.Reason == "notReady":
+		status, reason = http.StatusServiceUnavailable, notRun.Reason
 	case errors.As(err, &notRun):
 		status, reason = http.StatusForbidden, notRun.Reason
 	case errors.As(err, &unauthorized):
--- a/io/peer/messages.go
+++ b/io/peer/messages.go
@@ -343,5 +343,8 @@
 	case typeKeyImport:
 		return &KeyImport{}
 	}
+	if m := newConfigMessage(t); m != nil {
+		return m
+	}
 	return newTaskMessage(t)
 }
--- a/io/taskowner/jobs.go
+++ b/io/taskowner/jobs.go
@@ -102,6 +102,10 @@
 // Submit accepts a job; an error says whether it was not accepted or whether
 // that is unknown, in which case submitting it again under the same id is safe.
 func (o *Owner) Submit(ctx context.Context, s JobSpec) error {
+	s, err := o.complete(s)
+	if err != nil {
+		return err
+	}
 	if err := s.Check(); err != nil {
 		return err
 	}
--- a/io/taskowner/owner.go
+++ b/io/taskowner/owner.go
@@ -38,9 +38,11 @@
 // workerView is what an entry knows of a connected worker.
 type workerView struct {
 	location oleandervalve.Location
-	labels   labels.Set
-	capacity oleandervalve.Resources
-	heard    bool
+	// announced holds the labels of the agent's greeting, labels those in force.
+	announced map[string]string
+	labels    labels.Set
+	capacity  oleandervalve.Resources
+	heard     bool
 }
 
 // Owner runs the tasks of the shards that its entry owns.
@@ -52,6 +54,7 @@
 	scope    tally.Scope
 	platform oleandervalve.Platform
 	sender   Sender
+	policies Policies
 	store    *store
 	config   scheduler.Config
 	limits   table.Limits
--- a/io/taskowner/workers.go
+++ b/io/taskowner/workers.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"k8s.io/apimachinery/pkg/labels"
-
 	"oleandervalve"
 	"oleandervalve/core/job"
 	"oleandervalve/core/lease"
@@ -21,7 +19,7 @@
 		v = &workerView{}
 		o.workers[w] = v
 	}
-	v.location, v.labels, v.heard = l, labels.Set(set), true
+	v.location, v.announced, v.labels, v.heard = l, set, o.labelsOf(set), true
 	o.suspicion.Heard(now, w)
 	for i, s := range o.shards {
 		o.run(now, i, s.WorkerConnected(now, w))
@@ -46,6 +44,8 @@
 	switch m := m.(type) {
 	case *peer.Residents:
 		o.residents(now, w, m)
+	case *peer.Drain:
+		o.drain(now, w, m)
 	case *peer.ReservedTask:
 		m.Worker = w
 		i := job.ShardOf(job.Parent(m.Run.Task))
