Connect the command line, settings and TLS to operators and callers

Entries of the command line had neither a table nor an administration API and trusted the headers of every caller.

The settings table.url, listen.operators and tls now have an effect. The new field authentication is tokens by default; headers is the development mode, which is logged. operators.bootstrapTokenHash and operators.adminTeam make the first operators; a wrong hash is not repeated in the report. With certificate files the peer listener requires a certificate of the authority and agents verify the entry; changed files are loaded without a restart. The nine operator commands are part of the binary. dev serves the administration API, generates an operator token and says that its connections are not encrypted.

Conclusion: entry settings without a table need authentication: headers.

--- a/cmd/oleandervalve/agent.go
+++ b/cmd/oleandervalve/agent.go
@@ -26,8 +26,20 @@
 	for _, u := range s.Entries {
 		urls = append(urls, u+peer.Path)
 	}
-	a := agent.New(oleandervalve.AgentID(s.ID), urls, agent.WithLog(p.Log()), agent.WithScope(p.Scope()),
-		agent.WithLocation(s.Location), agent.WithWorker(oleandervalve.WorkerID(s.Worker.ID)), agent.WithHeartbeat(s.Heartbeat.Interval))
+	files, stopFiles, err := loadCertificates(s.TLS, p.Log())
+	if err != nil {
+		p.Close()
+		return err
+	}
+	defer stopFiles()
+	options := []agent.Option{
+		agent.WithLog(p.Log()), agent.WithScope(p.Scope()),
+		agent.WithLocation(s.Location), agent.WithWorker(oleandervalve.WorkerID(s.Worker.ID)), agent.WithHeartbeat(s.Heartbeat.Interval),
+	}
+	if files != nil {
+		options = append(options, agent.WithDialTLS(files.DialTLS))
+	}
+	a := agent.New(oleandervalve.AgentID(s.ID), urls, options...)
 	if _, err := p.Listen("announcements", s.Listen.Announcements, longestExchange, a.AnnounceHandler()); err != nil {
 		a.Close()
 		p.Close()
--- a/cmd/oleandervalve/commands.go
+++ b/cmd/oleandervalve/commands.go
@@ -8,6 +8,8 @@
 	"github.com/jessevdk/go-flags"
 
 	"oleandervalve"
+	"oleandervalve/io/operatorcli"
+	"oleandervalve/io/operatorhttp"
 	"oleandervalve/io/settings"
 )
 
@@ -43,6 +45,7 @@
 		"Example: oleandervalve demo --scenario steady --seconds 10", &demoCommand{})
 	add(p.Command, "latency", "compare direct calls with calls through entry and agent in one run",
 		"Example: oleandervalve latency --callers 1 --callers 64 --callers 512", &latencyCommand{})
+	addOperatorCommands(p)
 	add(p.Command, "version", "print the version", "Example: oleandervalve version", &versionCommand{})
 }
 
@@ -73,6 +76,11 @@
 		fmt.Fprintln(os.Stderr, problems.Error())
 		return exitUsage
 	}
+	var api *operatorhttp.APIError
+	var file *operatorcli.FileError
+	if errors.As(err, &api) || errors.As(err, &file) {
+		return operatorcli.Report(os.Stderr, err)
+	}
 	fmt.Fprintln(os.Stderr, "oleandervalve: "+err.Error())
 	return exitCode(err)
 }
--- a/cmd/oleandervalve/dev.go
+++ b/cmd/oleandervalve/dev.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"os"
 	"time"
 
+	"oleandervalve/core/operator"
 	"oleandervalve/io/demo"
 	"oleandervalve/io/process"
 )
@@ -24,7 +26,8 @@
 		level = "info"
 	}
 	p := process.New("dev", level, os.Stderr)
-	s, err := demo.Start(2, c.Seed, demo.PolicyFair, p.Log(), demo.WithScope(p.Scope()))
+	token := rand.Text()
+	s, err := demo.Start(2, c.Seed, demo.PolicyFair, p.Log(), demo.WithScope(p.Scope()), demo.WithOperators(operator.HashToken(token)))
 	if err != nil {
 		p.Close()
 		return err
@@ -39,6 +42,9 @@
 		fmt.Printf("%-10s %s\n", u.Name, u.URL)
 	}
 	fmt.Printf("%-10s http://%s\n", "metrics", address)
+	fmt.Printf("%-10s %s\n", "token", token)
+	fmt.Println("development mode: callers are trusted without tokens, connections are not encrypted, and the operator token above was generated for this run")
+	fmt.Println("operators use OLEANDERVALVE_TOKEN and --server with the URL of an entry")
 	fmt.Println("ready; callers name their team in the header Oleandervalve-Team; end with Ctrl-C")
 	return p.Run(signals, process.Stop{Timeout: 30 * time.Second, Drain: func(ctx context.Context) bool {
 		return s.Drain(timeLeft(ctx))
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -74,6 +75,11 @@
 	return func(a *Agent) { a.client = c }
 }
 
+// WithDialTLS sets the function that connects to entries with https URLs.
+func WithDialTLS(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(a *Agent) { a.dialer = &http.Client{Transport: &http.Transport{DialTLSContext: dial}} }
+}
+
 // WithShares sets the shares of the classes of a service until the service is configured.
 func WithShares(s oleandervalve.ServiceName, list []credit.ClassShare) Option {
 	return func(a *Agent) {
--- a/io/demo/system.go
+++ b/io/demo/system.go
@@ -42,6 +42,8 @@
 	scope     tally.Scope
 	seed      uint64
 	policy    Policy
+	// operators is nil if the system has no administration API.
+	operators *entry.ConfigurationOptions
 
 	table    oleandervalve.Table
 	objects  oleandervalve.ObjectStore
@@ -54,7 +56,17 @@
 // WithScope sets the metrics scope of the entries and agents.
 func WithScope(t tally.Scope) Option { return func(s *System) { s.scope = t } }
 
+// WithOperators gives the entries the configuration in the table and the
+// administration API; tokenHash is the hash of the first operator token.
+func WithOperators(tokenHash string) Option {
+	return func(s *System) {
+		// No agent runs before the entries, so there is no report to wait for.
+		s.operators = &entry.ConfigurationOptions{BootstrapTokenHash: tokenHash, FloorWait: time.Millisecond}
+	}
+}
+
 type runningEntry struct {
+	config *entry.Configuration
 	entry  *entry.Entry
 	owner  *taskowner.Owner
 	server *standin.Server
@@ -130,16 +142,31 @@
 	e.SetTaskOwner(owner)
 	m := http.NewServeMux()
 	m.Handle(peer.Path, e.PeerHandler())
-	m.Handle("/call/", callerhttp.Handler(e, callerhttp.TrustedHeaders{}))
+	m.Handle("/call/", callerhttp.Handler(e, callerhttp.TrustedHeaders{}, callerhttp.ServiceTimeout(e.DefaultTimeout)))
 	m.Handle("/v1/jobs", jobhttp.Handler(owner, callerhttp.TrustedHeaders{}))
 	m.Handle("/v1/jobs/", jobhttp.Handler(owner, callerhttp.TrustedHeaders{}))
+	var config *entry.Configuration
+	if s.operators != nil {
+		o := *s.operators
+		o.Tasks = owner
+		var err error
+		if config, err = entry.NewConfiguration(e, s.table, o); err != nil {
+			owner.Close()
+			e.Close()
+			return err
+		}
+		m.Handle("/v1/", config.Handler())
+	}
 	server, err := standin.Serve("127.0.0.1:0", m)
 	if err != nil {
+		if config != nil {
+			config.Close()
+		}
 		owner.Close()
 		e.Close()
 		return err
 	}
-	s.entries = append(s.entries, &runningEntry{entry: e, owner: owner, server: server})
+	s.entries = append(s.entries, &runningEntry{entry: e, owner: owner, server: server, config: config})
 	return nil
 }
 
@@ -193,6 +220,7 @@
 	for time.Now().Before(end) {
 		ready := true
 		for _, e := range s.entries {
+			ready = ready && (e.config == nil || e.config.WaitsFor() == "")
 			for _, d := range deployments() {
 				ready = ready && e.entry.Slots(d.service) == d.executors*d.slots
 			}
@@ -258,6 +286,9 @@
 	}
 	for _, e := range s.entries {
 		e.server.Close()
+		if e.config != nil {
+			e.config.Close()
+		}
 		e.owner.Close()
 		e.entry.Close()
 	}
--- a/io/process/process.go
+++ b/io/process/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	stdlog "log"
@@ -64,10 +65,18 @@
 // Listen serves HTTP on an address until Close and returns the address in use.
 // A whole exchange may take at most the given time; zero means no bound.
 func (p *Process) Listen(name, address string, longest time.Duration, h http.Handler) (string, error) {
+	return p.ListenTLS(name, address, longest, h, nil)
+}
+
+// ListenTLS is Listen over TLS; a nil configuration means plain connections.
+func (p *Process) ListenTLS(name, address string, longest time.Duration, h http.Handler, config *tls.Config) (string, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", errors.Wrapf(err, "listen for %s: choose a free address of this instance", name)
 	}
+	if config != nil {
+		l = tls.NewListener(l, config)
+	}
 	var open atomic.Int64
 	gauge := p.scope.Tagged(map[string]string{"listener": name}).Gauge("open_connections")
 	s := &http.Server{
--- a/io/settings/fields.go
+++ b/io/settings/fields.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"time"
 )
 
@@ -77,7 +78,7 @@
 		text: "connections of agents", target: func(s *Settings) any { return &s.Listen.Peers },
 	},
 	{
-		name: "listen.operators", roles: entryOnly, kind: address(), reserved: entryOnly,
+		name: "listen.operators", roles: entryOnly, kind: address(),
 		text: "operators' HTTP API", target: func(s *Settings) any { return &s.Listen.Operators },
 	},
 	{
@@ -98,11 +99,11 @@
 		text: "peer addresses of the entries that the agent connects to", target: func(s *Settings) any { return &s.Entries },
 	},
 	{
-		name: "table.url", roles: entryOnly, kind: webURL(), reserved: entryOnly,
+		name: "table.url", roles: entryOnly, kind: webURL(),
 		text: "table service", target: func(s *Settings) any { return &s.Table.URL },
 	},
 	{
-		name: "table.timeout", roles: entryOnly, kind: duration(10*millisecond, minute), standard: "2s", reserved: entryOnly,
+		name: "table.timeout", roles: entryOnly, kind: duration(10*millisecond, minute), standard: "2s",
 		text: "longest call to the table service", target: func(s *Settings) any { return &s.Table.Timeout },
 	},
 	{
@@ -123,18 +124,31 @@
 	},
 
 	{
-		name: "tls.certificate", roles: both, kind: file(), reserved: both,
+		name: "tls.certificate", roles: both, kind: file(),
 		text: "certificate of the process in PEM format", target: func(s *Settings) any { return &s.TLS.Certificate },
 	},
 	{
-		name: "tls.key", roles: both, kind: file(), reserved: both,
+		name: "tls.key", roles: both, kind: file(),
 		text: "private key of the certificate in PEM format", target: func(s *Settings) any { return &s.TLS.Key },
 	},
 	{
-		name: "tls.authority", roles: both, kind: file(), reserved: both,
+		name: "tls.authority", roles: both, kind: file(),
 		text: "certificates of the authority that signs peers, in PEM format", target: func(s *Settings) any { return &s.TLS.Authority },
 	},
 
+	{
+		name: "authentication", roles: entryOnly, kind: oneOf(AuthenticationTokens, AuthenticationHeaders), standard: AuthenticationTokens,
+		text: "how callers are found: by bearer tokens, or by trusted headers for development", target: func(s *Settings) any { return &s.Authentication },
+	},
+	{
+		name: "operators.adminTeam", roles: entryOnly, kind: name(), standard: "platform",
+		text: "team whose operators change everything", target: func(s *Settings) any { return &s.Operators.AdminTeam },
+	},
+	{
+		name: "operators.bootstrapTokenHash", roles: entryOnly, kind: hash(),
+		text: "hash of the token that makes the first tokens", target: func(s *Settings) any { return &s.Operators.BootstrapTokenHash },
+	},
+
 	{
 		name: "calls.defaultTimeout", roles: entryOnly, kind: duration(millisecond, 10*minute), standard: "10s",
 		text: "timeout of calls that name none", target: func(s *Settings) any { return &s.Calls.DefaultTimeout },
@@ -262,6 +276,26 @@
 		}
 		return n != 0 && n != 3
 	}, "name certificate, key and authority together, or none of them"},
+	{
+		agentOnly, "entries", "tls.certificate", func(s *Settings) bool {
+			secure := s.TLS.Certificate != "" && s.TLS.Key != "" && s.TLS.Authority != ""
+			for _, u := range s.Entries {
+				if secure != strings.HasPrefix(u, "https://") && (secure || s.TLS.Certificate+s.TLS.Key+s.TLS.Authority == "") {
+					return true
+				}
+			}
+			return false
+		}, "use https addresses with certificate files and http addresses without them",
+	},
+	{
+		entryOnly, "authentication", "table.url", func(s *Settings) bool {
+			return s.Authentication == AuthenticationTokens && s.Table.URL == ""
+		}, "name the table that holds the tokens, or use headers for development",
+	},
+	{
+		entryOnly, "listen.operators", "table.url", func(s *Settings) bool { return s.Listen.Operators != "" && s.Table.URL == "" },
+		"name the table that holds the configuration",
+	},
 	{
 		all, "drain.timeout", "drain.notice", func(s *Settings) bool { return s.Drain.Timeout < s.Drain.Notice },
 		"use at least drain.notice",
--- a/io/settings/kind.go
+++ b/io/settings/kind.go
@@ -18,6 +18,8 @@
 type kind struct {
 	unit   string
 	limits string
+	// secret keeps a wrong value out of reports.
+	secret bool
 	// set stores the value in the target and returns what is wrong with it, or "".
 	set func(target any, text string) string
 }
@@ -178,6 +180,18 @@
 	}}
 }
 
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+func hash() kind {
+	return kind{unit: "SHA-256 hash", limits: "64 hexadecimal digits", secret: true, set: func(target any, text string) string {
+		if !hashPattern.MatchString(text) {
+			return "give the SHA-256 hash of the token as 64 lower case hexadecimal digits, never the token"
+		}
+		setText(target, text)
+		return ""
+	}}
+}
+
 func file() kind {
 	return kind{unit: "file name", limits: "", set: func(target any, text string) string {
 		setText(target, text)
--- a/io/settings/load.go
+++ b/io/settings/load.go
@@ -230,7 +230,7 @@
 		at = l.settings.lines[r.other]
 	}
 	detail := "contradicts " + r.other
-	if f, o := find(r.field), find(r.other); f.standard != "" {
+	if f, o := find(r.field), find(r.other); f.standard != "" && text(o.target(&l.settings)) != "" {
 		detail = fmt.Sprintf("%s contradicts %s %s", text(f.target(&l.settings)), r.other, text(o.target(&l.settings)))
 	}
 	l.problem(at, r.field, detail, r.remedy)
@@ -261,6 +261,9 @@
 		return false
 	}
 	if remedy := f.kind.set(target, value); remedy != "" {
+		if f.kind.secret {
+			value = "(redacted)" // The value may be the secret itself.
+		}
 		l.problem(line(n), f.name, fmt.Sprintf("invalid value %q", value), remedy)
 		return false
 	}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -26,24 +26,28 @@
 
 // Settings are the settings of one process with defaults filled in.
 type Settings struct {
-	Role         Role
-	ID           string
-	Location     oleandervalve.Location
-	LogLevel     string
-	Listen       Listen
-	Entries      []string
-	Table        Service
-	Objects      Service
-	Platform     Service
-	TLS          TLS
-	Calls        Calls
-	Drain        Drain
-	Worker       Worker
-	Heartbeat    Heartbeat
-	Lease        Lease
-	Announcement Announcement
-	Endpoint     Endpoint
-	Simulation   Simulation
+	Role     Role
+	ID       string
+	Location oleandervalve.Location
+	LogLevel string
+	Listen   Listen
+	Entries  []string
+	Table    Service
+	Objects  Service
+	Platform Service
+	TLS      TLS
+	// Authentication says how callers and teams are found: by tokens or, for
+	// development, by headers that are trusted.
+	Authentication string
+	Operators      Operators
+	Calls          Calls
+	Drain          Drain
+	Worker         Worker
+	Heartbeat      Heartbeat
+	Lease          Lease
+	Announcement   Announcement
+	Endpoint       Endpoint
+	Simulation     Simulation
 
 	// lines holds the line of each field that the file sets.
 	lines map[string]int
@@ -65,6 +69,19 @@
 	Certificate, Key, Authority string
 }
 
+// Authentication modes.
+const (
+	// AuthenticationTokens finds callers by bearer tokens.
+	AuthenticationTokens = "tokens"
+	// AuthenticationHeaders trusts the headers that name team and caller; only for development.
+	AuthenticationHeaders = "headers"
+)
+
+// Operators holds what makes the first operators.
+type Operators struct {
+	AdminTeam, BootstrapTokenHash string
+}
+
 // Calls bounds the calls of callers.
 type Calls struct {
 	DefaultTimeout time.Duration
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -64,6 +64,17 @@
 entries: [http://127.0.0.1:3]
 `
 
+const goodEntry = `role: entry
+id: entry-1
+location:
+  region: r
+  dataCentre: d
+listen:
+  callers: 127.0.0.1:1
+  peers: 127.0.0.1:2
+  metrics: 127.0.0.1:3
+`
+
 // Guards against wrong settings that are accepted, or whose report lacks the
 // line, the field or the remedy.
 func TestProblems(t *testing.T) {
@@ -86,13 +97,24 @@
 		{"platform lease", "lease:\n  platform: 9s", "f:11: lease.platform: 9s contradicts lease.platformRenewal 5s"},
 		{"announcements", "announcement:\n  timeout: 1s", "f:11: announcement.timeout: 1s contradicts announcement.interval 1s"},
 		{"drain", "drain:\n  timeout: 1s", "f:11: drain.timeout: 1s contradicts drain.notice 2s"},
+		{"plain address with TLS", "tls: {certificate: a, key: b, authority: c}", "f:9: entries: contradicts tls.certificate: use https"},
 		{"half of TLS", "tls:\n  certificate: a.pem", "f:11: tls.certificate: contradicts tls.key: name certificate, key and authority together"},
 	}
+	entryCases := len(cases)
+	cases = append(cases, []struct{ name, extra, want string }{
+		{"tokens without a table", "log:\n  level: info", "f: authentication: contradicts table.url: name the table that holds the tokens"},
+		{"operators without a table", "  operators: 127.0.0.1:4\nauthentication: headers", "f:10: listen.operators: contradicts table.url: name the table"},
+		{"token for a hash", "authentication: headers\noperators:\n  bootstrapTokenHash: secret", "f:12: operators.bootstrapTokenHash: invalid value \"(redacted)\": give"},
+	}...)
 	covered := map[string]bool{}
-	for _, c := range cases {
+	for i, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			_, err := Parse("f", []byte(goodAgent+c.extra+"\n"))
+			base := goodAgent
+			if i >= entryCases {
+				base = goodEntry
+			}
+			_, err := Parse("f", []byte(base+c.extra+"\n"))
 			var invalid *InvalidError
 			is.True(errors.As(err, &invalid))                    // refused with the typed error
 			is.Equal(len(invalid.Problems), 1)                   // and nothing else
--- a/io/tlsfiles/files.go
+++ b/io/tlsfiles/files.go
@@ -223,6 +223,17 @@
 	}
 }
 
+// Listener returns the configuration of a listener whose clients prove
+// themselves by other means than a certificate, such as bearer tokens.
+func (f *Files) Listener() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &f.current().certificate, nil
+		},
+	}
+}
+
 // Client returns the configuration of one connection to a peer. It holds the
 // certificates that are current now; a new connection needs a new one.
 func (f *Files) Client() *tls.Config { return clientConfig(f.current(), f.clock) }
