--- a/io/peer/messages.go
+++ b/io/peer/messages.go
@@ -198,6 +198,9 @@
 	Ran bool                    `cbor:"ran"`
 }
 
+// ReasonPlannedStop tells that the sender is about to stop.
+const ReasonPlannedStop = oleandervalve.Reason("plannedStop")
+
 // Drain announces a planned stop of the sender.
 type Drain struct {
 	Reason oleandervalve.Reason `cbor:"reason"`
@@ -343,5 +346,8 @@
 	case typeKeyImport:
 		return &KeyImport{}
 	}
+	if m := newConfigMessage(t); m != nil {
+		return m
+	}
 	return newTaskMessage(t)
 }
--- a/io/taskowner/owner.go
+++ b/io/taskowner/owner.go
@@ -44,9 +44,11 @@
 // workerView is what an entry knows of a connected worker.
 type workerView struct {
 	location oleandervalve.Location
-	labels   labels.Set
-	capacity oleandervalve.Resources
-	heard    bool
+	// announced holds the labels of the agent's greeting, labels those in force.
+	announced map[string]string
+	labels    labels.Set
+	capacity  oleandervalve.Resources
+	heard     bool
 	// askAt is when the platform is asked next about a silent worker, and wait
 	// the time from then to the question after it.
 	askAt time.Time
@@ -62,6 +64,7 @@
 	scope    tally.Scope
 	platform oleandervalve.Platform
 	sender   Sender
+	policies Policies
 	store    *store
 	config   scheduler.Config
 	limits   table.Limits
--- a/io/taskowner/workers.go
+++ b/io/taskowner/workers.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"k8s.io/apimachinery/pkg/labels"
-
 	"oleandervalve"
 	"oleandervalve/core/job"
 	"oleandervalve/core/lease"
@@ -21,7 +19,7 @@
 		v = &workerView{}
 		o.workers[w] = v
 	}
-	v.location, v.labels, v.heard = l, labels.Set(set), true
+	v.location, v.announced, v.labels, v.heard = l, set, o.labelsOf(set), true
 	o.suspicion.Heard(now, w)
 	o.placer.scheduler.KeepWorker(w)
 	for i, s := range o.shards {
@@ -47,6 +45,8 @@
 	switch m := m.(type) {
 	case *peer.Residents:
 		o.residents(now, w, m)
+	case *peer.Drain:
+		o.drain(now, w, m)
 	case *peer.ReservedTask:
 		m.Worker = w
 		i := job.ShardOf(job.Parent(m.Run.Task))
@@ -56,8 +56,6 @@
 	case *peer.TaskReport:
 		m.Worker = w
 		o.report(now, m.Report)
-	case *peer.Drain:
-		o.drain(now, w, m.Within)
 	case *peer.Usage:
 		for _, u := range m.Samples {
 			o.placer.scheduler.Sample(u, now)
@@ -68,9 +66,13 @@
 // reasonDraining marks tasks that leave a worker because its agent stops as planned.
 const reasonDraining = oleandervalve.Reason("workerDraining")
 
-// drain moves the tasks off a worker whose agent is about to stop.
-func (o *Owner) drain(now time.Time, w oleandervalve.WorkerID, within time.Duration) {
-	o.placer.scheduler.Replace(w, now.Add(within))
+// drain moves the tasks off a worker whose agent takes no new work: a few at a
+// time when an operator asked for it, all at once when the agent is about to stop.
+func (o *Owner) drain(now time.Time, w oleandervalve.WorkerID, m *peer.Drain) {
+	o.placer.scheduler.Replace(w, now.Add(m.Within))
+	if m.Reason != peer.ReasonPlannedStop {
+		return
+	}
 	for i, s := range o.shards {
 		o.run(now, i, s.EvictWorker(now, w, reasonDraining))
 	}
