Connect idempotency keys to entries and agents

Cause: no process used the key records, so a retry through another entry could run a request twice. Change: agents with a table keep records under their lease and hand them over at a planned stop; entries read the map, plan its changes, ask the home before they execute a keyed call, and answer retries from the kept answer.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -39,6 +39,7 @@
 	mu        sync.Mutex
 	ledger    *instance.Ledger
 	tasks     *tasks
+	keys      *keys
 	links     map[oleandervalve.EntryID]*link
 	addresses map[oleandervalve.EndpointID]string
 
@@ -106,6 +107,10 @@
 	}
 	a.stopped.Add(1)
 	go a.run()
+	if a.keys != nil {
+		a.stopped.Add(1)
+		go a.keys.run()
+	}
 	return a
 }
 
@@ -240,12 +245,14 @@
 	a.publishChange(before)
 	a.mu.Unlock()
 	end := now.Add(within)
+	keys := make(chan bool, 1)
+	go func() { keys <- a.drainKeys(within) }()
 	for a.clock.Now().Before(end) {
 		a.mu.Lock()
 		idle := a.ledger.Idle()
 		a.mu.Unlock()
 		if idle {
-			return true
+			return <-keys
 		}
 		a.clock.Sleep(10 * time.Millisecond)
 	}
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -126,6 +126,9 @@
 			s.download.Grant(m.Bytes)
 		}
 	default:
+		if a.handleKeys(l, m) {
+			return
+		}
 		a.mu.Lock()
 		a.handleTask(l, m)
 		a.mu.Unlock()
--- a/io/callerhttp/handler.go
+++ b/io/callerhttp/handler.go
@@ -32,6 +32,9 @@
 	// HeaderKey is the idempotency key of a request that the caller may repeat.
 	HeaderKey = "Idempotency-Key"
 
+	// HeaderReplayed is true on the kept answer of an earlier request with the same key.
+	HeaderReplayed = "Oleandervalve-Replayed"
+
 	// InlineBody is the largest request body in bytes that is read before the request is queued.
 	InlineBody = 16 << 10
 
@@ -243,17 +246,18 @@
 func WriteError(w http.ResponseWriter, err error) {
 	body := ErrorBody{Outcome: oleandervalve.OutcomeUnknown, Reason: "internal", Message: err.Error()}
 	status := http.StatusBadGateway
+	var key *KeyError
 	var notRun *oleandervalve.NotRunError
 	var unknown *oleandervalve.UnknownOutcomeError
 	var invalidInput *oleandervalve.InvalidError
 	var unauthorized *UnauthorizedError
 	switch {
+	case errors.As(err, &key):
+		body.Outcome, body.Reason, status = key.Outcome, key.Reason, key.Status
+		retryAfter(w, key.RetryAfter)
 	case errors.As(err, &notRun):
 		body.Outcome, body.Reason, status = oleandervalve.OutcomeNotRun, notRun.Reason, notRunStatus(notRun.Reason)
-		if notRun.RetryAfter > 0 {
-			seconds := (notRun.RetryAfter + time.Second - 1) / time.Second
-			w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
-		}
+		retryAfter(w, notRun.RetryAfter)
 	case errors.As(err, &invalidInput):
 		body.Outcome, body.Reason, status = oleandervalve.OutcomeNotRun, "invalidRequest", http.StatusBadRequest
 	case errors.As(err, &unauthorized):
@@ -275,9 +279,7 @@
 	switch r {
 	case "queueFull", "teamQueueFull", "callerQueueFull", "deadlineUnreachable":
 		return http.StatusTooManyRequests
-	case "keyBodyMismatch":
-		return http.StatusUnprocessableEntity
-	case "keyInvalid", "keyTimestamp":
+	case "keyInvalid", "keyAhead":
 		return http.StatusBadRequest
 	case "forbidden":
 		return http.StatusForbidden
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -81,9 +81,14 @@
 	x := &exchange{call: c, w: w, request: caller.Request{
 		ID: e.newRequestID(), Class: c.Class, Team: c.Team, Caller: c.Caller, Arrived: now, Deadline: now.Add(c.Timeout),
 	}}
-	ctx, cancel := context.WithDeadline(ctx, x.request.Deadline)
+	keyed := c.Key != "" && !e.ignoreKeys
+	ctx, cancel := keyedDeadline(ctx, x, keyed)
 	defer cancel()
-	err := e.exchange(ctx, x)
+	run := e.exchange
+	if keyed {
+		run = e.keyed
+	}
+	err := run(ctx, x)
 	if errors.Is(err, errAnswerCut) {
 		// The status is sent already, so only an aborted connection tells the
 		// caller that the answer is not whole.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -43,7 +43,10 @@
 	workers   map[oleandervalve.WorkerID]*link
 	owner     TaskOwner
 	draining  bool
-	inFlight  sync.WaitGroup
+	keys      *keys
+	// ignoreKeys treats keyed calls like others.
+	ignoreKeys bool
+	inFlight   sync.WaitGroup
 
 	stop    chan struct{}
 	stopped sync.WaitGroup
@@ -124,6 +127,9 @@
 	e.directory = endpoint.NewDirectory(endpoint.WithLocation(e.location))
 	e.stopped.Add(1)
 	go e.run()
+	if e.keys != nil {
+		e.keys.start()
+	}
 	return e
 }
 
@@ -248,6 +254,14 @@
 	done := make(chan struct{})
 	go func() {
 		e.inFlight.Wait()
+		// A home that does not learn the outcome would answer retries as lost.
+		for !e.keys.reported() {
+			select {
+			case <-e.stop:
+				return
+			case <-e.clock.After(keysTick):
+			}
+		}
 		close(done)
 	}()
 	select {
--- /dev/null
+++ b/io/entry/keys_test.go
@@ -0,0 +1,266 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"oleandervalve"
+	"oleandervalve/core/keyrange"
+	"oleandervalve/io/agent"
+	"oleandervalve/io/callerhttp"
+	"oleandervalve/io/entry"
+	"oleandervalve/io/peer"
+	"oleandervalve/io/standin"
+	"oleandervalve/io/tablehttp"
+)
+
+const testCaller = "bar"
+
+type keyedSystem struct {
+	is        *is.I
+	books     *standin.Books
+	faults    *standin.Faults
+	table     oleandervalve.Table
+	urls      []string
+	agents    map[oleandervalve.AgentID]*agent.Agent
+	endpoints map[oleandervalve.AgentID]*standin.Endpoint
+	next      int
+}
+
+// startKeyed starts a table, two entries, and three agents with an endpoint
+// each, and returns when both entries answer keyed calls.
+func startKeyed(t *testing.T, lease keyrange.LeaseOptions) *keyedSystem {
+	s := &keyedSystem{
+		is: is.New(t), books: standin.NewBooks(), agents: map[oleandervalve.AgentID]*agent.Agent{}, endpoints: map[oleandervalve.AgentID]*standin.Endpoint{},
+	}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	log := logrus.NewEntry(quiet)
+	table := standin.NewTable(oleandervalve.SystemClock(), 1)
+	s.faults = table.Faults
+	server := s.serve(t, table.Handler())
+	s.table = tablehttp.NewClient(server.URL, 5*time.Second)
+	var peers []string
+	for i := range 2 {
+		o := entry.DefaultKeyOptions()
+		o.Lease = lease
+		e := entry.New(oleandervalve.EntryID(fmt.Sprintf("entry-%d", i)), entry.WithKeys(s.table, o), entry.WithLog(log))
+		t.Cleanup(e.Close)
+		m := http.NewServeMux()
+		m.Handle(peer.Path, e.PeerHandler())
+		m.Handle("/call/", callerhttp.Handler(e, callerhttp.TrustedHeaders{}))
+		s.urls = append(s.urls, s.serve(t, m).URL)
+		peers = append(peers, s.urls[i]+peer.Path)
+	}
+	for i := range 3 {
+		id := oleandervalve.AgentID(fmt.Sprintf("agent-%d", i))
+		o := agent.DefaultKeyOptions()
+		o.Lease = lease
+		a := agent.New(id, peers, agent.WithKeys(s.table, o), agent.WithLog(log))
+		t.Cleanup(a.Close)
+		x, err := standin.StartEndpoint(standin.EndpointConfig{
+			Announcement: oleandervalve.Announcement{Endpoint: oleandervalve.EndpointID("x-" + id), Service: "svc", Slots: 4, Connections: 8},
+			Agent:        s.serve(t, a.AnnounceHandler()).URL, Books: s.books, Service: time.Millisecond,
+		})
+		s.is.NoErr(err)
+		t.Cleanup(x.Close)
+		s.agents[id], s.endpoints[id] = a, x
+	}
+	for e := range s.urls {
+		s.until(func() bool { return s.call(e, s.key(), "warm", "").answered() })
+	}
+	return s
+}
+
+func (s *keyedSystem) serve(t *testing.T, h http.Handler) *standin.Server {
+	x, err := standin.Serve("127.0.0.1:0", h)
+	s.is.NoErr(err)
+	t.Cleanup(x.Close)
+	return x
+}
+
+// until waits for a condition; only the test's own timeout ends it otherwise.
+func (s *keyedSystem) until(condition func() bool) {
+	for !condition() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (s *keyedSystem) key() string {
+	s.next++
+	return fmt.Sprintf("%d-random%04d", time.Now().UnixMilli(), s.next)
+}
+
+type keyedAnswer struct {
+	status   int
+	outcome  string
+	reason   string
+	replayed bool
+	body     string
+}
+
+func (a keyedAnswer) answered() bool { return a.outcome == string(oleandervalve.OutcomeAnswered) }
+
+// call sends one call with an idempotency key.
+func (s *keyedSystem) call(e int, key, work, body string) keyedAnswer {
+	r, err := http.NewRequest(http.MethodPost, s.urls[e]+"/call/svc/bookings", strings.NewReader(body))
+	s.is.NoErr(err)
+	r.Header.Set(callerhttp.HeaderKey, key)
+	r.Header.Set(callerhttp.HeaderCaller, testCaller)
+	r.Header.Set(callerhttp.HeaderTimeout, "3000")
+	r.Header.Set(standin.HeaderTestID, work)
+	p, err := http.DefaultClient.Do(r)
+	s.is.NoErr(err)
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	s.is.NoErr(err)
+	return keyedAnswer{
+		p.StatusCode, p.Header.Get(callerhttp.HeaderOutcome), p.Header.Get(callerhttp.HeaderReason),
+		p.Header.Get(callerhttp.HeaderReplayed) == "true", string(b),
+	}
+}
+
+// retry repeats a call until its answer has none of the passing reasons.
+func (s *keyedSystem) retry(e int, key, work, body string, passing ...string) keyedAnswer {
+	for {
+		a := s.call(e, key, work, body)
+		again := false
+		for _, p := range passing {
+			again = again || a.reason == p
+		}
+		if !again {
+			return a
+		}
+	}
+}
+
+func (s *keyedSystem) home(key string) oleandervalve.AgentID {
+	rows, err := s.table.Get(context.Background(), keyrange.MapKey)
+	s.is.NoErr(err)
+	m, err := keyrange.Decode(rows[0])
+	s.is.NoErr(err)
+	return m.Get(keyrange.Of(testCaller, "svc", key)).Home.Agent
+}
+
+func testLease(d time.Duration) keyrange.LeaseOptions {
+	return keyrange.LeaseOptions{Duration: d, Guard: time.Second, Every: time.Second}
+}
+
+// Guards against a retry through another entry that runs the request again, and
+// against a key that passes for two different requests.
+func TestRetryThroughOtherEntry(t *testing.T) {
+	t.Parallel()
+	s := startKeyed(t, testLease(10*time.Minute))
+	key := s.key()
+	first := s.call(0, key, "w1", "two kegs")
+	s.is.True(first.answered() && !first.replayed)
+	again := s.retry(1, key, "w1", "two kegs", "keyPending")
+	s.is.True(again.answered() && again.replayed)
+	s.is.Equal(again.body, first.body)
+	s.is.Equal(s.books.Runs("w1"), 1)
+	other := s.call(1, key, "w2", "three kegs")
+	s.is.Equal(other.status, http.StatusUnprocessableEntity)
+	s.is.Equal(other.outcome, string(oleandervalve.OutcomeNotRun))
+	s.is.Equal(other.reason, "keyBodyDiffers")
+	s.is.Equal(s.books.Runs("w2"), 0)
+	large := strings.Repeat("keg ", 10_000)
+	s.is.True(s.call(0, s.key(), "w3", large).answered()) // a body that does not fit one message
+	ahead := s.call(0, fmt.Sprintf("%d-random00", time.Now().Add(time.Hour).UnixMilli()), "w4", "")
+	s.is.Equal(ahead.status, http.StatusBadRequest)
+	s.is.Equal(s.books.Runs("w4"), 0)
+}
+
+// Guards against a second run when the endpoint executed the request and its answer was lost.
+func TestRetryAfterLostAnswer(t *testing.T) {
+	t.Parallel()
+	s := startKeyed(t, testLease(10*time.Minute))
+	for _, x := range s.endpoints {
+		x.SetFault(standin.EndpointFault{DropAnswer: true})
+	}
+	key := s.key()
+	s.is.Equal(s.call(0, key, "w", "").outcome, string(oleandervalve.OutcomeUnknown))
+	for _, x := range s.endpoints {
+		x.SetFault(standin.EndpointFault{})
+	}
+	again := s.retry(1, key, "w", "", "keyPending")
+	s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
+	s.is.Equal(again.reason, "keyLost")
+	s.is.Equal(s.books.Runs("w"), 1)
+}
+
+// Guards against a planned stop of a home that loses records or lets a key run again.
+func TestRetryAfterDrainOfHome(t *testing.T) {
+	t.Parallel()
+	s := startKeyed(t, testLease(10*time.Minute))
+	key := s.key()
+	first := s.call(0, key, "w", "")
+	s.is.True(first.answered())
+	s.is.True(s.retry(1, key, "w", "", "keyPending").replayed)
+	old := s.home(key)
+	s.is.True(s.agents[old].Drain(time.Hour))
+	s.agents[old].Shutdown()
+	s.is.True(s.home(key) != old)
+	again := s.retry(1, key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
+	s.is.True(again.answered() && again.replayed)
+	s.is.Equal(again.body, first.body)
+	s.is.Equal(s.books.Runs("w"), 1)
+}
+
+// Guards against a second run of a key whose home ended without handing its
+// records over, before and after the takeover, and against ranges that stay without a home.
+func TestRetryAfterLossOfHome(t *testing.T) {
+	t.Parallel()
+	s := startKeyed(t, testLease(5*time.Second))
+	key := s.key()
+	s.is.True(s.call(0, key, "w", "").answered())
+	old := s.home(key)
+	s.endpoints[old].Close()
+	s.agents[old].Close()
+	again := s.call(1, key, "w", "")
+	s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
+	s.is.Equal(again.status, http.StatusBadGateway)
+	s.until(func() bool { return s.home(key) != old })
+	again = s.retry(1, key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
+	s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
+	s.is.Equal(again.reason, "keyTakenOver")
+	s.is.Equal(s.books.Runs("w"), 1)
+	taken := keyrange.Of(testCaller, "svc", key)
+	s.until(func() bool {
+		fresh := s.key()
+		for keyrange.Of(testCaller, "svc", fresh) != taken {
+			fresh = s.key()
+		}
+		return s.call(0, fresh, "fresh", "").answered()
+	})
+}
+
+// Guards against keyed calls that stop, or run again, because the table does not answer.
+func TestKeyedCallsDuringTableOutage(t *testing.T) {
+	t.Parallel()
+	s := startKeyed(t, testLease(10*time.Minute))
+	s.faults.Set(standin.Fault{Down: true})
+	key := s.key()
+	s.is.True(s.call(0, key, "w", "").answered())
+	s.is.True(s.retry(1, key, "w", "", "keyPending").replayed)
+	s.is.Equal(s.books.Runs("w"), 1)
+}
+
+// Guards against an entry that drops the guarantee of a key without saying so.
+func TestKeyedCallWithoutKeyService(t *testing.T) {
+	is := is.New(t)
+	e := entry.New("entry")
+	defer e.Close()
+	err := e.Dispatch(t.Context(), callerhttp.Call{Service: "svc", Key: "1800000000000-random00", Timeout: time.Minute}, nil)
+	var notRun *oleandervalve.NotRunError
+	is.True(errors.As(err, &notRun))
+	is.Equal(notRun.Reason, oleandervalve.Reason("keysNotConfigured"))
+}
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"oleandervalve"
 	"oleandervalve/core/endpoint"
@@ -15,6 +16,8 @@
 	worker oleandervalve.WorkerID
 	epoch  oleandervalve.ConnectionEpoch
 	conn   *peer.Conn
+	// draining is set when the agent announced a planned stop.
+	draining atomic.Bool
 
 	mu    sync.Mutex
 	calls map[oleandervalve.RequestID]*call
@@ -48,6 +51,7 @@
 	e.countAgents()
 	e.mu.Unlock()
 	log.Info("agent connected")
+	e.keys.changed()
 	if e.owner != nil && h.Worker != "" {
 		e.owner.Connected(h.Worker, h.Location, h.Labels)
 	}
@@ -64,6 +68,7 @@
 	e.countAgents()
 	e.mu.Unlock()
 	l.failCalls()
+	e.keys.changed()
 	log.WithError(err).Info("agent disconnected")
 }
 
@@ -94,6 +99,7 @@
 	case *peer.CreditRevoke:
 		e.revoke(l, m)
 	case *peer.Drain:
+		l.draining.Store(true)
 		e.mu.Lock()
 		e.directory.Draining(l.agent, l.epoch)
 		e.mu.Unlock()
@@ -132,6 +138,8 @@
 		if e.owner != nil && l.worker != "" {
 			e.owner.Handle(l.worker, m)
 		}
+	default:
+		e.keys.handle(l, m)
 	}
 }
 
