--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -41,6 +41,7 @@
 	ledger    *instance.Ledger
 	config    *configuration
 	tasks     *tasks
+	keys      *keys
 	links     map[oleandervalve.EntryID]*link
 	addresses map[oleandervalve.EndpointID]string
 	// published is the endpoint list that the entries were told last.
@@ -119,6 +120,10 @@
 	}
 	a.stopped.Add(1)
 	go a.run()
+	if a.keys != nil {
+		a.stopped.Add(1)
+		go a.keys.run()
+	}
 	return a
 }
 
@@ -243,12 +248,14 @@
 func (a *Agent) Drain(within time.Duration) bool {
 	a.beginDrain(&peer.Drain{Reason: peer.ReasonPlannedStop, Within: within})
 	end := a.clock.Now().Add(within)
+	keys := make(chan bool, 1)
+	go func() { keys <- a.drainKeys(within) }()
 	for a.clock.Now().Before(end) {
 		a.mu.Lock()
 		idle := a.ledger.Idle() && a.tasksIdle()
 		a.mu.Unlock()
 		if idle {
-			return true
+			return <-keys
 		}
 		a.clock.Sleep(10 * time.Millisecond)
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -47,7 +47,10 @@
 	configured    map[oleandervalve.ServiceName]configured
 	teamWeights   map[oleandervalve.TeamID]float64
 	configuration *Configuration
-	inFlight      sync.WaitGroup
+	keys          *keys
+	// ignoreKeys treats keyed calls like others.
+	ignoreKeys bool
+	inFlight   sync.WaitGroup
 
 	stop    chan struct{}
 	stopped sync.WaitGroup
@@ -130,6 +133,9 @@
 	e.directory = endpoint.NewDirectory(endpoint.WithLocation(e.location))
 	e.stopped.Add(1)
 	go e.run()
+	if e.keys != nil {
+		e.keys.start()
+	}
 	return e
 }
 
@@ -253,6 +259,14 @@
 	done := make(chan struct{})
 	go func() {
 		e.inFlight.Wait()
+		// A home that does not learn the outcome would answer retries as lost.
+		for !e.keys.reported() {
+			select {
+			case <-e.stop:
+				return
+			case <-e.clock.After(keysTick):
+			}
+		}
 		close(done)
 	}()
 	select {
--- a/io/taskowner/config.go
+++ b/io/taskowner/config.go
@@ -13,7 +13,6 @@
 	"oleandervalve/core/job"
 	"oleandervalve/core/operator"
 	"oleandervalve/core/worker"
-	"oleandervalve/io/peer"
 )
 
 // Policies is the configuration of jobs and workers that is in force.
