Send keys with the bookings of the demonstration

Cause: the demonstration sent no idempotency keys, so nothing showed that a retry through another entry runs once. Change: its entries and agents keep keys, and a booking with an unknown outcome is sent once more with its key through the other entry; the run starts when every key range is served.

--- a/io/agent/keys.go
+++ b/io/agent/keys.go
@@ -356,6 +356,13 @@
 	}
 }
 
+// KeyRanges returns how many ranges of idempotency keys the agent is home of.
+func (a *Agent) KeyRanges() int {
+	n := 0
+	a.keys.withHome(func(*callerkey.Home, time.Time) { n = len(a.keys.view.Ranges(a.keys.lease.Home())) })
+	return n
+}
+
 // drainKeys hands the records over to other agents and reports whether it ended in time.
 func (a *Agent) drainKeys(within time.Duration) bool {
 	k := a.keys
--- a/io/demo/load.go
+++ b/io/demo/load.go
@@ -94,7 +94,7 @@
 
 func (l *load) send(d deployment, t traffic, q *request, result *classResult, team int) {
 	started := time.Now()
-	q.outcome = l.call(d, t, q, team)
+	q.outcome = l.attempts(d, t, q, team)
 	took := time.Since(started)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -111,8 +111,24 @@
 	}
 }
 
-func (l *load) call(d deployment, t traffic, q *request, team int) oleandervalve.Outcome {
-	url := l.entries[l.next.Add(1)%uint64(len(l.entries))] + "/call/" + string(d.service) + t.path
+// attempts sends a request, and repeats a keyed one once through another entry
+// if its outcome is unknown.
+func (l *load) attempts(d deployment, t traffic, q *request, team int) oleandervalve.Outcome {
+	i := l.next.Add(1)
+	key := ""
+	if t.keyed {
+		key = fmt.Sprintf("%d-%016x", time.Now().UnixMilli(), rand.Uint64())
+	}
+	out := l.call(d, t, q, team, i, key)
+	if t.keyed && out == oleandervalve.OutcomeUnknown {
+		q.cut = false
+		out = l.call(d, t, q, team, i+1, key)
+	}
+	return out
+}
+
+func (l *load) call(d deployment, t traffic, q *request, team int, i uint64, key string) oleandervalve.Outcome {
+	url := l.entries[i%uint64(len(l.entries))] + "/call/" + string(d.service) + t.path
 	ctx, cancel := context.WithTimeout(context.Background(), t.timeout+5*time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, t.method, url, nil)
@@ -123,6 +139,9 @@
 	r.Header.Set(callerhttp.HeaderTeam, fmt.Sprintf("%s-%s-%d", d.name, t.class, team))
 	r.Header.Set(callerhttp.HeaderTimeout, fmt.Sprint(t.timeout.Milliseconds()))
 	r.Header.Set(standin.HeaderTestID, q.id)
+	if key != "" {
+		r.Header.Set(callerhttp.HeaderKey, key)
+	}
 	p, err := l.client.Do(r)
 	if err != nil {
 		return oleandervalve.OutcomeUnknown
--- a/io/demo/system.go
+++ b/io/demo/system.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
+	"oleandervalve/core/keyrange"
 	"oleandervalve/core/table"
 	"oleandervalve/io/agent"
 	"oleandervalve/io/callerhttp"
@@ -120,7 +121,10 @@
 func (s *System) addEntry(i int) error {
 	id := oleandervalve.EntryID(fmt.Sprintf("entry-%d", i))
 	log := s.log.WithField("entry", id)
-	options := []entry.Option{entry.WithLog(log), entry.WithScope(s.scope.Tagged(map[string]string{"entry": string(id)}))}
+	options := []entry.Option{
+		entry.WithLog(log), entry.WithScope(s.scope.Tagged(map[string]string{"entry": string(id)})),
+		entry.WithKeys(s.table, entry.DefaultKeyOptions()),
+	}
 	for _, d := range deployments() {
 		options = append(options, entry.WithPolicy(d.service, d.policies()))
 	}
@@ -168,7 +172,7 @@
 		agent.WithLocation(d.location(i)), agent.WithWorker(workerID(d, i)),
 		agent.WithLabels(map[string]string{"site": d.name, "dataCentre": string(d.location(i).DataCentre)}),
 		agent.WithPlatform(s.platform, s.objects), agent.WithUsageEvery(time.Second),
-		agent.WithShares(d.service, d.shares()))
+		agent.WithShares(d.service, d.shares()), agent.WithKeys(s.table, agent.DefaultKeyOptions()))
 	server, err := standin.Serve("127.0.0.1:0", a.AnnounceHandler())
 	if err != nil {
 		a.Close()
@@ -187,12 +191,18 @@
 	})
 }
 
-// waitReady waits until every entry can reach an endpoint of every service.
+// waitReady waits until every entry can reach an endpoint of every service and
+// the home of every idempotency key.
 func (s *System) waitReady(within time.Duration) error {
 	end := time.Now().Add(within)
 	for time.Now().Before(end) {
-		ready := true
+		ranges := 0
+		for _, a := range s.agents {
+			ranges += a.agent.KeyRanges()
+		}
+		ready := ranges == keyrange.Count
 		for _, e := range s.entries {
+			ready = ready && e.entry.KeyHomes()
 			for _, d := range deployments() {
 				ready = ready && e.entry.Slots(d.service) == d.executors*d.slots
 			}
--- a/io/entry/keys.go
+++ b/io/entry/keys.go
@@ -271,17 +271,17 @@
 	}
 }
 
-func (k *keys) readMap(ctx context.Context) bool {
+func (k *keys) readMap(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, keysTableWait)
 	defer cancel()
 	rows, err := k.table.Get(ctx, keyrange.MapKey)
 	if err != nil || len(rows) != 1 {
-		return false
+		return
 	}
 	m, err := keyrange.Decode(rows[0])
 	if err != nil {
 		k.entry.log.WithError(err).Error("key range map could not be read")
-		return false
+		return
 	}
 	k.mu.Lock()
 	newer := m.Version() > k.view.Version()
@@ -292,7 +292,6 @@
 	if newer {
 		k.changed()
 	}
-	return true
 }
 
 // plan commits the next change of the map, if one is due. Every entry plans
@@ -377,6 +376,22 @@
 	return out
 }
 
+// KeyHomes reports whether every range of idempotency keys has a home, as far
+// as this entry knows; true if it has no key service.
+func (e *Entry) KeyHomes() bool {
+	if e.keys == nil {
+		return true
+	}
+	e.keys.mu.Lock()
+	defer e.keys.mu.Unlock()
+	for r := range keyrange.Count {
+		if e.keys.view.Get(keyrange.ID(r)).Home.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // leaving lists the homes of agents that announced a planned stop.
 func (k *keys) leaving(rows []oleandervalve.Row) []keyrange.Home {
 	var out []keyrange.Home
--- a/io/entry/keys_test.go
+++ b/io/entry/keys_test.go
@@ -129,10 +129,10 @@
 	}
 }
 
-// retry repeats a call until its answer has none of the passing reasons.
-func (s *keyedSystem) retry(e int, key, work, body string, passing ...string) keyedAnswer {
+// retry repeats a call through the second entry until its answer has none of the passing reasons.
+func (s *keyedSystem) retry(key, work, body string, passing ...string) keyedAnswer {
 	for {
-		a := s.call(e, key, work, body)
+		a := s.call(1, key, work, body)
 		again := false
 		for _, p := range passing {
 			again = again || a.reason == p
@@ -163,7 +163,7 @@
 	key := s.key()
 	first := s.call(0, key, "w1", "two kegs")
 	s.is.True(first.answered() && !first.replayed)
-	again := s.retry(1, key, "w1", "two kegs", "keyPending")
+	again := s.retry(key, "w1", "two kegs", "keyPending")
 	s.is.True(again.answered() && again.replayed)
 	s.is.Equal(again.body, first.body)
 	s.is.Equal(s.books.Runs("w1"), 1)
@@ -179,6 +179,35 @@
 	s.is.Equal(s.books.Runs("w4"), 0)
 }
 
+// Guards against a call that is given up because its caller has gone, or that
+// runs again while it is running.
+func TestRetryWhileRunning(t *testing.T) {
+	t.Parallel()
+	s := startKeyed(t, testLease(10*time.Minute))
+	for _, x := range s.endpoints {
+		x.SetFault(standin.EndpointFault{Slow: 1500})
+	}
+	key := s.key()
+	ctx, leave := context.WithCancel(t.Context())
+	gone := make(chan error, 1)
+	go func() {
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.urls[0]+"/call/svc/bookings", http.NoBody)
+		if err == nil {
+			r.Header.Set(callerhttp.HeaderKey, key)
+			r.Header.Set(callerhttp.HeaderCaller, testCaller)
+			r.Header.Set(standin.HeaderTestID, "w")
+			_, err = http.DefaultClient.Do(r) //nolint:bodyclose // The caller leaves before there is an answer.
+		}
+		gone <- err
+	}()
+	s.until(func() bool { return s.books.Runs("w") == 1 })
+	leave()
+	s.is.True(errors.Is(<-gone, context.Canceled))
+	again := s.retry(key, "w", "", "keyPending")
+	s.is.True(again.answered() && again.replayed)
+	s.is.Equal(s.books.Runs("w"), 1)
+}
+
 // Guards against a second run when the endpoint executed the request and its answer was lost.
 func TestRetryAfterLostAnswer(t *testing.T) {
 	t.Parallel()
@@ -191,7 +220,7 @@
 	for _, x := range s.endpoints {
 		x.SetFault(standin.EndpointFault{})
 	}
-	again := s.retry(1, key, "w", "", "keyPending")
+	again := s.retry(key, "w", "", "keyPending")
 	s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
 	s.is.Equal(again.reason, "keyLost")
 	s.is.Equal(s.books.Runs("w"), 1)
@@ -204,12 +233,12 @@
 	key := s.key()
 	first := s.call(0, key, "w", "")
 	s.is.True(first.answered())
-	s.is.True(s.retry(1, key, "w", "", "keyPending").replayed)
+	s.is.True(s.retry(key, "w", "", "keyPending").replayed)
 	old := s.home(key)
 	s.is.True(s.agents[old].Drain(time.Hour))
 	s.agents[old].Shutdown()
 	s.is.True(s.home(key) != old)
-	again := s.retry(1, key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
+	again := s.retry(key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
 	s.is.True(again.answered() && again.replayed)
 	s.is.Equal(again.body, first.body)
 	s.is.Equal(s.books.Runs("w"), 1)
@@ -222,6 +251,8 @@
 	s := startKeyed(t, testLease(5*time.Second))
 	key := s.key()
 	s.is.True(s.call(0, key, "w", "").answered())
+	// An outcome that the old home had not acknowledged would be reported to the new one.
+	s.is.True(s.retry(key, "w", "", "keyPending").replayed)
 	old := s.home(key)
 	s.endpoints[old].Close()
 	s.agents[old].Close()
@@ -229,7 +260,7 @@
 	s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
 	s.is.Equal(again.status, http.StatusBadGateway)
 	s.until(func() bool { return s.home(key) != old })
-	again = s.retry(1, key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
+	again = s.retry(key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
 	s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
 	s.is.Equal(again.reason, "keyTakenOver")
 	s.is.Equal(s.books.Runs("w"), 1)
@@ -250,7 +281,7 @@
 	s.faults.Set(standin.Fault{Down: true})
 	key := s.key()
 	s.is.True(s.call(0, key, "w", "").answered())
-	s.is.True(s.retry(1, key, "w", "", "keyPending").replayed)
+	s.is.True(s.retry(key, "w", "", "keyPending").replayed)
 	s.is.Equal(s.books.Runs("w"), 1)
 }
 
