Test keys with a restarted home and lost table answers

Cause: no test covered a home that starts again after it ended, or a handover whose commits are refused or whose answers are lost. Change: both loss and drain of a home run as two cases each. Conclusion: the ranges of a restarted home get a new home once its old lease can no longer be in force; a handover survives lost commits.

--- a/io/entry/keys_test.go
+++ b/io/entry/keys_test.go
@@ -33,6 +33,9 @@
 	urls      []string
 	agents    map[oleandervalve.AgentID]*agent.Agent
 	endpoints map[oleandervalve.AgentID]*standin.Endpoint
+	log       *logrus.Entry
+	lease     keyrange.LeaseOptions
+	peers     []string
 	next      int
 }
 
@@ -49,7 +52,7 @@
 	s.faults = table.Faults
 	server := s.serve(t, table.Handler())
 	s.table = tablehttp.NewClient(server.URL, 5*time.Second)
-	var peers []string
+	s.log, s.lease = log, lease
 	for i := range 2 {
 		o := entry.DefaultKeyOptions()
 		o.Lease = lease
@@ -59,21 +62,10 @@
 		m.Handle(peer.Path, e.PeerHandler())
 		m.Handle("/call/", callerhttp.Handler(e, callerhttp.TrustedHeaders{}))
 		s.urls = append(s.urls, s.serve(t, m).URL)
-		peers = append(peers, s.urls[i]+peer.Path)
+		s.peers = append(s.peers, s.urls[i]+peer.Path)
 	}
 	for i := range 3 {
-		id := oleandervalve.AgentID(fmt.Sprintf("agent-%d", i))
-		o := agent.DefaultKeyOptions()
-		o.Lease = lease
-		a := agent.New(id, peers, agent.WithKeys(s.table, o), agent.WithLog(log))
-		t.Cleanup(a.Close)
-		x, err := standin.StartEndpoint(standin.EndpointConfig{
-			Announcement: oleandervalve.Announcement{Endpoint: oleandervalve.EndpointID("x-" + id), Service: "svc", Slots: 4, Connections: 8},
-			Agent:        s.serve(t, a.AnnounceHandler()).URL, Books: s.books, Service: time.Millisecond,
-		})
-		s.is.NoErr(err)
-		t.Cleanup(x.Close)
-		s.agents[id], s.endpoints[id] = a, x
+		s.startAgent(t, oleandervalve.AgentID(fmt.Sprintf("agent-%d", i)))
 	}
 	for e := range s.urls {
 		s.until(func() bool { return s.call(e, s.key(), "warm", "").answered() })
@@ -81,6 +73,20 @@
 	return s
 }
 
+func (s *keyedSystem) startAgent(t *testing.T, id oleandervalve.AgentID) {
+	o := agent.DefaultKeyOptions()
+	o.Lease = s.lease
+	a := agent.New(id, s.peers, agent.WithKeys(s.table, o), agent.WithLog(s.log))
+	t.Cleanup(a.Close)
+	x, err := standin.StartEndpoint(standin.EndpointConfig{
+		Announcement: oleandervalve.Announcement{Endpoint: oleandervalve.EndpointID("x-" + id), Service: "svc", Slots: 4, Connections: 8},
+		Agent:        s.serve(t, a.AnnounceHandler()).URL, Books: s.books, Service: time.Millisecond,
+	})
+	s.is.NoErr(err)
+	t.Cleanup(x.Close)
+	s.agents[id], s.endpoints[id] = a, x
+}
+
 func (s *keyedSystem) serve(t *testing.T, h http.Handler) *standin.Server {
 	x, err := standin.Serve("127.0.0.1:0", h)
 	s.is.NoErr(err)
@@ -143,12 +149,12 @@
 	}
 }
 
-func (s *keyedSystem) home(key string) oleandervalve.AgentID {
+func (s *keyedSystem) home(key string) keyrange.Home {
 	rows, err := s.table.Get(context.Background(), keyrange.MapKey)
 	s.is.NoErr(err)
 	m, err := keyrange.Decode(rows[0])
 	s.is.NoErr(err)
-	return m.Get(keyrange.Of(testCaller, "svc", key)).Home.Agent
+	return m.Get(keyrange.Of(testCaller, "svc", key)).Home
 }
 
 func testLease(d time.Duration) keyrange.LeaseOptions {
@@ -226,52 +232,70 @@
 	s.is.Equal(s.books.Runs("w"), 1)
 }
 
-// Guards against a planned stop of a home that loses records or lets a key run again.
+// Guards against a planned stop of a home that loses records, lets a key run
+// again or never ends, also if the table loses or refuses some of the commits.
 func TestRetryAfterDrainOfHome(t *testing.T) {
-	t.Parallel()
-	s := startKeyed(t, testLease(10*time.Minute))
-	key := s.key()
-	first := s.call(0, key, "w", "")
-	s.is.True(first.answered())
-	s.is.True(s.retry(key, "w", "", "keyPending").replayed)
-	old := s.home(key)
-	s.is.True(s.agents[old].Drain(time.Hour))
-	s.agents[old].Shutdown()
-	s.is.True(s.home(key) != old)
-	again := s.retry(key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
-	s.is.True(again.answered() && again.replayed)
-	s.is.Equal(again.body, first.body)
-	s.is.Equal(s.books.Runs("w"), 1)
+	for name, faults := range map[string][]standin.Fault{
+		"table answers": nil,
+		"table loses answers": {
+			{Operation: "commit", LoseAnswer: true, Share: 0.5}, {Operation: "commit", Down: true, Share: 0.5},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startKeyed(t, testLease(10*time.Minute))
+			key := s.key()
+			first := s.call(0, key, "w", "")
+			s.is.True(first.answered())
+			s.is.True(s.retry(key, "w", "", "keyPending").replayed)
+			old := s.home(key)
+			s.faults.Set(faults...)
+			s.is.True(s.agents[old.Agent].Drain(time.Hour))
+			s.agents[old.Agent].Shutdown()
+			s.is.True(s.home(key) != old)
+			again := s.retry(key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
+			s.is.True(again.answered() && again.replayed)
+			s.is.Equal(again.body, first.body)
+			s.is.Equal(s.books.Runs("w"), 1)
+		})
+	}
 }
 
 // Guards against a second run of a key whose home ended without handing its
-// records over, before and after the takeover, and against ranges that stay without a home.
+// records over, before and after the takeover, and against ranges that stay
+// without a home, also if the agent starts again at once.
 func TestRetryAfterLossOfHome(t *testing.T) {
-	t.Parallel()
-	s := startKeyed(t, testLease(5*time.Second))
-	key := s.key()
-	s.is.True(s.call(0, key, "w", "").answered())
-	// An outcome that the old home had not acknowledged would be reported to the new one.
-	s.is.True(s.retry(key, "w", "", "keyPending").replayed)
-	old := s.home(key)
-	s.endpoints[old].Close()
-	s.agents[old].Close()
-	again := s.call(1, key, "w", "")
-	s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
-	s.is.Equal(again.status, http.StatusBadGateway)
-	s.until(func() bool { return s.home(key) != old })
-	again = s.retry(key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
-	s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
-	s.is.Equal(again.reason, "keyTakenOver")
-	s.is.Equal(s.books.Runs("w"), 1)
-	taken := keyrange.Of(testCaller, "svc", key)
-	s.until(func() bool {
-		fresh := s.key()
-		for keyrange.Of(testCaller, "svc", fresh) != taken {
-			fresh = s.key()
-		}
-		return s.call(0, fresh, "fresh", "").answered()
-	})
+	for name, restart := range map[string]bool{"lost": false, "restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startKeyed(t, testLease(5*time.Second))
+			key := s.key()
+			s.is.True(s.call(0, key, "w", "").answered())
+			// An outcome that the old home had not acknowledged would be reported to the new one.
+			s.is.True(s.retry(key, "w", "", "keyPending").replayed)
+			old := s.home(key)
+			s.endpoints[old.Agent].Close()
+			s.agents[old.Agent].Close()
+			if restart {
+				s.startAgent(t, old.Agent)
+			}
+			again := s.call(1, key, "w", "")
+			s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
+			s.until(func() bool { return s.home(key) != old })
+			again = s.retry(key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
+			s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
+			s.is.Equal(again.reason, "keyTakenOver")
+			s.is.Equal(s.books.Runs("w"), 1)
+			taken := keyrange.Of(testCaller, "svc", key)
+			s.until(func() bool {
+				fresh := s.key()
+				for keyrange.Of(testCaller, "svc", fresh) != taken {
+					fresh = s.key()
+				}
+				return s.call(0, fresh, "fresh", "").answered()
+			})
+		})
+	}
 }
 
 // Guards against keyed calls that stop, or run again, because the table does not answer.
