Move key ranges to agents that start later

Cause: the ranges were shared among the agents of the first assignment only, so an agent that started later, or again, kept none. Change: every six lease intervals a home compares the loads and hands ranges over as at a planned stop.

--- a/io/agent/keys.go
+++ b/io/agent/keys.go
@@ -18,6 +18,9 @@
 	keysEvery = time.Second
 	// keysTableWait bounds one table call of the key service.
 	keysTableWait = 5 * time.Second
+	// balanceLeases is the number of lease intervals between two comparisons of
+	// the homes' loads: once a minute, 64 homes read 70 lease rows/s together.
+	balanceLeases = 6
 	// maxVainPlans leaves the entries time to take over a lost home first, and
 	// other homes time to renew their leases after a table outage.
 	maxVainPlans = 15
@@ -57,6 +60,8 @@
 	// drained is closed when a planned stop has no ranges left to move.
 	drained chan struct{}
 	done    bool
+	// balanced is when the loads of the homes were compared last.
+	balanced time.Time
 	// vain counts the plans of a planned stop that found no successor.
 	vain int
 
@@ -176,7 +181,8 @@
 	}
 }
 
-// handOver moves the ranges of a draining agent, one successor at a time.
+// handOver moves ranges, one successor at a time: all of them at a planned
+// stop, else those of which the agent has more than others.
 func (k *keys) handOver(ctx context.Context) {
 	for {
 		k.mu.Lock()
@@ -184,12 +190,14 @@
 		mine := k.view.Ranges(k.lease.Home())
 		draining := k.draining
 		k.mu.Unlock()
-		if !draining || k.done {
+		switch {
+		case draining && k.done:
 			return
-		}
-		if len(mine) == 0 {
+		case draining && len(mine) == 0:
 			k.finishDrain()
 			return
+		case !draining && idle && !k.balanceDue(len(mine)):
+			return
 		}
 		if idle && !k.beginMove(ctx) {
 			return
@@ -200,6 +208,17 @@
 	}
 }
 
+// balanceDue reports whether it is time to compare the loads of the homes,
+// which costs a read of all lease rows.
+func (k *keys) balanceDue(mine int) bool {
+	now := k.agent.clock.Now()
+	if mine == 0 || now.Sub(k.balanced) < balanceLeases*k.options.Lease.Every {
+		return false
+	}
+	k.balanced = now
+	return true
+}
+
 func (k *keys) finishDrain() {
 	k.done = true
 	close(k.drained)
@@ -214,9 +233,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	self := k.lease.Home()
-	o := keyrange.Observation{Map: k.view, Leases: page.Rows, At: page.At, Leaving: []keyrange.Home{self}, MaxHomes: k.options.MaxHomes}
-	for h := range k.avoid {
-		o.Leaving = append(o.Leaving, h)
+	o := keyrange.Observation{Map: k.view, Leases: page.Rows, At: page.At, MaxHomes: k.options.MaxHomes}
+	if k.draining {
+		o.Leaving = append(o.Leaving, self)
+		for h := range k.avoid {
+			o.Leaving = append(o.Leaving, h)
+		}
 	}
 	var m *move
 	for _, x := range o.Next(newMutation(), k.options.Lease).Moves {
@@ -232,6 +254,9 @@
 		}
 	}
 	if m == nil {
+		if !k.draining {
+			return false
+		}
 		if k.vain++; len(k.avoid) > 0 || len(page.Rows) <= 1 || k.vain > maxVainPlans {
 			k.agent.log.Warn("no other agent takes the records of the idempotency keys; their keys become unknown")
 			k.finishDrain()
@@ -256,7 +281,7 @@
 	}
 	if s.Ended {
 		for _, r := range m.ranges {
-			if k.view.Get(r).Home == k.lease.Home() {
+			if k.draining && k.view.Get(r).Home == k.lease.Home() {
 				k.avoid[m.to] = true
 			}
 		}
--- a/io/entry/keys_test.go
+++ b/io/entry/keys_test.go
@@ -298,6 +298,25 @@
 	}
 }
 
+// Guards against an agent that starts later and is never given ranges, and
+// against keys that become unknown when ranges move to it.
+func TestLaterAgentBecomesHome(t *testing.T) {
+	t.Parallel()
+	s := startKeyed(t, testLease(10*time.Minute))
+	keys := map[string]bool{}
+	for range 20 {
+		key := s.key()
+		keys[key] = s.call(0, key, key, "").answered()
+	}
+	s.startAgent(t, "agent-3")
+	s.until(func() bool { return s.agents["agent-3"].KeyRanges() == keyrange.Count/4 })
+	for key, answered := range keys {
+		s.is.True(answered)
+		s.is.True(s.retry(key, key, "", "keyPending").replayed)
+		s.is.Equal(s.books.Runs(key), 1)
+	}
+}
+
 // Guards against keyed calls that stop, or run again, because the table does not answer.
 func TestKeyedCallsDuringTableOutage(t *testing.T) {
 	t.Parallel()
