--- a/io/entry/keys_test.go
+++ b/io/entry/keys_test.go
@@ -40,7 +40,7 @@
 }
 
 // startKeyed starts a table, two entries, and three agents with an endpoint
-// each, and returns when both entries answer keyed calls.
+// each, and returns when every range is served and both entries answer keyed calls.
 func startKeyed(t *testing.T, lease keyrange.LeaseOptions) *keyedSystem {
 	s := &keyedSystem{
 		is: is.New(t), books: standin.NewBooks(), agents: map[oleandervalve.AgentID]*agent.Agent{}, endpoints: map[oleandervalve.AgentID]*standin.Endpoint{},
@@ -67,6 +67,14 @@
 	for i := range 3 {
 		s.startAgent(t, oleandervalve.AgentID(fmt.Sprintf("agent-%d", i)))
 	}
+	// A home that has not read the map yet answers nothing, and reads none in a table outage.
+	s.until(func() bool {
+		n := 0
+		for _, a := range s.agents {
+			n += a.KeyRanges()
+		}
+		return n == keyrange.Count
+	})
 	for e := range s.urls {
 		s.until(func() bool { return s.call(e, s.key(), "warm", "").answered() })
 	}
