Test a keyed answer that is too large to keep

Cause: no test covered an answer that is passed on but not kept. Conclusion: the caller gets the whole answer; a retry gets 409 and runs nothing.

--- a/io/entry/keys_test.go
+++ b/io/entry/keys_test.go
@@ -37,6 +37,8 @@
 	lease     keyrange.LeaseOptions
 	peers     []string
 	next      int
+	// query is added to the path of every call.
+	query string
 }
 
 // startKeyed starts a table, two entries, and three agents with an endpoint
@@ -126,7 +128,7 @@
 
 // call sends one call with an idempotency key.
 func (s *keyedSystem) call(e int, key, work, body string) keyedAnswer {
-	r, err := http.NewRequest(http.MethodPost, s.urls[e]+"/call/svc/bookings", strings.NewReader(body))
+	r, err := http.NewRequest(http.MethodPost, s.urls[e]+"/call/svc/bookings"+s.query, strings.NewReader(body))
 	s.is.NoErr(err)
 	r.Header.Set(callerhttp.HeaderKey, key)
 	r.Header.Set(callerhttp.HeaderCaller, testCaller)
@@ -188,6 +190,13 @@
 	s.is.Equal(s.books.Runs("w2"), 0)
 	large := strings.Repeat("keg ", 10_000)
 	s.is.True(s.call(0, s.key(), "w3", large).answered()) // a body that does not fit one message
+	s.query = "?size=100000"
+	key = s.key()
+	s.is.Equal(len(s.call(0, key, "w5", "").body), 100_000)
+	unkept := s.retry(key, "w5", "", "keyPending")
+	s.is.Equal(unkept.status, http.StatusConflict)
+	s.is.Equal(unkept.reason, "keyAnswerNotKept")
+	s.is.Equal(s.books.Runs("w5"), 1)
 	ahead := s.call(0, fmt.Sprintf("%d-random00", time.Now().Add(time.Hour).UnixMilli()), "w4", "")
 	s.is.Equal(ahead.status, http.StatusBadRequest)
 	s.is.Equal(s.books.Runs("w4"), 0)
