--- a/io/entry/keys_test.go
+++ b/io/entry/keys_test.go
@@ -33,11 +33,16 @@
 	urls      []string
 	agents    map[oleandervalve.AgentID]*agent.Agent
 	endpoints map[oleandervalve.AgentID]*standin.Endpoint
+	log       *logrus.Entry
+	lease     keyrange.LeaseOptions
+	peers     []string
 	next      int
+	// query is added to the path of every call.
+	query string
 }
 
 // startKeyed starts a table, two entries, and three agents with an endpoint
-// each, and returns when both entries answer keyed calls.
+// each, and returns when every range is served and both entries answer keyed calls.
 func startKeyed(t *testing.T, lease keyrange.LeaseOptions) *keyedSystem {
 	s := &keyedSystem{
 		is: is.New(t), books: standin.NewBooks(), agents: map[oleandervalve.AgentID]*agent.Agent{}, endpoints: map[oleandervalve.AgentID]*standin.Endpoint{},
@@ -49,7 +54,7 @@
 	s.faults = table.Faults
 	server := s.serve(t, table.Handler())
 	s.table = tablehttp.NewClient(server.URL, 5*time.Second)
-	var peers []string
+	s.log, s.lease = log, lease
 	for i := range 2 {
 		o := entry.DefaultKeyOptions()
 		o.Lease = lease
@@ -59,28 +64,39 @@
 		m.Handle(peer.Path, e.PeerHandler())
 		m.Handle("/call/", callerhttp.Handler(e, callerhttp.TrustedHeaders{}))
 		s.urls = append(s.urls, s.serve(t, m).URL)
-		peers = append(peers, s.urls[i]+peer.Path)
+		s.peers = append(s.peers, s.urls[i]+peer.Path)
 	}
 	for i := range 3 {
-		id := oleandervalve.AgentID(fmt.Sprintf("agent-%d", i))
-		o := agent.DefaultKeyOptions()
-		o.Lease = lease
-		a := agent.New(id, peers, agent.WithKeys(s.table, o), agent.WithLog(log))
-		t.Cleanup(a.Close)
-		x, err := standin.StartEndpoint(standin.EndpointConfig{
-			Announcement: oleandervalve.Announcement{Endpoint: oleandervalve.EndpointID("x-" + id), Service: "svc", Slots: 4, Connections: 8},
-			Agent:        s.serve(t, a.AnnounceHandler()).URL, Books: s.books, Service: time.Millisecond,
-		})
-		s.is.NoErr(err)
-		t.Cleanup(x.Close)
-		s.agents[id], s.endpoints[id] = a, x
+		s.startAgent(t, oleandervalve.AgentID(fmt.Sprintf("agent-%d", i)))
 	}
+	// A home that has not read the map yet answers nothing, and reads none in a table outage.
+	s.until(func() bool {
+		n := 0
+		for _, a := range s.agents {
+			n += a.KeyRanges()
+		}
+		return n == keyrange.Count
+	})
 	for e := range s.urls {
 		s.until(func() bool { return s.call(e, s.key(), "warm", "").answered() })
 	}
 	return s
 }
 
+func (s *keyedSystem) startAgent(t *testing.T, id oleandervalve.AgentID) {
+	o := agent.DefaultKeyOptions()
+	o.Lease = s.lease
+	a := agent.New(id, s.peers, agent.WithKeys(s.table, o), agent.WithLog(s.log))
+	t.Cleanup(a.Close)
+	x, err := standin.StartEndpoint(standin.EndpointConfig{
+		Announcement: oleandervalve.Announcement{Endpoint: oleandervalve.EndpointID("x-" + id), Service: "svc", Slots: 4, Connections: 8},
+		Agent:        s.serve(t, a.AnnounceHandler()).URL, Books: s.books, Service: time.Millisecond,
+	})
+	s.is.NoErr(err)
+	t.Cleanup(x.Close)
+	s.agents[id], s.endpoints[id] = a, x
+}
+
 func (s *keyedSystem) serve(t *testing.T, h http.Handler) *standin.Server {
 	x, err := standin.Serve("127.0.0.1:0", h)
 	s.is.NoErr(err)
@@ -112,7 +128,7 @@
 
 // call sends one call with an idempotency key.
 func (s *keyedSystem) call(e int, key, work, body string) keyedAnswer {
-	r, err := http.NewRequest(http.MethodPost, s.urls[e]+"/call/svc/bookings", strings.NewReader(body))
+	r, err := http.NewRequest(http.MethodPost, s.urls[e]+"/call/svc/bookings"+s.query, strings.NewReader(body))
 	s.is.NoErr(err)
 	r.Header.Set(callerhttp.HeaderKey, key)
 	r.Header.Set(callerhttp.HeaderCaller, testCaller)
@@ -129,10 +145,10 @@
 	}
 }
 
-// retry repeats a call until its answer has none of the passing reasons.
-func (s *keyedSystem) retry(e int, key, work, body string, passing ...string) keyedAnswer {
+// retry repeats a call through the second entry until its answer has none of the passing reasons.
+func (s *keyedSystem) retry(key, work, body string, passing ...string) keyedAnswer {
 	for {
-		a := s.call(e, key, work, body)
+		a := s.call(1, key, work, body)
 		again := false
 		for _, p := range passing {
 			again = again || a.reason == p
@@ -143,12 +159,12 @@
 	}
 }
 
-func (s *keyedSystem) home(key string) oleandervalve.AgentID {
+func (s *keyedSystem) home(key string) keyrange.Home {
 	rows, err := s.table.Get(context.Background(), keyrange.MapKey)
 	s.is.NoErr(err)
 	m, err := keyrange.Decode(rows[0])
 	s.is.NoErr(err)
-	return m.Get(keyrange.Of(testCaller, "svc", key)).Home.Agent
+	return m.Get(keyrange.Of(testCaller, "svc", key)).Home
 }
 
 func testLease(d time.Duration) keyrange.LeaseOptions {
@@ -163,7 +179,7 @@
 	key := s.key()
 	first := s.call(0, key, "w1", "two kegs")
 	s.is.True(first.answered() && !first.replayed)
-	again := s.retry(1, key, "w1", "two kegs", "keyPending")
+	again := s.retry(key, "w1", "two kegs", "keyPending")
 	s.is.True(again.answered() && again.replayed)
 	s.is.Equal(again.body, first.body)
 	s.is.Equal(s.books.Runs("w1"), 1)
@@ -174,11 +190,47 @@
 	s.is.Equal(s.books.Runs("w2"), 0)
 	large := strings.Repeat("keg ", 10_000)
 	s.is.True(s.call(0, s.key(), "w3", large).answered()) // a body that does not fit one message
+	s.query = "?size=100000"
+	key = s.key()
+	s.is.Equal(len(s.call(0, key, "w5", "").body), 100_000)
+	unkept := s.retry(key, "w5", "", "keyPending")
+	s.is.Equal(unkept.status, http.StatusConflict)
+	s.is.Equal(unkept.reason, "keyAnswerNotKept")
+	s.is.Equal(s.books.Runs("w5"), 1)
 	ahead := s.call(0, fmt.Sprintf("%d-random00", time.Now().Add(time.Hour).UnixMilli()), "w4", "")
 	s.is.Equal(ahead.status, http.StatusBadRequest)
 	s.is.Equal(s.books.Runs("w4"), 0)
 }
 
+// Guards against a call that is given up because its caller has gone, or that
+// runs again while it is running.
+func TestRetryWhileRunning(t *testing.T) {
+	t.Parallel()
+	s := startKeyed(t, testLease(10*time.Minute))
+	for _, x := range s.endpoints {
+		x.SetFault(standin.EndpointFault{Slow: 1500})
+	}
+	key := s.key()
+	ctx, leave := context.WithCancel(t.Context())
+	gone := make(chan error, 1)
+	go func() {
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.urls[0]+"/call/svc/bookings", http.NoBody)
+		if err == nil {
+			r.Header.Set(callerhttp.HeaderKey, key)
+			r.Header.Set(callerhttp.HeaderCaller, testCaller)
+			r.Header.Set(standin.HeaderTestID, "w")
+			_, err = http.DefaultClient.Do(r) //nolint:bodyclose // The caller leaves before there is an answer.
+		}
+		gone <- err
+	}()
+	s.until(func() bool { return s.books.Runs("w") == 1 })
+	leave()
+	s.is.True(errors.Is(<-gone, context.Canceled))
+	again := s.retry(key, "w", "", "keyPending")
+	s.is.True(again.answered() && again.replayed)
+	s.is.Equal(s.books.Runs("w"), 1)
+}
+
 // Guards against a second run when the endpoint executed the request and its answer was lost.
 func TestRetryAfterLostAnswer(t *testing.T) {
 	t.Parallel()
@@ -191,56 +243,95 @@
 	for _, x := range s.endpoints {
 		x.SetFault(standin.EndpointFault{})
 	}
-	again := s.retry(1, key, "w", "", "keyPending")
+	again := s.retry(key, "w", "", "keyPending")
 	s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
 	s.is.Equal(again.reason, "keyLost")
 	s.is.Equal(s.books.Runs("w"), 1)
 }
 
-// Guards against a planned stop of a home that loses records or lets a key run again.
+// Guards against a planned stop of a home that loses records, lets a key run
+// again or never ends, also if the table loses or refuses some of the commits.
 func TestRetryAfterDrainOfHome(t *testing.T) {
-	t.Parallel()
-	s := startKeyed(t, testLease(10*time.Minute))
-	key := s.key()
-	first := s.call(0, key, "w", "")
-	s.is.True(first.answered())
-	s.is.True(s.retry(1, key, "w", "", "keyPending").replayed)
-	old := s.home(key)
-	s.is.True(s.agents[old].Drain(time.Hour))
-	s.agents[old].Shutdown()
-	s.is.True(s.home(key) != old)
-	again := s.retry(1, key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
-	s.is.True(again.answered() && again.replayed)
-	s.is.Equal(again.body, first.body)
-	s.is.Equal(s.books.Runs("w"), 1)
+	for name, faults := range map[string][]standin.Fault{
+		"table answers": nil,
+		"table loses answers": {
+			{Operation: "commit", LoseAnswer: true, Share: 0.5}, {Operation: "commit", Down: true, Share: 0.5},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startKeyed(t, testLease(10*time.Minute))
+			key := s.key()
+			first := s.call(0, key, "w", "")
+			s.is.True(first.answered())
+			s.is.True(s.retry(key, "w", "", "keyPending").replayed)
+			old := s.home(key)
+			s.faults.Set(faults...)
+			s.is.True(s.agents[old.Agent].Drain(time.Hour))
+			s.agents[old.Agent].Shutdown()
+			s.is.True(s.home(key) != old)
+			again := s.retry(key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
+			s.is.True(again.answered() && again.replayed)
+			s.is.Equal(again.body, first.body)
+			s.is.Equal(s.books.Runs("w"), 1)
+		})
+	}
 }
 
 // Guards against a second run of a key whose home ended without handing its
-// records over, before and after the takeover, and against ranges that stay without a home.
+// records over, before and after the takeover, and against ranges that stay
+// without a home, also if the agent starts again at once.
 func TestRetryAfterLossOfHome(t *testing.T) {
+	for name, restart := range map[string]bool{"lost": false, "restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startKeyed(t, testLease(5*time.Second))
+			key := s.key()
+			s.is.True(s.call(0, key, "w", "").answered())
+			// An outcome that the old home had not acknowledged would be reported to the new one.
+			s.is.True(s.retry(key, "w", "", "keyPending").replayed)
+			old := s.home(key)
+			s.endpoints[old.Agent].Close()
+			s.agents[old.Agent].Close()
+			if restart {
+				s.startAgent(t, old.Agent)
+			}
+			again := s.call(1, key, "w", "")
+			s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
+			s.until(func() bool { return s.home(key) != old })
+			again = s.retry(key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
+			s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
+			s.is.Equal(again.reason, "keyTakenOver")
+			s.is.Equal(s.books.Runs("w"), 1)
+			taken := keyrange.Of(testCaller, "svc", key)
+			s.until(func() bool {
+				fresh := s.key()
+				for keyrange.Of(testCaller, "svc", fresh) != taken {
+					fresh = s.key()
+				}
+				return s.call(0, fresh, "fresh", "").answered()
+			})
+		})
+	}
+}
+
+// Guards against an agent that starts later and is never given ranges, and
+// against keys that become unknown when ranges move to it.
+func TestLaterAgentBecomesHome(t *testing.T) {
 	t.Parallel()
-	s := startKeyed(t, testLease(5*time.Second))
-	key := s.key()
-	s.is.True(s.call(0, key, "w", "").answered())
-	old := s.home(key)
-	s.endpoints[old].Close()
-	s.agents[old].Close()
-	again := s.call(1, key, "w", "")
-	s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
-	s.is.Equal(again.status, http.StatusBadGateway)
-	s.until(func() bool { return s.home(key) != old })
-	again = s.retry(1, key, "w", "", "keyHomeUnreachable", "keyHomeSilent")
-	s.is.Equal(again.outcome, string(oleandervalve.OutcomeUnknown))
-	s.is.Equal(again.reason, "keyTakenOver")
-	s.is.Equal(s.books.Runs("w"), 1)
-	taken := keyrange.Of(testCaller, "svc", key)
-	s.until(func() bool {
-		fresh := s.key()
-		for keyrange.Of(testCaller, "svc", fresh) != taken {
-			fresh = s.key()
-		}
-		return s.call(0, fresh, "fresh", "").answered()
-	})
+	s := startKeyed(t, testLease(10*time.Minute))
+	keys := map[string]bool{}
+	for range 20 {
+		key := s.key()
+		keys[key] = s.call(0, key, key, "").answered()
+	}
+	s.startAgent(t, "agent-3")
+	s.until(func() bool { return s.agents["agent-3"].KeyRanges() == keyrange.Count/4 })
+	for key, answered := range keys {
+		s.is.True(answered)
+		s.is.True(s.retry(key, key, "", "keyPending").replayed)
+		s.is.Equal(s.books.Runs(key), 1)
+	}
 }
 
 // Guards against keyed calls that stop, or run again, because the table does not answer.
@@ -250,7 +341,7 @@
 	s.faults.Set(standin.Fault{Down: true})
 	key := s.key()
 	s.is.True(s.call(0, key, "w", "").answered())
-	s.is.True(s.retry(1, key, "w", "", "keyPending").replayed)
+	s.is.True(s.retry(key, "w", "", "keyPending").replayed)
 	s.is.Equal(s.books.Runs("w"), 1)
 }
 
