--- a/cmd/oleandervalve/agent.go
+++ b/cmd/oleandervalve/agent.go
@@ -45,13 +45,7 @@
 		p.Close()
 		return err
 	}
-	ready := func() string {
-		if a.Entries() == 0 {
-			return "an entry has to accept the connection"
-		}
-		return ""
-	}
-	if _, err := p.Listen("metrics", s.Listen.Metrics, longestExchange, p.HealthHandler(ready)); err != nil {
+	if _, err := p.Listen("metrics", s.Listen.Metrics, longestExchange, p.HealthHandler(a.WaitsFor)); err != nil {
 		a.Close()
 		p.Close()
 		return err
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -158,6 +158,9 @@
 
 // grant sends the credits that the ledger gives out; the caller holds the lock.
 func (a *Agent) grant(now time.Time) {
+	if !a.serving() {
+		return
+	}
 	for _, g := range a.ledger.Grants(now) {
 		l := a.links[g.Entry]
 		if l == nil || l.epoch != g.Epoch {
--- a/io/agent/config.go
+++ b/io/agent/config.go
@@ -19,6 +19,13 @@
 	// fallback holds the shares of services that are not configured.
 	fallback map[oleandervalve.ServiceName][]credit.ClassShare
 	applied  map[oleandervalve.ServiceName][]credit.ClassShare
+	// welcomed holds the revisions with which the connected entries accepted the agent.
+	welcomed map[oleandervalve.EntryID]oleandervalve.Revision
+	// ready is set once the agent has been level with its entries; it stays set.
+	ready bool
+	// drain is the last request to take no new work, which ends at drainUntil.
+	drain      *peer.Drain
+	drainUntil time.Time
 }
 
 func newConfiguration(id oleandervalve.AgentID) *configuration {
@@ -26,6 +33,7 @@
 		subscriber: operator.NewSubscriber(id), replica: operator.NewReplica(),
 		fallback: map[oleandervalve.ServiceName][]credit.ClassShare{},
 		applied:  map[oleandervalve.ServiceName][]credit.ClassShare{},
+		welcomed: map[oleandervalve.EntryID]oleandervalve.Revision{},
 	}
 }
 
@@ -49,6 +57,48 @@
 // connectConfig notes an entry that accepted a connection; the caller holds the lock.
 func (a *Agent) connectConfig(now time.Time, w peer.Welcome) {
 	a.config.subscriber.Connected(w.Entry, w.Revision, now)
+	a.config.welcomed[w.Entry] = w.Revision
+}
+
+// repeatDrain tells a new connection of a draining agent; the caller holds the lock.
+func (a *Agent) repeatDrain(now time.Time, l *link) {
+	if d := a.config.drain; d != nil {
+		l.conn.TrySend(&peer.Drain{Reason: d.Reason, Within: max(0, a.config.drainUntil.Sub(now))})
+	}
+}
+
+func (a *Agent) disconnectConfig(e oleandervalve.EntryID) {
+	a.config.subscriber.Disconnected(e)
+	delete(a.config.welcomed, e)
+}
+
+// serving reports whether the configuration is not older than that of the
+// connected entries was when they accepted the agent; the caller holds the lock.
+func (a *Agent) serving() bool {
+	c := a.config
+	if c.ready || len(c.welcomed) == 0 {
+		return c.ready
+	}
+	for _, rev := range c.welcomed {
+		if rev > c.replica.Revision() {
+			return false
+		}
+	}
+	c.ready = true
+	return true
+}
+
+// WaitsFor says what the agent needs before it serves, or "".
+func (a *Agent) WaitsFor() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case len(a.links) == 0:
+		return "an entry has to accept the connection"
+	case !a.serving():
+		return "an entry has to send the configuration in force"
+	}
+	return ""
 }
 
 // tickConfig subscribes to the entry that sends deltas; the caller holds the lock.
@@ -125,6 +175,7 @@
 	before := a.ledger.Endpoints()
 	now := a.clock.Now()
 	a.ledger.Drain(now)
+	a.config.drain, a.config.drainUntil = m, now.Add(m.Within)
 	a.broadcast(m)
 	a.grant(now)
 	a.publishChange(before)
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -69,6 +69,7 @@
 	_ = conn.Send(endpointsMessage(a.ledger.Endpoints()))
 	a.grant(now)
 	a.connectTasks(now, l)
+	a.repeatDrain(now, l)
 	a.mu.Unlock()
 	a.log.WithField("entry", l.entry).WithField("connectionEpoch", epoch).Info("connected to entry")
 	err = a.readLink(l)
@@ -76,7 +77,7 @@
 	a.mu.Lock()
 	if a.links[l.entry] == l {
 		delete(a.links, l.entry)
-		a.config.subscriber.Disconnected(l.entry)
+		a.disconnectConfig(l.entry)
 	}
 	a.countEntries()
 	a.ledger.Disconnect(a.clock.Now(), l.entry, epoch)
--- a/io/entry/actions.go
+++ b/io/entry/actions.go
@@ -57,6 +57,9 @@
 
 // noteRefusal remembers why a call was not run.
 func (e *Entry) noteRefusal(s oleandervalve.ServiceName, class oleandervalve.ClassName, err error) {
+	if err == nil {
+		return
+	}
 	var notRun *oleandervalve.NotRunError
 	if c := e.settings(); c != nil && errors.As(err, &notRun) {
 		if class == "" {
@@ -164,7 +167,7 @@
 			Kind: "connected instance", Name: d.Instance, Remedy: "name an agent or worker that is connected to this entry",
 		}
 	}
-	if !l.conn.TrySend(&peer.Drain{Reason: "operator", Within: d.Within}) {
+	if !l.conn.TrySend(&peer.Drain{Reason: peer.DrainOperator, Within: d.Within}) {
 		return operatorhttp.Progress{}, &oleandervalve.UnavailableError{
 			Service: "agent of " + d.Instance, Remedy: "the drain did not begin; send it again", RetryAfter: time.Second,
 		}
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -319,6 +319,7 @@
 	defer e.mu.Unlock()
 	before := e.configured
 	e.configured, e.teamWeights = services, weights
+	e.timeouts.Store(&services)
 	for name, s := range e.services {
 		s.queue.ConfigureTeams(weights)
 		if x, old := services[name], before[name]; !slices.Equal(x.policies, old.policies) || x.retryRatio != old.retryRatio {
@@ -343,9 +344,11 @@
 
 // DefaultTimeout returns the configured timeout of a service's calls that name none, or 0.
 func (e *Entry) DefaultTimeout(s oleandervalve.ServiceName) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.configured[s].timeout
+	// Each call asks, so it takes no lock; the map is never changed in place.
+	if m := e.timeouts.Load(); m != nil {
+		return (*m)[s].timeout
+	}
+	return 0
 }
 
 // Policies returns the class policies in force for a service.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -45,6 +45,7 @@
 	draining  bool
 	// configured and teamWeights come from the configuration in force.
 	configured    map[oleandervalve.ServiceName]configured
+	timeouts      atomic.Pointer[map[oleandervalve.ServiceName]configured]
 	teamWeights   map[oleandervalve.TeamID]float64
 	configuration *Configuration
 	inFlight      sync.WaitGroup
--- a/io/peer/messages.go
+++ b/io/peer/messages.go
@@ -198,7 +198,10 @@
 	Ran bool                    `cbor:"ran"`
 }
 
-// Drain announces a planned stop of the sender.
+// DrainOperator is the reason of a drain that an operator asked for.
+const DrainOperator oleandervalve.Reason = "operator"
+
+// Drain announces a planned stop of the sender, or asks an agent for one.
 type Drain struct {
 	Reason oleandervalve.Reason `cbor:"reason"`
 	// Within is the time until the sender stops.
--- a/io/taskowner/config.go
+++ b/io/taskowner/config.go
@@ -107,8 +107,12 @@
 	return list
 }
 
-// drain moves the work of a worker whose agent takes no new work.
+// drain moves the work of a worker that an operator drains. At a planned stop
+// of an agent the tasks stay, because its successor adopts them.
 func (o *Owner) drain(now time.Time, w oleandervalve.WorkerID, m *peer.Drain) {
+	if m.Reason != peer.DrainOperator {
+		return
+	}
 	o.placer.scheduler.Replace(w, now.Add(m.Within))
 }
 
--- a/io/taskowner/workers.go
+++ b/io/taskowner/workers.go
@@ -21,6 +21,8 @@
 	}
 	v.location, v.announced, v.labels, v.heard = l, set, o.labelsOf(set), true
 	o.suspicion.Heard(now, w)
+	// An agent that still drains says so after it connects.
+	o.placer.scheduler.KeepWorker(w)
 	for i, s := range o.shards {
 		o.run(now, i, s.WorkerConnected(now, w))
 	}
