--- a/cmd/oleandervalve/processes_test.go
+++ b/cmd/oleandervalve/processes_test.go
@@ -336,7 +336,7 @@
 	for i := range 2 {
 		e := entries[3*i:]
 		f.define(fmt.Sprintf("entry-%d", i+1), e[2], fmt.Sprintf(
-			"role: entry\nid: entry-%d\nlocation: {region: r, dataCentre: d%d}\nlisten: {callers: '%s', peers: '%s', metrics: '%s'}\ntable: {url: 'http://%s'}\n",
+			"role: entry\nid: entry-%d\nlocation: {region: r, dataCentre: d%d}\nlisten: {callers: '%s', peers: '%s', metrics: '%s'}\ntable: {url: 'http://%s'}\nauthentication: headers\n",
 			i+1, i, e[0], e[1], e[2], a[1]), "entry")
 		x.urls = append(x.urls, "http://"+e[0])
 		x.entries = append(x.entries, f.procs[fmt.Sprintf("entry-%d", i+1)])
--- a/io/peer/messages.go
+++ b/io/peer/messages.go
@@ -201,7 +201,10 @@
 // ReasonPlannedStop tells that the sender is about to stop.
 const ReasonPlannedStop = oleandervalve.Reason("plannedStop")
 
-// Drain announces a planned stop of the sender.
+// ReasonOperator tells that an operator asked for the drain.
+const ReasonOperator = oleandervalve.Reason("operator")
+
+// Drain announces a planned stop of the sender, or asks an agent for one.
 type Drain struct {
 	Reason oleandervalve.Reason `cbor:"reason"`
 	// Within is the time until the sender stops.
