--- a/io/measure/agent_test.go
+++ b/io/measure/agent_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -97,8 +98,12 @@
 		switch in.Text() {
 		case "tasks":
 			submit(owners[0], "resident", residentTasks, 0)
-		case "load":
-			go load(owners, out.Entries)
+		case "starts":
+			go startTasks(owners)
+		case "requests":
+			go sendRequests(out.Entries)
+		case "urgent":
+			must(json.NewEncoder(os.Stdout).Encode(startUrgent(owners, platform)))
 		case "table":
 			must(json.NewEncoder(os.Stdout).Encode(report{counted.operations(), platformBytes.Load(), platform.Counts().Started}))
 		}
@@ -142,22 +147,41 @@
 	}))
 }
 
-func load(owners []*taskowner.Owner, entries []string) {
-	requests := time.NewTicker(time.Second / requestsPerSecond)
-	starts := time.NewTicker(startEvery)
+func startTasks(owners []*taskowner.Owner) {
 	for i := 0; ; i++ {
-		select {
-		case <-requests.C:
-			go func() {
-				r, err := http.Get(entries[i%len(entries)] + "/call/formaro/instructions")
-				if err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-					r.Body.Close()
-				}
-			}()
-		case <-starts.C:
-			submit(owners[i%len(owners)], fmt.Sprint("batch-", i), 1, 5*time.Second)
+		time.Sleep(startEvery)
+		submit(owners[i%len(owners)], fmt.Sprint("batch-", i), 1, startEvery/2)
+	}
+}
+
+// startUrgent submits urgent tasks one after the other and returns the times until the platform has started them.
+func startUrgent(owners []*taskowner.Owner, p *standin.Platform) []time.Duration {
+	var out []time.Duration
+	for i := range 40 {
+		before, at := p.Counts().Started, time.Now()
+		must(owners[i%len(owners)].Submit(context.Background(), taskowner.JobSpec{
+			Job: oleandervalve.JobID(fmt.Sprint("urgent-", i)), Team: "riviere", Kind: "routeSheet", Tasks: 1,
+			Size: size(), RunTime: time.Second, Urgent: true,
+		}))
+		for p.Counts().Started == before {
+			time.Sleep(time.Millisecond)
 		}
+		out = append(out, time.Since(at))
+	}
+	slices.Sort(out)
+	return out
+}
+
+func sendRequests(entries []string) {
+	for i := 0; ; i++ {
+		time.Sleep(time.Second / requestsPerSecond)
+		go func() {
+			r, err := http.Get(entries[i%len(entries)] + "/call/formaro/instructions")
+			if err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				r.Body.Close()
+			}
+		}()
 	}
 }
 
@@ -209,27 +233,45 @@
 }
 
 // BenchmarkAgent reports the processor time, memory and network use of one
-// agent with 12 resident tasks and an endpoint: without load, and with its
-// share of the peak of task starts and an ordinary load of requests.
+// agent with 12 resident tasks and an endpoint: at rest, with its share of the
+// peak of task starts, and with an ordinary load of requests besides.
 func BenchmarkAgent(b *testing.B) {
 	for _, n := range []int{1, 4, 8} {
-		for _, mode := range []string{"rest", "peak"} {
+		for _, mode := range []string{"rest", "starts", "requests"} {
 			b.Run(fmt.Sprintf("%s/entries=%d", mode, n), func(b *testing.B) {
 				for b.Loop() {
-					measureAgent(b, n, mode == "peak")
+					measureAgent(b, n, mode)
 				}
 			})
 		}
 	}
 }
 
-func measureAgent(b *testing.B, n int, peak bool) {
-	t := &traffic{bytes: map[string]*atomic.Int64{}}
-	http.DefaultTransport.(*http.Transport).DialContext = t.dial
+// rig is an agent in this process with its peers in another one.
+type rig struct {
+	traffic *traffic
+	peers   peers
+	answers *json.Decoder
+	in      io.Writer
+}
+
+func (r *rig) say(line string) { _, _ = fmt.Fprintln(r.in, line) }
+
+func (r *rig) ask(b *testing.B, line string, into any) {
+	r.say(line)
+	if err := r.answers.Decode(into); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// startRig starts an agent beside n entries; stop ends both sides.
+func startRig(b *testing.B, n int) (r *rig, stop func()) {
+	r = &rig{traffic: &traffic{bytes: map[string]*atomic.Int64{}}}
+	http.DefaultTransport.(*http.Transport).DialContext = r.traffic.dial
 	var a atomic.Pointer[agent.Agent]
-	server, err := standin.Serve("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server, err := standin.Serve("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if x := a.Load(); x != nil {
-			x.AnnounceHandler().ServeHTTP(w, r)
+			x.AnnounceHandler().ServeHTTP(w, q)
 			return
 		}
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -237,7 +279,6 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer server.Close()
 	child := exec.Command(os.Args[0])
 	child.Env = append(os.Environ(), envEntries+"="+strconv.Itoa(n), envAgent+"="+server.URL)
 	child.Stderr = os.Stderr
@@ -246,46 +287,67 @@
 	if err := child.Start(); err != nil {
 		b.Fatal(err)
 	}
-	defer func() {
-		_ = in.Close()
-		_ = child.Wait()
-	}()
-	answers := json.NewDecoder(out)
-	var p peers
-	if err := answers.Decode(&p); err != nil {
+	r.in, r.answers = in, json.NewDecoder(out)
+	if err := r.answers.Decode(&r.peers); err != nil {
 		b.Fatal(err)
 	}
 	var urls []string
-	for _, u := range p.Entries {
+	for _, u := range r.peers.Entries {
 		urls = append(urls, u+peer.Path)
 	}
 	x := agent.New("agent-1", urls, agent.WithLog(quiet()), agent.WithWorker("worker-1"),
 		agent.WithLocation(oleandervalve.Location{Region: "r1", DataCentre: "d1", Rack: "k1"}),
-		agent.WithPlatform(platformhttp.NewClient(p.Platform, 2*time.Second), objecthttp.NewClient(p.Objects, 2*time.Second)))
+		agent.WithPlatform(platformhttp.NewClient(r.peers.Platform, 2*time.Second), objecthttp.NewClient(r.peers.Objects, 2*time.Second)))
 	a.Store(x)
-	defer x.Close()
-	say := func(line string) { _, _ = fmt.Fprintln(in, line) }
-	ask := func() (r report) {
-		say("table")
-		if err := answers.Decode(&r); err != nil {
-			b.Fatal(err)
-		}
-		return r
+	return r, func() {
+		x.Close()
+		_ = in.Close()
+		_ = child.Wait()
+		server.Close()
+	}
+}
+
+// BenchmarkUrgentStart reports the time from the submission of an urgent task
+// to its start on the platform, with one worker and several entries.
+func BenchmarkUrgentStart(b *testing.B) {
+	for _, n := range []int{1, 4, 8} {
+		b.Run(fmt.Sprint("entries=", n), func(b *testing.B) {
+			for b.Loop() {
+				r, stop := startRig(b, n)
+				r.say("tasks")
+				time.Sleep(settle)
+				var times []time.Duration
+				r.ask(b, "urgent", &times)
+				stop()
+				b.ReportMetric(float64(times[len(times)/2].Milliseconds()), "median-ms")
+				b.ReportMetric(float64(times[len(times)-1].Milliseconds()), "max-ms")
+			}
+		})
+	}
+}
+
+func measureAgent(b *testing.B, n int, mode string) {
+	r, stop := startRig(b, n)
+	defer stop()
+	r.say("tasks")
+	if mode != "rest" {
+		r.say("starts")
 	}
-	say("tasks")
-	if peak {
-		say("load")
+	if mode == "requests" {
+		r.say("requests")
 	}
 	time.Sleep(settle)
-	before, cpu, entries := ask(), processorTime(), t.sum(p.Entries...)
+	var before, after report
+	r.ask(b, "table", &before)
 	if before.Started < residentTasks {
 		b.Fatalf("only %d tasks have started", before.Started)
 	}
+	cpu, entries := processorTime(), r.traffic.sum(r.peers.Entries...)
 	time.Sleep(measured)
 	s := measured.Seconds()
 	b.ReportMetric((processorTime()-cpu).Seconds()/s*100, "%core")
-	b.ReportMetric(float64(t.sum(p.Entries...)-entries)/s, "entries-B/s")
-	after := ask()
+	b.ReportMetric(float64(r.traffic.sum(r.peers.Entries...)-entries)/s, "entries-B/s")
+	r.ask(b, "table", &after)
 	b.ReportMetric(float64(after.PlatformBytes-before.PlatformBytes)/s, "platform-B/s")
 	b.ReportMetric(residentBytes()/(1<<20), "resident-MiB")
 	b.ReportMetric(memory()/(1<<20), "heap-MiB")
