io/demo: add the flood, noise, outage, loss and restart scenarios

Cause: the demonstration had one scenario, and none that shows a flood, a failure or a planned stop beside a baseline.

--- a/cmd/oleandervalve/demo.go
+++ b/cmd/oleandervalve/demo.go
@@ -10,8 +10,8 @@
 )
 
 type demoCommand struct {
-	Scenario string `long:"scenario" default:"steady" choice:"steady" description:"what happens during the run"`
-	Policy   string `long:"policy" default:"fair" choice:"fair" description:"the policy in force"`
+	Scenario string `long:"scenario" default:"steady" choice:"steady" choice:"flood-low" choice:"flood-urgent" choice:"noisy" choice:"store-outage" choice:"worker-loss" choice:"rolling-restart" description:"what happens during the run"`
+	Policy   string `long:"policy" default:"fair" choice:"fair" choice:"baseline" description:"the policy in force"`
 	Seed     uint64 `long:"seed" default:"1" description:"seed of all random choices of the load"`
 	Seconds  int    `long:"seconds" default:"10" description:"how long work is driven"`
 	JSON     bool   `long:"json" description:"print the report as JSON"`
@@ -26,7 +26,7 @@
 		log.SetLevel(logrus.ErrorLevel)
 	}
 	o := demo.Options{Scenario: c.Scenario, Policy: c.Policy, Seed: c.Seed, Seconds: c.Seconds, Log: logrus.NewEntry(log)}
-	if !c.JSON {
+	if !c.JSON && isTerminal(os.Stderr) {
 		o.Progress = os.Stderr
 	}
 	r, err := demo.Run(o)
@@ -43,3 +43,10 @@
 	}
 	return err
 }
+
+// isTerminal reports whether a file is a character device, so that progress
+// lines don't end up in files and pipes.
+func isTerminal(f *os.File) bool {
+	i, err := f.Stat()
+	return err == nil && i.Mode()&os.ModeCharDevice != 0
+}
--- a/core/caller/flow.go
+++ b/core/caller/flow.go
@@ -14,9 +14,9 @@
 	inExpiry int
 }
 
-// before orders by deadline, then by arrival.
+// before orders by deadline, then by arrival; the baseline leaves out the deadline.
 func (it *item) before(o *item) bool {
-	if !it.request.Deadline.Equal(o.request.Deadline) {
+	if !it.request.ByArrival && !it.request.Deadline.Equal(o.request.Deadline) {
 		return it.request.Deadline.Before(o.request.Deadline)
 	}
 	if !it.request.Arrived.Equal(o.request.Arrived) {
--- a/core/caller/queue.go
+++ b/core/caller/queue.go
@@ -17,6 +17,9 @@
 	Caller   oleandervalve.CallerID
 	Arrived  time.Time
 	Deadline time.Time
+	// ByArrival serves the request in the order of arrival and skips the check
+	// of its deadline on entering, as the baseline does.
+	ByArrival bool
 }
 
 // ClassPolicy is the share and the bounds of one class.
@@ -220,7 +223,7 @@
 		return full("teamQueueFull", "retry after the given time, or spread the team's requests over time", retry)
 	case size(leaf) >= callerLimit:
 		return full("callerQueueFull", "retry after the given time, or send fewer requests at once", retry)
-	case c.flow.size > 0 && measured && now.Add(q.needed(r.Class, wait)).After(r.Deadline):
+	case !r.ByArrival && c.flow.size > 0 && measured && now.Add(q.needed(r.Class, wait)).After(r.Deadline):
 		late := q.needed(r.Class, wait) - r.Deadline.Sub(now)
 		return full("deadlineTooShort", "retry after the given time or with a longer timeout", late)
 	}
@@ -238,7 +241,7 @@
 // its class needs on average.
 func (q *Queue) hopeless(now time.Time, r Request) bool {
 	mean := q.shares.Mean(r.Class)
-	return r.Deadline.Sub(now) < mean && r.Deadline.Sub(r.Arrived) >= 2*mean
+	return !r.ByArrival && r.Deadline.Sub(now) < mean && r.Deadline.Sub(r.Arrived) >= 2*mean
 }
 
 func full(reason oleandervalve.Reason, remedy string, retry time.Duration) error {
--- a/io/demo/batch.go
+++ b/io/demo/batch.go
@@ -16,7 +16,11 @@
 	"oleandervalve/io/taskowner"
 )
 
-const mib = oleandervalve.Bytes(1) << 20
+const (
+	mib = oleandervalve.Bytes(1) << 20
+	// submitRetry is the wait before a submission with an unknown outcome is repeated.
+	submitRetry = 500 * time.Millisecond
+)
 
 // behaviours is what the kinds of tasks really do on the platform's stand-in.
 func behaviours() map[oleandervalve.KindName]standin.Behaviour {
@@ -27,24 +31,6 @@
 	}
 }
 
-// jobsFor returns the batch jobs of a deployment.
-func (d deployment) jobsFor(seed uint64, jobs, tasks int) []taskowner.JobSpec {
-	kind := oleandervalve.KindName("nesting")
-	if d.service == "tapbook" {
-		kind = "routeSheet"
-	}
-	var out []taskowner.JobSpec
-	for i := range jobs {
-		out = append(out, taskowner.JobSpec{
-			Job:  oleandervalve.JobID(fmt.Sprintf("%s-%s-%d-%d", d.name, lower(kind), seed, i)),
-			Team: oleandervalve.TeamID(d.name), Kind: kind, Tasks: tasks,
-			Size: oleandervalve.Resources{CPU: 1000, Memory: 512 * mib}, RunTime: time.Second,
-			Where: "site=" + d.name,
-		})
-	}
-	return out
-}
-
 func lower(k oleandervalve.KindName) string {
 	if k == "routeSheet" {
 		return "route-sheet"
@@ -66,28 +52,36 @@
 
 // batch submits jobs and follows them.
 type batch struct {
-	client  *http.Client
-	entries []string
-	mu      sync.Mutex
-	jobs    []taskowner.JobSpec
-	result  batchResult
+	client   *http.Client
+	balancer *balancer
+	mu       sync.Mutex
+	jobs     []taskowner.JobSpec
+	result   batchResult
 }
 
-func newBatch(entries []string) *batch {
-	return &batch{entries: entries, client: &http.Client{Timeout: 10 * time.Second}}
+func newBatch(to *balancer) *batch {
+	return &batch{balancer: to, client: &http.Client{Timeout: 10 * time.Second}}
 }
 
-func (b *batch) submit(i int, s taskowner.JobSpec) {
+// submit sends a job until it is known whether it was accepted; a conflict
+// after an unknown outcome shows that the first attempt was.
+func (b *batch) submit(ctx context.Context, s taskowner.JobSpec) {
 	body, _ := json.Marshal(s)
-	p, err := b.client.Post(b.entries[i%len(b.entries)]+"/v1/jobs", "application/json", bytes.NewReader(body))
+	accepted := false
+	for unknown := false; ctx.Err() == nil; unknown = true {
+		p, err := b.client.Post(b.balancer.pick()+"/v1/jobs", "application/json", bytes.NewReader(body))
+		if err == nil {
+			p.Body.Close()
+			accepted = p.StatusCode == http.StatusCreated || unknown && p.StatusCode == http.StatusConflict
+			if accepted || p.StatusCode != http.StatusGatewayTimeout && p.StatusCode != http.StatusBadGateway {
+				break
+			}
+		}
+		time.Sleep(submitRetry)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if err != nil {
-		b.result.Refused += s.Tasks
-		return
-	}
-	defer p.Body.Close()
-	if p.StatusCode != http.StatusCreated {
+	if !accepted {
 		b.result.Refused += s.Tasks
 		return
 	}
@@ -97,7 +91,7 @@
 
 func (b *batch) status(j taskowner.JobSpec) (taskowner.JobStatus, error) {
 	var s taskowner.JobStatus
-	q, err := http.NewRequest(http.MethodGet, b.entries[0]+"/v1/jobs/"+string(j.Job), nil)
+	q, err := http.NewRequest(http.MethodGet, b.balancer.pick()+"/v1/jobs/"+string(j.Job), nil)
 	if err != nil {
 		return s, err
 	}
@@ -127,7 +121,7 @@
 					finished++
 				} else {
 					other++
-					waiting[string(t.State)+" "+string(t.Reason)]++
+					waiting[fmt.Sprintf("%s: %s %s", j.Job, t.State, t.Reason)]++
 				}
 			}
 		}
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
-	"text/tabwriter"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,7 +14,7 @@
 )
 
 // batchWithin is how long tasks that were accepted may take beyond the run.
-const batchWithin = 20 * time.Second
+const batchWithin = time.Minute
 
 // Options choose what a demonstration does.
 type Options struct {
@@ -35,6 +34,7 @@
 	Seed     uint64        `json:"seed"`
 	Seconds  int           `json:"seconds"`
 	Classes  []classResult `json:"classes"`
+	Phases   []phaseResult `json:"phases"`
 	Batch    batchResult   `json:"batch"`
 	// Violations counts what must never happen, as seen by callers and stand-ins.
 	Violations Violations `json:"violations"`
@@ -58,41 +58,85 @@
 // Run drives one scenario to its end.
 func Run(o Options) (Report, error) {
 	r := Report{Scenario: o.Scenario, Policy: o.Policy, Seed: o.Seed, Seconds: o.Seconds}
-	s, err := Start(entriesInDemo, o.Seed, Policy(o.Policy), o.Log)
+	c, ok := scenarios()[o.Scenario]
+	if !ok {
+		return r, &oleandervalve.InvalidError{Field: "scenario", Value: o.Scenario, Remedy: "use one of " + strings.Join(Scenarios(), ", ")}
+	}
+	var options []Option
+	if c.deployments != nil {
+		options = append(options, func(s *System) { s.deployments = c.deployments() })
+	}
+	s, err := Start(entriesInDemo, o.Seed, Policy(o.Policy), o.Log, options...)
 	if err != nil {
 		return r, err
 	}
 	defer s.Close()
-	l := newLoad(s.EntryURLs())
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(o.Seconds)*time.Second)
+	to := newBalancer(s.EntryURLs())
+	x := &run{options: o, system: s, load: newLoad(to, c.phase)}
+	b := newBatch(to)
+	x.enter(c.phase)
+	if err = x.drive(c, b); err != nil {
+		return r, err
+	}
+	last, stop := context.WithTimeout(context.Background(), batchWithin)
+	defer stop()
+	b.wait(last)
+	r.Batch = b.result
+	r.Batch.Platform = s.Platform.Counts()
+	r.Classes = x.load.summary()
+	r.Phases = x.load.phaseResults(s)
+	r.Violations = x.load.violations(s, c)
+	// A task that was accepted and has not finished, or is reported as finished
+	// and did not on the platform, is lost.
+	r.Violations.Lost += b.result.Other + max(0, b.result.Finished-r.Batch.Platform.Finished)
+	return r, nil
+}
+
+// drive runs the load, the batch work and the events of a scenario.
+func (r *run) drive(c scenario, b *batch) error {
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var sources sync.WaitGroup
-	for i, d := range deployments() {
+	timed, stop := context.WithTimeout(ctx, time.Duration(r.options.Seconds)*time.Second)
+	defer stop()
+	var sources, jobs sync.WaitGroup
+	for i, d := range r.system.deployments {
 		for k, t := range d.traffic {
 			sources.Add(1)
 			go func() {
 				defer sources.Done()
-				l.run(ctx, d, t, t.rate, o.Seed*1000+uint64(i*100+k))
+				r.load.run(ctx, d, t, t.rate, r.options.Seed*1000+uint64(i*100+k))
 			}()
 		}
-	}
-	b := newBatch(s.EntryURLs())
-	for i, d := range deployments() {
-		for k, j := range d.jobsFor(o.Seed, 4, 6) {
-			b.submit(i+k, j)
+		if c.waves == nil {
+			continue
+		}
+		for _, w := range c.waves(d, r.options.Seed, r.options.Seconds) {
+			jobs.Add(1)
+			go func() {
+				defer jobs.Done()
+				time.Sleep(w.at)
+				submitting, done := context.WithTimeout(context.Background(), batchWithin)
+				defer done()
+				b.submit(submitting, w.job)
+			}()
 		}
 	}
-	l.progress(ctx, o.Progress)
+	events := make(chan error, 1)
+	go func() {
+		if c.events == nil {
+			events <- nil
+			return
+		}
+		events <- c.events(timed, r)
+	}()
+	r.load.progress(timed, r.options.Progress)
+	err := <-events
+	cancel()
+	r.enter("end")
 	sources.Wait()
-	l.pending.Wait()
-	last, stop := context.WithTimeout(context.Background(), batchWithin)
-	defer stop()
-	b.wait(last)
-	r.Batch = b.result
-	r.Batch.Platform = s.Platform.Counts()
-	r.Classes = l.summary()
-	r.Violations = l.violations(s)
-	return r, nil
+	r.load.pending.Wait()
+	jobs.Wait()
+	return err
 }
 
 func (l *load) progress(ctx context.Context, w io.Writer) {
@@ -127,7 +171,7 @@
 }
 
 // violations compares what callers heard with what the stand-ins executed.
-func (l *load) violations(s *System) Violations {
+func (l *load) violations(s *System, c scenario) Violations {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var v Violations
@@ -145,7 +189,10 @@
 		if q.wrong {
 			v.WrongAnswers++
 		}
-		if q.cut {
+		// A caller that hears nothing before its time is over was cut off; where
+		// every stop is planned, an unknown outcome is one as well.
+		unknown := q.outcome == oleandervalve.OutcomeUnknown && !q.late
+		if !c.unplanned && (q.cut && !q.late || c.planned && unknown) {
 			v.CutRequests++
 		}
 	}
@@ -155,31 +202,3 @@
 	v.DoubleRuns += p.DoubleRuns + p.DoubleResume
 	return v
 }
-
-// WriteJSON writes the report as one JSON object.
-func (r Report) WriteJSON(w io.Writer) error {
-	e := json.NewEncoder(w)
-	e.SetIndent("", "  ")
-	return e.Encode(r)
-}
-
-// WriteTable writes the report for people.
-func (r Report) WriteTable(w io.Writer) error {
-	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintf(t, "scenario %s, policy %s, seed %d, %d s\n\n", r.Scenario, r.Policy, r.Seed, r.Seconds)
-	_, _ = fmt.Fprintln(t, "service\tclass\tsent\tanswered\tnot run\tunknown\tp50 ms\tp99 ms\tp99.9 ms")
-	for _, c := range r.Classes {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\n",
-			c.Service, c.Class, c.Sent, c.Answered, c.NotRun, c.Unknown, c.P50, c.P99, c.P999)
-	}
-	b := r.Batch
-	_, _ = fmt.Fprintf(t, "\nbatch tasks: submitted %d, finished %d, unfinished %d, refused %d; starts %d, evictions %d, throttles %d\n",
-		b.Submitted, b.Finished, b.Other, b.Refused, b.Platform.Started, b.Evictions, b.Platform.Throttles)
-	for reason, n := range b.Waiting {
-		_, _ = fmt.Fprintf(t, "  unfinished: %s: %d\n", reason, n)
-	}
-	v := r.Violations
-	_, _ = fmt.Fprintf(t, "\nviolations: double runs %d, over capacity %d, lost %d, wrong answers %d, false not run %d, cut requests %d\n",
-		v.DoubleRuns, v.OverCapacity, v.Lost, v.WrongAnswers, v.FalseNotRun, v.CutRequests)
-	return t.Flush()
-}
--- a/io/demo/load.go
+++ b/io/demo/load.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -25,10 +24,13 @@
 	outcome    oleandervalve.Outcome
 	wrong      bool
 	cut        bool
+	// late tells that the caller's time was over when the outcome came.
+	late bool
 }
 
 // classResult sums up one kind of traffic.
 type classResult struct {
+	Phase    string                    `json:"phase"`
 	Service  oleandervalve.ServiceName `json:"service"`
 	Class    oleandervalve.ClassName   `json:"class"`
 	Sent     int                       `json:"sent"`
@@ -44,9 +46,10 @@
 
 // load drives open-loop traffic against the entries.
 type load struct {
-	client  *http.Client
-	entries []string
-	next    atomic.Uint64
+	client   *http.Client
+	balancer *balancer
+	phase    string
+	phases   []phaseMark
 
 	mu       sync.Mutex
 	requests []*request
@@ -55,9 +58,9 @@
 	pending  sync.WaitGroup
 }
 
-func newLoad(entries []string) *load {
+func newLoad(b *balancer, phase string) *load {
 	return &load{
-		entries: entries, results: map[string]*classResult{},
+		balancer: b, phase: phase, results: map[string]*classResult{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, MaxIdleConns: 4096}},
 	}
 }
@@ -66,14 +69,6 @@
 func (l *load) run(ctx context.Context, d deployment, t traffic, rate float64, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 3))
 	key := string(d.service) + "/" + string(t.class)
-	l.mu.Lock()
-	result := l.results[key]
-	if result == nil {
-		result = &classResult{Service: d.service, Class: t.class, histogram: hdrhistogram.New(1, 600_000_000, 3)}
-		l.results[key] = result
-		l.order = append(l.order, key)
-	}
-	l.mu.Unlock()
 	due := time.Now()
 	for i := 0; ; i++ {
 		due = due.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
@@ -84,6 +79,7 @@
 		}
 		q := &request{id: fmt.Sprintf("%s-%d-%d", key, seed, i), idempotent: t.method == http.MethodGet}
 		team := random.IntN(t.teams)
+		result := l.result(d, t)
 		l.pending.Add(1)
 		go func() {
 			defer l.pending.Done()
@@ -92,10 +88,25 @@
 	}
 }
 
+// result returns the sum of one kind of traffic in the current phase.
+func (l *load) result(d deployment, t traffic) *classResult {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := l.phase + "/" + string(d.service) + "/" + string(t.class)
+	r := l.results[key]
+	if r == nil {
+		r = &classResult{Phase: l.phase, Service: d.service, Class: t.class, histogram: hdrhistogram.New(1, 600_000_000, 3)}
+		l.results[key] = r
+		l.order = append(l.order, key)
+	}
+	return r
+}
+
 func (l *load) send(d deployment, t traffic, q *request, result *classResult, team int) {
 	started := time.Now()
 	q.outcome = l.call(d, t, q, team)
 	took := time.Since(started)
+	q.late = took >= t.timeout
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.requests = append(l.requests, q)
@@ -112,7 +123,7 @@
 }
 
 func (l *load) call(d deployment, t traffic, q *request, team int) oleandervalve.Outcome {
-	url := l.entries[l.next.Add(1)%uint64(len(l.entries))] + "/call/" + string(d.service) + t.path
+	url := l.balancer.pick() + "/call/" + string(d.service) + t.path
 	ctx, cancel := context.WithTimeout(context.Background(), t.timeout+5*time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, t.method, url, nil)
@@ -125,6 +136,7 @@
 	r.Header.Set(standin.HeaderTestID, q.id)
 	p, err := l.client.Do(r)
 	if err != nil {
+		q.cut = true
 		return oleandervalve.OutcomeUnknown
 	}
 	defer p.Body.Close()
--- a/io/demo/policy.go
+++ b/io/demo/policy.go
@@ -1,6 +1,10 @@
 package demo
 
-import "oleandervalve/core/scheduler"
+import (
+	"oleandervalve/core/caller"
+	"oleandervalve/core/credit"
+	"oleandervalve/core/scheduler"
+)
 
 // Policy names the policy in force.
 type Policy string
@@ -19,3 +23,19 @@
 	}
 	return scheduler.DefaultConfig()
 }
+
+// classes are the class policies at the entries; the baseline has one queue.
+func (p Policy) classes(d deployment) []caller.ClassPolicy {
+	if p == PolicyBaseline {
+		return []caller.ClassPolicy{{Class: "default", Weight: 1}}
+	}
+	return d.policies()
+}
+
+// shares are the class shares at the agents.
+func (p Policy) shares(d deployment) []credit.ClassShare {
+	if p == PolicyBaseline {
+		return []credit.ClassShare{{Class: "default", Weight: 1}}
+	}
+	return d.shares()
+}
--- a/io/demo/system.go
+++ b/io/demo/system.go
@@ -42,6 +42,8 @@
 	scope     tally.Scope
 	seed      uint64
 	policy    Policy
+	// deployments are the fleets that run.
+	deployments []deployment
 
 	table    oleandervalve.Table
 	objects  oleandervalve.ObjectStore
@@ -71,13 +73,13 @@
 	s := &System{
 		Table: standin.NewTable(clock, seed), Objects: standin.NewObjects(seed),
 		Books: standin.NewBooks(), log: log, seed: seed, policy: policy,
-		scope: tally.NoopScope,
+		scope: tally.NoopScope, deployments: deployments(),
 	}
 	for _, o := range options {
 		o(s)
 	}
 	workers := map[oleandervalve.WorkerID]oleandervalve.Resources{}
-	for _, d := range deployments() {
+	for _, d := range s.deployments {
 		for i := range d.executors {
 			workers[workerID(d, i)] = d.worker
 		}
@@ -97,12 +99,12 @@
 	s.objects = objecthttp.NewClient(s.servers[1].URL, tableTimeout)
 	s.platform = platformhttp.NewClient(s.servers[2].URL, tableTimeout)
 	for i := range entries {
-		if err := s.addEntry(i); err != nil {
+		if err := s.addEntry(i, "127.0.0.1:0"); err != nil {
 			s.Close()
 			return nil, err
 		}
 	}
-	for _, d := range deployments() {
+	for _, d := range s.deployments {
 		for i := range d.executors {
 			if err := s.addExecutor(d, i); err != nil {
 				s.Close()
@@ -117,12 +119,15 @@
 	return oleandervalve.WorkerID(fmt.Sprintf("%s-worker-%d", d.name, i))
 }
 
-func (s *System) addEntry(i int) error {
+func (s *System) addEntry(i int, address string) error {
 	id := oleandervalve.EntryID(fmt.Sprintf("entry-%d", i))
 	log := s.log.WithField("entry", id)
 	options := []entry.Option{entry.WithLog(log), entry.WithScope(s.scope.Tagged(map[string]string{"entry": string(id)}))}
-	for _, d := range deployments() {
-		options = append(options, entry.WithPolicy(d.service, d.policies()))
+	for _, d := range s.deployments {
+		options = append(options, entry.WithPolicy(d.service, s.policy.classes(d)))
+	}
+	if s.policy == PolicyBaseline {
+		options = append(options, entry.WithArrivalOrder())
 	}
 	e := entry.New(id, options...)
 	owner := taskowner.New(id, string(id), s.table, s.platform, e, taskowner.WithLog(log),
@@ -133,18 +138,23 @@
 	m.Handle("/call/", callerhttp.Handler(e, callerhttp.TrustedHeaders{}))
 	m.Handle("/v1/jobs", jobhttp.Handler(owner, callerhttp.TrustedHeaders{}))
 	m.Handle("/v1/jobs/", jobhttp.Handler(owner, callerhttp.TrustedHeaders{}))
-	server, err := standin.Serve("127.0.0.1:0", m)
+	server, err := standin.Serve(address, m)
 	if err != nil {
 		owner.Close()
 		e.Close()
 		return err
 	}
-	s.entries = append(s.entries, &runningEntry{entry: e, owner: owner, server: server})
+	r := &runningEntry{entry: e, owner: owner, server: server}
+	if i < len(s.entries) {
+		s.entries[i] = r
+	} else {
+		s.entries = append(s.entries, r)
+	}
 	return nil
 }
 
 func (s *System) addExecutor(d deployment, i int) error {
-	a, err := s.startAgent(d, i)
+	a, err := s.startAgent(d, i, "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
@@ -157,7 +167,7 @@
 	return nil
 }
 
-func (s *System) startAgent(d deployment, i int) (*runningAgent, error) {
+func (s *System) startAgent(d deployment, i int, address string) (*runningAgent, error) {
 	var urls []string
 	for _, e := range s.entries {
 		urls = append(urls, e.server.URL+peer.Path)
@@ -168,8 +178,8 @@
 		agent.WithLocation(d.location(i)), agent.WithWorker(workerID(d, i)),
 		agent.WithLabels(map[string]string{"site": d.name, "dataCentre": string(d.location(i).DataCentre)}),
 		agent.WithPlatform(s.platform, s.objects), agent.WithUsageEvery(time.Second),
-		agent.WithShares(d.service, d.shares()))
-	server, err := standin.Serve("127.0.0.1:0", a.AnnounceHandler())
+		agent.WithShares(d.service, s.policy.shares(d)))
+	server, err := standin.Serve(address, a.AnnounceHandler())
 	if err != nil {
 		a.Close()
 		return nil, err
@@ -183,7 +193,7 @@
 			Endpoint: oleandervalve.EndpointID(fmt.Sprintf("%s-executor-%d", d.name, i)),
 			Service:  d.service, Slots: d.slots, Connections: d.connections,
 		},
-		Agent: a.server.URL, Service: d.serviceTime, Sigma: 0.3, Seed: s.seed + uint64(i), Books: s.Books,
+		Agent: a.server.URL, Service: d.serviceTime, Sigma: sigma, Seed: s.seed + uint64(i), Books: s.Books,
 	})
 }
 
@@ -193,7 +203,7 @@
 	for time.Now().Before(end) {
 		ready := true
 		for _, e := range s.entries {
-			for _, d := range deployments() {
+			for _, d := range s.deployments {
 				ready = ready && e.entry.Slots(d.service) == d.executors*d.slots
 			}
 		}
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -74,12 +74,15 @@
 	e.inFlight.Add(1)
 	e.mu.Unlock()
 	defer e.inFlight.Done()
+	if e.byArrival {
+		c.Class, c.Team, c.Caller = defaultClass, "", ""
+	}
 	if c.Class == "" {
 		c.Class = defaultClass
 	}
 	now := e.clock.Now()
 	x := &exchange{call: c, w: w, request: caller.Request{
-		ID: e.newRequestID(), Class: c.Class, Team: c.Team, Caller: c.Caller, Arrived: now, Deadline: now.Add(c.Timeout),
+		ID: e.newRequestID(), Class: c.Class, Team: c.Team, Caller: c.Caller, Arrived: now, Deadline: now.Add(c.Timeout), ByArrival: e.byArrival,
 	}}
 	ctx, cancel := context.WithDeadline(ctx, x.request.Deadline)
 	defer cancel()
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -43,6 +43,7 @@
 	workers   map[oleandervalve.WorkerID]*link
 	owner     TaskOwner
 	draining  bool
+	byArrival bool
 	inFlight  sync.WaitGroup
 
 	stop    chan struct{}
@@ -81,6 +82,10 @@
 	return func(e *Entry) { e.policies[s] = list }
 }
 
+// WithArrivalOrder serves the requests of each service in one queue in the order
+// of arrival, without classes, teams, callers and deadlines; it is the baseline of measurements.
+func WithArrivalOrder() Option { return func(e *Entry) { e.byArrival = true } }
+
 // TaskOwner takes what the agents of workers say about tasks.
 type TaskOwner interface {
 	// Connected tells that the agent of a worker has connected.
--- a/io/standin/endpoint.go
+++ b/io/standin/endpoint.go
@@ -45,6 +45,7 @@
 	runs     map[string]int
 	OverSlot int
 	total    int
+	busy     time.Duration
 }
 
 // HeaderTestID names a unit of work whose executions are counted.
@@ -100,10 +101,18 @@
 	return n
 }
 
-func (b *Books) record(id string, over bool) {
+// Busy returns the service time of all executions.
+func (b *Books) Busy() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.busy
+}
+
+func (b *Books) record(id string, over bool, d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.total++
+	b.busy += d
 	if id != "" {
 		b.runs[id]++
 	}
@@ -253,7 +262,7 @@
 	if err != nil {
 		return
 	}
-	x.config.Books.record(r.Header.Get(HeaderTestID), over)
+	x.config.Books.record(r.Header.Get(HeaderTestID), over, d)
 	if d > 0 {
 		time.Sleep(d)
 	}
--- a/io/standin/fault.go
+++ b/io/standin/fault.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -153,6 +154,9 @@
 	return s, nil
 }
 
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return strings.TrimPrefix(s.URL, "http://") }
+
 // Shutdown stops the server after the requests in flight have ended or the context is done.
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.server.Shutdown(ctx)
--- a/io/standin/platform.go
+++ b/io/standin/platform.go
@@ -107,6 +107,14 @@
 	}
 }
 
+// Slowdown returns how much the tasks of a worker hold back a service beside them.
+func (p *Platform) Slowdown(w oleandervalve.WorkerID) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advanceAll()
+	return p.slowdown(w, nil)
+}
+
 // Break makes every task that starts on a worker fail at once, or repairs it.
 func (p *Platform) Break(w oleandervalve.WorkerID, broken bool) {
 	p.mu.Lock()
