--- a/io/demo/system.go
+++ b/io/demo/system.go
@@ -45,6 +45,8 @@
 	policy    Policy
 	// operators is nil if the system has no administration API.
 	operators *entry.ConfigurationOptions
+	// deployments are the fleets that run.
+	deployments []deployment
 
 	table    oleandervalve.Table
 	objects  oleandervalve.ObjectStore
@@ -84,13 +86,13 @@
 	s := &System{
 		Table: standin.NewTable(clock, seed), Objects: standin.NewObjects(seed),
 		Books: standin.NewBooks(), log: log, seed: seed, policy: policy,
-		scope: tally.NoopScope,
+		scope: tally.NoopScope, deployments: deployments(),
 	}
 	for _, o := range options {
 		o(s)
 	}
 	workers := map[oleandervalve.WorkerID]oleandervalve.Resources{}
-	for _, d := range deployments() {
+	for _, d := range s.deployments {
 		for i := range d.executors {
 			workers[workerID(d, i)] = d.worker
 		}
@@ -110,12 +112,12 @@
 	s.objects = objecthttp.NewClient(s.servers[1].URL, tableTimeout)
 	s.platform = platformhttp.NewClient(s.servers[2].URL, tableTimeout)
 	for i := range entries {
-		if err := s.addEntry(i); err != nil {
+		if err := s.addEntry(i, "127.0.0.1:0"); err != nil {
 			s.Close()
 			return nil, err
 		}
 	}
-	for _, d := range deployments() {
+	for _, d := range s.deployments {
 		for i := range d.executors {
 			if err := s.addExecutor(d, i); err != nil {
 				s.Close()
@@ -130,15 +132,18 @@
 	return oleandervalve.WorkerID(fmt.Sprintf("%s-worker-%d", d.name, i))
 }
 
-func (s *System) addEntry(i int) error {
+func (s *System) addEntry(i int, address string) error {
 	id := oleandervalve.EntryID(fmt.Sprintf("entry-%d", i))
 	log := s.log.WithField("entry", id)
 	options := []entry.Option{
 		entry.WithLog(log), entry.WithScope(s.scope.Tagged(map[string]string{"entry": string(id)})),
 		entry.WithKeys(s.table, entry.DefaultKeyOptions()),
 	}
-	for _, d := range deployments() {
-		options = append(options, entry.WithPolicy(d.service, d.policies()))
+	for _, d := range s.deployments {
+		options = append(options, entry.WithPolicy(d.service, s.policy.classes(d)))
+	}
+	if s.policy == PolicyBaseline {
+		options = append(options, entry.WithArrivalOrder())
 	}
 	e := entry.New(id, options...)
 	owner := taskowner.New(id, string(id), s.table, s.platform, e, taskowner.WithLog(log),
@@ -161,7 +166,7 @@
 		}
 		m.Handle("/v1/", config.Handler())
 	}
-	server, err := standin.Serve("127.0.0.1:0", m)
+	server, err := standin.Serve(address, m)
 	if err != nil {
 		if config != nil {
 			config.Close()
@@ -170,12 +175,17 @@
 		e.Close()
 		return err
 	}
-	s.entries = append(s.entries, &runningEntry{entry: e, owner: owner, server: server, config: config})
+	r := &runningEntry{entry: e, owner: owner, server: server, config: config}
+	if i < len(s.entries) {
+		s.entries[i] = r
+	} else {
+		s.entries = append(s.entries, r)
+	}
 	return nil
 }
 
 func (s *System) addExecutor(d deployment, i int) error {
-	a, err := s.startAgent(d, i)
+	a, err := s.startAgent(d, i, "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
@@ -188,7 +198,7 @@
 	return nil
 }
 
-func (s *System) startAgent(d deployment, i int) (*runningAgent, error) {
+func (s *System) startAgent(d deployment, i int, address string) (*runningAgent, error) {
 	var urls []string
 	for _, e := range s.entries {
 		urls = append(urls, e.server.URL+peer.Path)
@@ -199,8 +209,8 @@
 		agent.WithLocation(d.location(i)), agent.WithWorker(workerID(d, i)),
 		agent.WithLabels(map[string]string{"site": d.name, "dataCentre": string(d.location(i).DataCentre)}),
 		agent.WithPlatform(s.platform, s.objects), agent.WithUsageEvery(time.Second),
-		agent.WithShares(d.service, d.shares()), agent.WithKeys(s.table, agent.DefaultKeyOptions()))
-	server, err := standin.Serve("127.0.0.1:0", a.AnnounceHandler())
+		agent.WithShares(d.service, s.policy.shares(d)), agent.WithKeys(s.table, agent.DefaultKeyOptions()))
+	server, err := standin.Serve(address, a.AnnounceHandler())
 	if err != nil {
 		a.Close()
 		return nil, err
@@ -214,7 +224,7 @@
 			Endpoint: oleandervalve.EndpointID(fmt.Sprintf("%s-executor-%d", d.name, i)),
 			Service:  d.service, Slots: d.slots, Connections: d.connections,
 		},
-		Agent: a.server.URL, Service: d.serviceTime, Sigma: 0.3, Seed: s.seed + uint64(i), Books: s.Books,
+		Agent: a.server.URL, Service: d.serviceTime, Sigma: sigma, Seed: s.seed + uint64(i), Books: s.Books,
 	})
 }
 
@@ -231,7 +241,7 @@
 		for _, e := range s.entries {
 			ready = ready && (e.config == nil || e.config.WaitsFor() == "")
 			ready = ready && e.entry.KeyHomes()
-			for _, d := range deployments() {
+			for _, d := range s.deployments {
 				ready = ready && e.entry.Slots(d.service) == d.executors*d.slots
 			}
 		}
