Run tasks and idempotency keys in the separate processes

Cause: the commands entry and agent placed no tasks and refused keyed calls, because their settings named neither platform nor key service. Change: entry and agent use table, object store and platform from their settings; keys.home chooses which agents keep keys; the job API is served beside the calls; a stopping entry gives its shards up at once; refusal reasons map to the statuses that docs/callers.md promises (deadlineTooShort, keyAhead). Conclusion: what dev runs in one process now runs as separate processes.

--- a/cmd/oleandervalve/agent.go
+++ b/cmd/oleandervalve/agent.go
@@ -5,9 +5,12 @@
 
 	"oleandervalve"
 	"oleandervalve/io/agent"
+	"oleandervalve/io/objecthttp"
 	"oleandervalve/io/peer"
+	"oleandervalve/io/platformhttp"
 	"oleandervalve/io/process"
 	"oleandervalve/io/settings"
+	"oleandervalve/io/tablehttp"
 )
 
 type agentCommand struct {
@@ -39,6 +42,13 @@
 	if files != nil {
 		options = append(options, agent.WithDialTLS(files.DialTLS))
 	}
+	if s.Table.URL != "" && s.KeyHome == "yes" {
+		options = append(options, agent.WithKeys(tablehttp.NewClient(s.Table.URL, s.Table.Timeout), agent.DefaultKeyOptions()))
+	}
+	if s.Platform.URL != "" && s.Objects.URL != "" && s.Worker.ID != "" {
+		options = append(options, agent.WithPlatform(
+			platformhttp.NewClient(s.Platform.URL, s.Platform.Timeout), objecthttp.NewClient(s.Objects.URL, s.Objects.Timeout)))
+	}
 	a := agent.New(oleandervalve.AgentID(s.ID), urls, options...)
 	if _, err := p.Listen("announcements", s.Listen.Announcements, longestExchange, a.AnnounceHandler()); err != nil {
 		a.Close()
--- a/cmd/oleandervalve/entry.go
+++ b/cmd/oleandervalve/entry.go
@@ -12,10 +12,13 @@
 	"oleandervalve"
 	"oleandervalve/io/callerhttp"
 	"oleandervalve/io/entry"
+	"oleandervalve/io/jobhttp"
 	"oleandervalve/io/peer"
+	"oleandervalve/io/platformhttp"
 	"oleandervalve/io/process"
 	"oleandervalve/io/settings"
 	"oleandervalve/io/tablehttp"
+	"oleandervalve/io/taskowner"
 )
 
 const (
@@ -38,15 +41,23 @@
 	}
 	signals := process.Signals()
 	p := newProcess(s)
-	e := entry.New(oleandervalve.EntryID(s.ID), entry.WithLog(p.Log()), entry.WithScope(p.Scope()))
+	options := []entry.Option{entry.WithLog(p.Log()), entry.WithScope(p.Scope()), entry.WithLocation(s.Location)}
+	if s.Table.URL != "" {
+		options = append(options, entry.WithKeys(tablehttp.NewClient(s.Table.URL, s.Table.Timeout), entry.DefaultKeyOptions()))
+	}
+	e := entry.New(oleandervalve.EntryID(s.ID), options...)
 	defer e.Close()
+	owner := ownTasks(e, s, p)
+	if owner != nil {
+		defer owner.Close()
+	}
 	files, stopFiles, err := loadCertificates(s.TLS, p.Log())
 	if err != nil {
 		p.Close()
 		return err
 	}
 	defer stopFiles()
-	config, auth, err := configure(e, s, p.Log())
+	config, auth, err := configure(e, s, owner, p.Log())
 	if err != nil {
 		p.Close()
 		return err
@@ -56,6 +67,9 @@
 	}
 	calls := callerhttp.Handler(e, auth, callerhttp.ServiceTimeout(e.DefaultTimeout),
 		callerhttp.DefaultTimeout(s.Calls.DefaultTimeout), callerhttp.MaxBody(int64(s.Calls.MaxBody)))
+	if owner != nil {
+		calls = withJobs(calls, jobhttp.Handler(owner, auth))
+	}
 	var peerTLS, operatorTLS *tls.Config
 	if files != nil {
 		peerTLS, operatorTLS = files.Server(), files.Listener()
@@ -88,19 +102,49 @@
 		return err
 	}
 	return p.Run(signals, process.Stop{Timeout: s.Drain.Timeout, Notice: s.Drain.Notice, Drain: func(ctx context.Context) bool {
-		return e.Drain(timeLeft(ctx))
+		drained := e.Drain(timeLeft(ctx))
+		if owner != nil {
+			// Other entries take the shards over at once instead of after the session.
+			owner.Leave()
+		}
+		return drained
 	}})
 }
 
+// ownTasks makes the entry place tasks if the settings name the table and the platform.
+func ownTasks(e *entry.Entry, s settings.Settings, p *process.Process) *taskowner.Owner {
+	if s.Table.URL == "" || s.Platform.URL == "" {
+		return nil
+	}
+	o := taskowner.New(oleandervalve.EntryID(s.ID), s.Listen.Peers,
+		tablehttp.NewClient(s.Table.URL, s.Table.Timeout), platformhttp.NewClient(s.Platform.URL, s.Platform.Timeout), e,
+		taskowner.WithLog(p.Log()), taskowner.WithScope(p.Scope()))
+	e.SetTaskOwner(o)
+	return o
+}
+
+// withJobs serves the job API beside the calls of services.
+func withJobs(calls, jobs http.Handler) http.Handler {
+	m := http.NewServeMux()
+	m.Handle("/", calls)
+	m.Handle("/v1/jobs", jobs)
+	m.Handle("/v1/jobs/", jobs)
+	return m
+}
+
 // configure connects the entry to the configuration in the table, if the
 // settings name one, and chooses how callers are found.
-func configure(e *entry.Entry, s settings.Settings, log *logrus.Entry) (*entry.Configuration, callerhttp.Authenticator, error) {
+func configure(e *entry.Entry, s settings.Settings, owner *taskowner.Owner, log *logrus.Entry) (*entry.Configuration, callerhttp.Authenticator, error) {
 	var config *entry.Configuration
 	if s.Table.URL != "" {
-		var err error
-		config, err = entry.NewConfiguration(e, tablehttp.NewClient(s.Table.URL, s.Table.Timeout), entry.ConfigurationOptions{
+		o := entry.ConfigurationOptions{
 			AdminTeam: oleandervalve.TeamID(s.Operators.AdminTeam), BootstrapTokenHash: s.Operators.BootstrapTokenHash,
-		})
+		}
+		if owner != nil {
+			o.Tasks = owner
+		}
+		var err error
+		config, err = entry.NewConfiguration(e, tablehttp.NewClient(s.Table.URL, s.Table.Timeout), o)
 		if err != nil {
 			return nil, nil, err
 		}
--- a/io/callerhttp/handler.go
+++ b/io/callerhttp/handler.go
@@ -295,7 +295,7 @@
 
 func notRunStatus(r oleandervalve.Reason) int {
 	switch r {
-	case "queueFull", "teamQueueFull", "callerQueueFull", "deadlineUnreachable":
+	case "queueFull", "teamQueueFull", "callerQueueFull", "deadlineTooShort":
 		return http.StatusTooManyRequests
 	case "keyInvalid", "keyAhead":
 		return http.StatusBadRequest
--- a/io/settings/fields.go
+++ b/io/settings/fields.go
@@ -99,27 +99,32 @@
 		text: "peer addresses of the entries that the agent connects to", target: func(s *Settings) any { return &s.Entries },
 	},
 	{
-		name: "table.url", roles: entryOnly, kind: webURL(),
+		name: "table.url", roles: both, kind: webURL(),
 		text: "table service", target: func(s *Settings) any { return &s.Table.URL },
 	},
 	{
-		name: "table.timeout", roles: entryOnly, kind: duration(10*millisecond, minute), standard: "2s",
+		name: "table.timeout", roles: both, kind: duration(10*millisecond, minute), standard: "2s",
 		text: "longest call to the table service", target: func(s *Settings) any { return &s.Table.Timeout },
 	},
 	{
-		name: "objects.url", roles: both, kind: webURL(), reserved: both,
+		name: "keys.home", roles: agentOnly, kind: oneOf("yes", "no"), standard: "yes",
+		text:   "whether the agent keeps idempotency keys; needs table.url, and costs the table a write and two reads per lease interval and second",
+		target: func(s *Settings) any { return &s.KeyHome },
+	},
+	{
+		name: "objects.url", roles: agentOnly, kind: webURL(),
 		text: "object store", target: func(s *Settings) any { return &s.Objects.URL },
 	},
 	{
-		name: "objects.timeout", roles: both, kind: duration(10*millisecond, minute), standard: "5s", reserved: both,
+		name: "objects.timeout", roles: agentOnly, kind: duration(10*millisecond, minute), standard: "5s",
 		text: "longest call to the object store", target: func(s *Settings) any { return &s.Objects.Timeout },
 	},
 	{
-		name: "platform.url", roles: agentOnly, kind: webURL(), reserved: agentOnly,
+		name: "platform.url", roles: both, kind: webURL(),
 		text: "worker platform", target: func(s *Settings) any { return &s.Platform.URL },
 	},
 	{
-		name: "platform.timeout", roles: agentOnly, kind: duration(10*millisecond, minute), standard: "2s", reserved: agentOnly,
+		name: "platform.timeout", roles: both, kind: duration(10*millisecond, minute), standard: "2s",
 		text: "longest call to the worker platform", target: func(s *Settings) any { return &s.Platform.Timeout },
 	},
 
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -33,6 +33,8 @@
 	Listen   Listen
 	Entries  []string
 	Table    Service
+	// KeyHome is "yes" if the agent keeps idempotency keys.
+	KeyHome  string
 	Objects  Service
 	Platform Service
 	TLS      TLS
