--- a/io/demo/scenario.go
+++ b/io/demo/scenario.go
@@ -130,6 +130,17 @@
 
 // interfere makes the endpoints as slow as the tasks beside them make a service.
 func interfere(ctx context.Context, r *run) error {
+	// Latency-critical tasks run only on their team's own quota.
+	quotas := map[oleandervalve.TeamID]oleandervalve.Resources{}
+	for _, d := range r.system.deployments {
+		n := d.executors
+		quotas[oleandervalve.TeamID(d.name)] = oleandervalve.Resources{
+			CPU: 1000 * oleandervalve.Millicores(n), Memory: 512 * mib * oleandervalve.Bytes(n),
+		}
+	}
+	for _, e := range r.system.entries {
+		e.owner.SetQuotas(quotas)
+	}
 	for ctx.Err() == nil {
 		i := 0
 		for _, d := range r.system.deployments {
