--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -262,6 +262,15 @@
 		step()
 	}
 	is.Equal(step(), 16)
+	// Rows that vanish, as from a restored backup, leave no shard without an owner.
+	for k := range m.rows {
+		if strings.HasPrefix(string(k), string(ShardPrefix(TaskShards))) {
+			delete(m.rows, k)
+		}
+	}
+	step()
+	step()
+	is.Equal(step(), 16)
 	list = list[1:]
 	lost := m.now
 	for step() < 16 && m.now.Sub(lost) < time.Minute {
--- a/core/lease/shard.go
+++ b/core/lease/shard.go
@@ -75,8 +75,9 @@
 }
 
 // Observe takes the scans of the entries' rows and of the shards' leases; the
-// time of a scan of several pages is that of the first. The entries' scan must have begun after the leases' scan had ended, so that a row
-// missing from it proves that the owner's session is over.
+// time of a scan of several pages is that of the first. The entries' scan must
+// have begun after the leases' scan had ended, so that a row missing from it
+// proves that the owner's session is over.
 func (s *Shards) Observe(leases, entries oleandervalve.Page) {
 	s.entries = map[oleandervalve.EntryID]entryRow{}
 	for _, row := range entries.Rows {
@@ -102,7 +103,10 @@
 }
 
 func (s *Shards) observe(l *shardLease, row oleandervalve.Row, at time.Time) {
-	if l.loaded && (row.Version < l.row.Version || at.Before(l.at)) {
+	// The table's time orders what was read. A row that is missing from a later
+	// read has been deleted, for example by a restored backup, and its shard is
+	// free; without this rule no entry would ever take the shard again.
+	if l.loaded && (at.Before(l.at) || row.Version < l.row.Version && !at.After(l.at)) {
 		return
 	}
 	v := ShardRow{}
--- a/io/taskowner/jobs.go
+++ b/io/taskowner/jobs.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"regexp"
 	"sort"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -264,17 +263,36 @@
 	}
 }
 
-// take reads a job of an owned shard and deletes the note that named it.
+// take reads a job of an owned shard and deletes the note that named it. The
+// deletion is fenced by the lease of the shard as it was before the job was
+// read: an owner that loses the shard leaves the note to the next one, which may
+// have read the shard's rows before the job was there.
 func (o *Owner) take(i oleandervalve.ShardID, j oleandervalve.JobID, note oleandervalve.Key) {
-	rows := o.store.get(o.ctx, []oleandervalve.Key{job.GroupKey(j)})
-	page, err := o.store.scan(o.ctx, tasksPrefix(j))
-	if err != nil {
+	o.mu.Lock()
+	fence := o.owned.Fence(i)
+	held := o.owned.Held(o.clock.Now(), i)
+	o.mu.Unlock()
+	taken := false
+	if held {
+		taken = o.takeFenced(i, j, note, fence)
+	}
+	if !taken {
 		o.mu.Lock()
 		delete(o.inbox, note)
 		o.mu.Unlock()
-		return
+	}
+}
+
+func (o *Owner) takeFenced(i oleandervalve.ShardID, j oleandervalve.JobID, note oleandervalve.Key, fence []oleandervalve.Condition) bool {
+	rows := o.store.get(o.ctx, []oleandervalve.Key{job.GroupKey(j)})
+	page, err := o.store.scan(o.ctx, tasksPrefix(j))
+	if err != nil {
+		return false
 	}
 	o.observe(i, append(rows, page.Rows...))
-	id := oleandervalve.MutationID(strings.ReplaceAll(string(note), "/", "-") + "-taken")
-	_, _ = o.store.resolve(o.ctx, oleandervalve.Transaction{ID: id, Deletes: []oleandervalve.Key{note}}, table.Configuring)
+	r, ok := o.store.resolve(o.ctx, oleandervalve.Transaction{
+		ID:         oleandervalve.MutationID("taken-" + uuid.NewString()),
+		Conditions: fence, Deletes: []oleandervalve.Key{note},
+	}, table.Configuring)
+	return ok && r.Resolution == table.Applied
 }
