--- a/io/agent/tasks.go
+++ b/io/agent/tasks.go
@@ -79,7 +79,7 @@
 	if t == nil {
 		return
 	}
-	a.perform(now, nil, t.runner.Tick(now))
+	a.perform(nil, t.runner.Tick(now))
 	if now.Sub(t.usageAt) >= t.usageEvery {
 		t.usageAt = now
 		since := t.usageSince
@@ -131,7 +131,7 @@
 	if m := a.residentsMessage(); m != nil {
 		l.conn.TrySend(m)
 	}
-	a.perform(now, l, a.tasks.runner.Reports(now))
+	a.perform(l, a.tasks.runner.Reports(now))
 }
 
 func (a *Agent) residentsMessage() *peer.Residents {
@@ -162,28 +162,28 @@
 	case *peer.LeaseRenewed:
 		t.lease.Renew(now, t.boot.Add(m.SentAfter))
 	case *peer.ReserveTask:
-		a.perform(now, l, t.runner.Reserve(now, m.Reserve))
+		a.perform(l, t.runner.Reserve(now, m.Reserve))
 	case *peer.ReleaseTask:
-		a.perform(now, l, t.runner.Release(now, m.Release))
+		a.perform(l, t.runner.Release(now, m.Release))
 	case *peer.StartTask:
-		a.perform(now, l, t.runner.Start(now, m.Start))
+		a.perform(l, t.runner.Start(now, m.Start))
 	case *peer.StopTask:
-		a.perform(now, l, t.runner.Stop(now, m.Stop))
+		a.perform(l, t.runner.Stop(now, m.Stop))
 	case *peer.QueryTask:
-		a.perform(now, l, t.runner.Query(now, m.Query))
+		a.perform(l, t.runner.Query(now, m.Query))
 	case *peer.AcknowledgeTask:
-		a.perform(now, l, t.runner.Acknowledge(now, m.Acknowledge))
+		a.perform(l, t.runner.Acknowledge(now, m.Acknowledge))
 	case *peer.ResizeTask:
 		if err := a.ledger.Resize(m.Run.Task, m.Run.Epoch, m.Size); err != nil {
 			a.log.WithError(err).WithField("taskId", m.Run.Task).WithField("epoch", m.Run.Epoch).Info("reservation was not resized")
 		}
 	case *peer.ThrottleTask:
-		a.perform(now, l, t.runner.Throttle(now, m.Throttle))
+		a.perform(l, t.runner.Throttle(now, m.Throttle))
 	}
 }
 
 // perform carries out the runner's actions; l is the entry that caused them.
-func (a *Agent) perform(now time.Time, l *link, list []job.Action) {
+func (a *Agent) perform(l *link, list []job.Action) {
 	for _, x := range list {
 		switch x := x.(type) {
 		case job.Reserved:
@@ -196,7 +196,7 @@
 		case job.PlatformStatus:
 			a.readStatus(x.AskedAt)
 		default:
-			a.callPlatform(now, x)
+			a.callPlatform(x)
 		}
 	}
 }
@@ -223,10 +223,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
-	a.perform(now, nil, result(now))
+	a.perform(nil, result(now))
 }
 
-func (a *Agent) callPlatform(_ time.Time, x job.Action) {
+func (a *Agent) callPlatform(x job.Action) {
 	t := a.tasks
 	switch x := x.(type) {
 	case job.PlatformStart:
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -14,7 +14,7 @@
 )
 
 // batchWithin is how long tasks that were accepted may take beyond the run.
-const batchWithin = time.Minute
+const batchWithin = 3 * time.Minute
 
 // Options choose what a demonstration does.
 type Options struct {
--- a/io/demo/system.go
+++ b/io/demo/system.go
@@ -26,6 +26,7 @@
 
 const (
 	tableTimeout  = 2 * time.Second
+	readyWithin   = time.Minute
 	entriesInDemo = 2
 )
 
@@ -125,7 +126,7 @@
 			}
 		}
 	}
-	return s, s.waitReady(10 * time.Second)
+	return s, s.waitReady(readyWithin)
 }
 
 func workerID(d deployment, i int) oleandervalve.WorkerID {
--- a/io/taskowner/owner.go
+++ b/io/taskowner/owner.go
@@ -268,7 +268,7 @@
 		o.placer.drop(i, now)
 		o.log.WithField("shard", i).Info("shard of tasks is owned no longer")
 	case held && s != nil && turn:
-		o.run(now, i, s.Tick(now))
+		o.run(i, s.Tick(now))
 	}
 }
 
@@ -299,7 +299,7 @@
 		}
 	}
 	o.log.WithField("shard", i).WithField("rows", len(rows)).Info("shard of tasks is owned")
-	o.run(now, i, actions)
+	o.run(i, actions)
 }
 
 func taskOf(i oleandervalve.ShardID, k oleandervalve.Key) oleandervalve.TaskID {
@@ -364,12 +364,12 @@
 		}
 		if d.Action == scheduler.Throttle {
 			if actions, err := s.Throttle(d.Task, d.Share); err == nil {
-				o.run(now, i, actions)
+				o.run(i, actions)
 			}
 			continue
 		}
 		if actions, err := s.Evict(now, d.Task, d.Reason); err == nil {
-			o.run(now, i, actions)
+			o.run(i, actions)
 		} else if x := o.placer.tasks[d.Task]; x != nil {
 			x.evict = d.Reason
 		}
@@ -377,7 +377,7 @@
 }
 
 // run carries out the actions of a shard.
-func (o *Owner) run(now time.Time, i oleandervalve.ShardID, list []job.Action) {
+func (o *Owner) run(i oleandervalve.ShardID, list []job.Action) {
 	for _, a := range list {
 		switch a := a.(type) {
 		case job.Commit:
@@ -402,7 +402,6 @@
 			o.log.WithField("action", fmt.Sprintf("%T", a)).Error("shard asked for an action that entries don't have")
 		}
 	}
-	_ = now
 }
 
 // resolved passes the result of a commit to its shard and to the scheduler.
@@ -418,7 +417,7 @@
 	for _, p := range t.Puts {
 		o.syncKey(now, s, i, p.Key)
 	}
-	o.run(now, i, actions)
+	o.run(i, actions)
 }
 
 // syncKey passes the newest record of a task on to the scheduler.
@@ -442,7 +441,7 @@
 	why := x.evict
 	x.evict = ""
 	if actions, err := s.Evict(now, t.Task(), why); err == nil {
-		o.run(now, i, actions)
+		o.run(i, actions)
 	}
 }
 
@@ -462,7 +461,7 @@
 	for _, r := range rows {
 		o.syncKey(now, s, i, r.Key)
 	}
-	o.run(now, i, actions)
+	o.run(i, actions)
 }
 
 // Leave ends the session, so that other entries take over the shards at once.
--- a/io/taskowner/workers.go
+++ b/io/taskowner/workers.go
@@ -24,7 +24,7 @@
 	// An agent that still drains says so after it connects.
 	o.placer.scheduler.KeepWorker(w)
 	for i, s := range o.shards {
-		o.run(now, i, s.WorkerConnected(now, w))
+		o.run(i, s.WorkerConnected(now, w))
 	}
 }
 
@@ -52,7 +52,7 @@
 		m.Worker = w
 		i := job.ShardOf(job.Parent(m.Run.Task))
 		if s := o.shards[i]; s != nil {
-			o.run(now, i, s.Reserved(now, m.Reserved))
+			o.run(i, s.Reserved(now, m.Reserved))
 		}
 	case *peer.TaskReport:
 		m.Worker = w
@@ -75,14 +75,14 @@
 		return
 	}
 	for i, s := range o.shards {
-		o.run(now, i, s.EvictWorker(now, w, reasonDraining))
+		o.run(i, s.EvictWorker(now, w, reasonDraining))
 	}
 }
 
 func (o *Owner) report(now time.Time, r job.Report) {
 	i := job.ShardOf(job.Parent(r.Run.Task))
 	if s := o.shards[i]; s != nil {
-		o.run(now, i, s.Reported(now, r))
+		o.run(i, s.Reported(now, r))
 	}
 }
 
@@ -187,7 +187,7 @@
 func (o *Owner) confirmed(now time.Time, w oleandervalve.WorkerID, s oleandervalve.WorkerStatus) {
 	if s.Gone {
 		for i, x := range o.shards {
-			o.run(now, i, x.WorkerGone(now, w))
+			o.run(i, x.WorkerGone(now, w))
 		}
 		for _, id := range o.placer.scheduler.Gone(w, now) {
 			if x := o.placer.tasks[id]; x != nil {
@@ -265,7 +265,7 @@
 	now := o.clock.Now()
 	o.log.WithField("worker", w).Warn("worker's lease has expired; its tasks are placed again")
 	for i, s := range o.shards {
-		o.run(now, i, s.WorkerLost(now, w, c))
+		o.run(i, s.WorkerLost(now, w, c))
 	}
 }
 
