--- /dev/null
+++ b/cmd/oleandervalve/doc.go
@@ -0,0 +1,2 @@
+// Command oleandervalve runs entries, agents, stand-ins and operator commands.
+package main
--- a/cmd/oleandervalve/main.go
+++ b/cmd/oleandervalve/main.go
@@ -1,4 +1,3 @@
-// Command oleandervalve runs entries, agents, stand-ins and operator commands.
 package main
 
 import (
