Use the core's pairing and demand in the entry

Cause: Entry.pump and Entry.sendDemand repeated Directory.Next and Queue.Demand, so the rule that a class credit is lent only when its class no longer waits stood twice, and only the core's copy is driven by the flood and property tests. Change: the entry calls both; behaviour is unchanged. Conclusion: one place holds the rule.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -184,17 +184,9 @@
 // agents what still waits.
 func (e *Entry) pump(now time.Time, name oleandervalve.ServiceName) {
 	q := e.service(name).queue
-	for q.Len() > 0 {
-		a, ok := e.directory.Take(now, name)
-		if !ok {
-			break
-		}
-		r, ok := q.Pop(now, a.Class)
-		if !ok {
-			r, ok = q.Pop(now, "")
-		}
+	for {
+		r, a, ok := e.directory.Next(now, name, q)
 		if !ok {
-			e.directory.Restore(now, a)
 			break
 		}
 		c := e.waiting[r.ID]
@@ -217,9 +209,7 @@
 func (e *Entry) sendDemand(now time.Time) {
 	var list []endpoint.ClassDemand
 	for name, s := range e.services {
-		for _, w := range s.queue.Waiting() {
-			list = append(list, endpoint.ClassDemand{Service: name, Class: w.Class, Waiting: w.Waiting, Teams: w.Teams})
-		}
+		list = append(list, s.queue.Demand(name)...)
 	}
 	for _, d := range e.directory.Demands(now, list) {
 		l := e.links[d.Agent]
