Move leadership to strong entries; ask the next leader for lost requests

Placement for 52 executors takes up to 0.4, so commits took a second, agents and entries lost their connections and callers were held to their deadlines for 14 seconds.

Change: a leader hands leadership to a connected entry with twice its share that has reached the table lately, once in ten seconds. Work is placed when the next commit can carry the assignments, not at each event. A request that is lost with its leader is asked again of the next one within 1.2 s; without any leader it is refused after 0.4 s.

Ruled out: the table (answers in 5 ms), the network, the load of callers.

--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -36,6 +36,10 @@
 	successorRetry = 60 * time.Millisecond
 )
 
+// handOverPause is how long an entry keeps leadership that came back after it
+// had handed it to a stronger entry, which then could not take it.
+const handOverPause = 10 * time.Second
+
 // errNotLeading reports an entry that does not lead.
 var errNotLeading = errors.New("the entry does not lead: read the leader's row again")
 
@@ -103,7 +107,7 @@
 			continue
 		}
 		g.pause(ctx, jitter(time.Duration(float64(firstTake)/max(leastShare, g.options.CPUShare))))
-		g.lead(ctx, rows)
+		hint, hintedAt = g.lead(ctx, rows), g.options.Clock.Now()
 	}
 }
 
@@ -133,43 +137,58 @@
 	return ""
 }
 
-// lead takes leadership over from the given row and leads until it is lost.
-func (g *Gateway) lead(ctx context.Context, current oleandervalve.Row) {
+// lead takes leadership over from the given row and leads until it is lost; it
+// returns the address of the entry that leads next, if that is known.
+func (g *Gateway) lead(ctx context.Context, current oleandervalve.Row) string {
 	g.mu.Lock()
 	stopping := g.stopping
 	g.mu.Unlock()
 	if stopping {
 		g.pause(ctx, tableRetry)
-		return
+		return ""
 	}
 	taken := make(chan struct{})
 	g.mu.Lock()
 	g.taking = taken
+	keep := g.options.Clock.Now().Sub(g.handedAt) < handOverPause
 	g.mu.Unlock()
 	defer g.taken(taken)
 	call, cancel := context.WithTimeout(ctx, takeTimeout)
 	l, err := leader.Take(call, leader.Options{
 		Table: g.options.Table, Clock: g.options.Clock, Log: g.options.Log, Scope: g.options.Scope,
-		Retention: g.options.Retention, EarlyBy: g.options.EarlyBy, Revision: g.Revision,
+		CPUShare: g.options.CPUShare, Keep: keep, Retention: g.options.Retention, EarlyBy: g.options.EarlyBy, Revision: g.Revision,
 	}, current, leader.Row{Entry: g.options.ID, Address: g.options.Address, Process: g.options.Process})
 	cancel()
 	if err != nil {
 		g.options.Log.WithError(err).Info("leadership not taken")
-		return
+		return ""
 	}
 	g.options.Log.WithFields(logrus.Fields{"term": l.Term(), "rowVersion": current.Version}).Info("leadership taken")
 	g.mu.Lock()
-	g.leading, g.upstream, g.leaderAddress = l, l, g.options.Address
+	g.leading, g.leaderAddress = l, g.options.Address
 	g.mu.Unlock()
 	g.taken(taken)
+	go func() {
+		<-l.Ready()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.leading == l {
+			g.setUpstream(l)
+		}
+	}()
 	err = l.Run(ctx)
 	g.mu.Lock()
-	g.leading, g.upstream, g.leaderAddress = nil, nil, ""
+	g.leading, g.leaderAddress = nil, ""
+	g.setUpstream(nil)
+	if errors.Is(err, leader.ErrHandedOver) {
+		g.handedAt = g.options.Clock.Now()
+	}
 	g.mu.Unlock()
 	g.options.Log.WithField("term", l.Term()).WithError(err).Warn("leadership ended")
 	if errors.Is(err, leader.ErrResigned) {
 		g.pause(ctx, leaseTime/2)
 	}
+	return l.Successor()
 }
 
 // taken ends the time in which connections wait for the result of a takeover.
@@ -195,7 +214,7 @@
 	u.mu.Lock()
 	if u.open == nil {
 		u.mu.Unlock()
-		answer(peer.JobReply{Verdict: dispatch.NotRun, Reason: "noLeader", RetryAfter: noLeaderRetry})
+		answer(peer.JobReply{Verdict: dispatch.NotRun, Reason: reasonNoLeader, RetryAfter: noLeaderRetry})
 		return
 	}
 	u.next++
@@ -203,7 +222,7 @@
 	u.open[m.ID] = answer
 	u.mu.Unlock()
 	if !u.conn.TrySend(&m) {
-		u.answer(peer.JobReply{ID: m.ID, Verdict: dispatch.NotRun, Reason: "noLeader", RetryAfter: noLeaderRetry})
+		u.answer(peer.JobReply{ID: m.ID, Verdict: dispatch.NotRun, Reason: reasonNoLeader, RetryAfter: noLeaderRetry})
 	}
 }
 
@@ -256,12 +275,13 @@
 		return "", &peer.FrameError{Detail: "admission expected, got " + string(m.Type())}
 	}
 	g.mu.Lock()
-	g.upstream, g.leaderAddress = u, address
+	g.leaderAddress = address
+	g.setUpstream(u)
 	g.mu.Unlock()
 	g.options.Log.WithField("leader", address).Info("following")
 	next, err := g.exchange(ctx, u)
 	g.mu.Lock()
-	g.upstream = nil
+	g.setUpstream(nil)
 	g.mu.Unlock()
 	g.options.Log.WithField("leader", address).WithError(err).Warn("connection to the leader ended")
 	return next, err
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -50,6 +50,10 @@
 	configuration *work.Configuration
 	// upstream carries requests to the leading entry; nil without one.
 	upstream upstream
+	// connected is closed when the next upstream is set.
+	connected chan struct{}
+	// handedAt is when leadership was last handed to a stronger entry.
+	handedAt time.Time
 	leading  *leader.Leader
 	// leaderAddress is the last known address of the leading entry.
 	leaderAddress string
@@ -69,7 +73,7 @@
 
 // New returns an entry; Run starts it.
 func New(o Options) *Gateway {
-	return &Gateway{options: o, takeOver: make(chan struct{}, 1)}
+	return &Gateway{options: o, takeOver: make(chan struct{}, 1), connected: make(chan struct{})}
 }
 
 // Run follows configuration and leadership until the context ends.
@@ -127,6 +131,15 @@
 	g.mu.Unlock()
 }
 
+// setUpstream sets the connection to the leading entry, or nil; the lock is held.
+func (g *Gateway) setUpstream(u upstream) {
+	g.upstream = u
+	if u != nil {
+		close(g.connected)
+		g.connected = make(chan struct{})
+	}
+}
+
 // pause waits, at most until the context ends.
 func (g *Gateway) pause(ctx context.Context, d time.Duration) {
 	select {
--- a/io/gateway/service.go
+++ b/io/gateway/service.go
@@ -52,15 +52,51 @@
 	return r, nil
 }
 
-// call passes a request on and waits for the answer; ok is false if it was not
-// sent, and answered is false if the outcome is unknown.
+const (
+	// leaderWait is how long a request waits for a leading entry before it is
+	// refused; a handover takes about a tenth of a second.
+	leaderWait = 400 * time.Millisecond
+	// outcomeWait is the same for a request that was lost with its leader: only
+	// the next leader knows what became of it.
+	outcomeWait = 1200 * time.Millisecond
+)
+
+// call passes a request on and waits for the answer; sent is false if it was not
+// sent, and answered is false if the outcome is unknown. A request that is lost
+// with its leader is asked again of the next one: a job's id makes that safe,
+// and a leader that has loaded the jobs knows for certain which were accepted.
 func (g *Gateway) call(ctx context.Context, m peer.JobCall) (r peer.JobReply, sent, answered bool) {
-	g.mu.Lock()
-	u := g.upstream
-	g.mu.Unlock()
-	if u == nil {
-		return r, false, false
+	started := g.options.Clock.Now()
+	for {
+		g.mu.Lock()
+		u, next := g.upstream, g.connected
+		g.mu.Unlock()
+		if u != nil {
+			r, answered = ask(ctx, u, m)
+			if answered && r.Reason != reasonNoLeader {
+				return r, true, true
+			}
+			sent = sent || !answered
+		}
+		wait := leaderWait
+		if sent {
+			wait = outcomeWait
+		}
+		select {
+		case <-next:
+		case <-g.options.Clock.After(wait - g.options.Clock.Since(started)):
+			return r, sent, false
+		case <-ctx.Done():
+			return r, sent, false
+		}
 	}
+}
+
+// reasonNoLeader refuses a request because no entry leads.
+const reasonNoLeader = "noLeader"
+
+// ask passes a request to a leader once.
+func ask(ctx context.Context, u upstream, m peer.JobCall) (r peer.JobReply, answered bool) {
 	answer := make(chan peer.JobReply, 1)
 	u.Call(m, func(r peer.JobReply) {
 		select {
@@ -70,9 +106,9 @@
 	})
 	select {
 	case r = <-answer:
-		return r, true, r.Verdict != dispatch.Unknown
+		return r, r.Verdict != dispatch.Unknown
 	case <-ctx.Done():
-		return r, true, false
+		return r, false
 	}
 }
 
@@ -85,7 +121,7 @@
 	switch {
 	case !sent:
 		outcome = "notRun"
-		err = &oleandervalve.NotRunError{Reason: "noLeader", Remedy: "retry later; no entry leads", RetryAfter: noLeaderRetry}
+		err = &oleandervalve.NotRunError{Reason: reasonNoLeader, Remedy: "retry later; no entry leads", RetryAfter: noLeaderRetry}
 	case !answered:
 		outcome = "unknown"
 		err = &oleandervalve.UnknownOutcomeError{Operation: "submission of job " + string(j), Remedy: "submit it again under the same id"}
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -28,6 +28,8 @@
 		case <-renew.Chan():
 		}
 		l.mu.Lock()
+		l.dispatcher.Schedule(l.options.Clock.Now())
+		l.carryOut(l.dispatcher.Next())
 		b := l.dispatcher.Batch()
 		due := elapsed(l.options.Clock.Now(), l.provedAt) >= renewEvery
 		l.mu.Unlock()
@@ -44,6 +46,9 @@
 		}
 		usual = (7*usual + took) / 8
 		renew.Reset(renewEvery)
+		if l.handedOver() {
+			return ErrHandedOver
+		}
 	}
 }
 
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -47,8 +47,15 @@
 // ErrResigned reports that the leader can't reach the table and another entry can.
 var ErrResigned = errors.New("the table is out of reach here and another entry reaches it: follow that entry")
 
+// ErrHandedOver reports that a stronger entry has been asked to lead.
+var ErrHandedOver = errors.New("a stronger entry has been asked to lead: follow that entry")
+
 // Options describe a leader.
 type Options struct {
+	// CPUShare is the share of a processor that the entry has.
+	CPUShare float64
+	// Keep means that leadership is not handed to a stronger entry.
+	Keep      bool
 	Table     oleandervalve.Table
 	Clock     oleandervalve.Clock
 	Log       *logrus.Entry
@@ -73,6 +80,7 @@
 	agents     map[oleandervalve.AgentID]*session
 	followers  map[oleandervalve.EntryID]*follower
 	provedAt   time.Time
+	takenAt    time.Time
 	// failingSince is the time of the first of the commits that fail now.
 	failingSince time.Time
 	loaded       bool
@@ -109,7 +117,7 @@
 			TakeoverAfter: ProofLifetime*102/100 + takeoverGuard, Retention: o.Retention, EarlyBy: o.EarlyBy, MaxOpen: maxOpenJobs,
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, agents: map[oleandervalve.AgentID]*session{},
-		followers: map[oleandervalve.EntryID]*follower{}, provedAt: started,
+		followers: map[oleandervalve.EntryID]*follower{}, provedAt: started, takenAt: started,
 		ready: make(chan struct{}), kick: make(chan struct{}, 1), done: make(chan struct{}),
 	}, nil
 }
@@ -139,6 +147,9 @@
 // Term returns the number of the leader's term.
 func (l *Leader) Term() uint64 { return l.row.Term }
 
+// Ready is closed when the jobs are loaded or the term has ended.
+func (l *Leader) Ready() <-chan struct{} { return l.ready }
+
 // Run loads the jobs and leads until the context ends or leadership is lost.
 func (l *Leader) Run(ctx context.Context) error {
 	ctx, l.cancel = context.WithCancel(ctx)
@@ -185,7 +196,9 @@
 	}
 }
 
-// do runs a change of the dispatcher and carries out what follows from it.
+// do runs a change of the dispatcher and carries out what follows from it. Work
+// is placed when the next commit can carry the assignments: one pass serves all
+// events that come during a commit.
 func (l *Leader) do(change func(*dispatch.Dispatcher, time.Time)) {
 	l.mu.Lock()
 	if l.stopped || !l.loaded {
@@ -194,7 +207,6 @@
 	}
 	now := l.options.Clock.Now()
 	change(l.dispatcher, now)
-	l.dispatcher.Schedule(now)
 	l.carryOut(l.dispatcher.Next())
 	pending := l.dispatcher.Pending()
 	l.mu.Unlock()
