Keep the paces of filling tasks across sessions of an agent

Cause: found by reading. A new session of an agent, as after each change of the leader, began with all pacers at full pace while the executor kept the paces that the last session had ordered: paced-down tasks stayed slow until the pace sank below what they had, and pacing began anew.

Change: an agent hands pacers, paces and traits to its next session with the same life of the executor. Runs that an earlier process has started get the pace ordered anew.

--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -44,6 +44,8 @@
 	// announced wakes the main loop after a new announcement.
 	announced chan struct{}
 	entries   []string
+	// paces is what the last session knew of the pace of filling runs.
+	paces *paceMemory
 	// drainingSince is when the executor first announced that it drains.
 	drainingSince time.Time
 }
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -139,6 +139,9 @@
 	}
 	a.mu.Lock()
 	s.status = a.status
+	if a.paces != nil && a.paces.incarnation == s.status.Incarnation {
+		s.recall(a.paces)
+	}
 	if len(admit.Entries) > 0 {
 		a.entries = admit.Entries
 	}
@@ -157,8 +160,9 @@
 	}
 	a.mu.Unlock()
 	defer func() {
+		kept := s.paceMemory()
 		a.mu.Lock()
-		a.session = nil
+		a.session, a.paces = nil, kept
 		a.mu.Unlock()
 	}()
 	s.log().WithField("entry", address).Info("session begins")
@@ -192,7 +196,11 @@
 	// A lease that an earlier session has extended ends at the latest now.
 	s.leaseEnd = sent.Add(s.slow(s.agent.lease))
 	for _, r := range h.Running {
-		s.running[runKey{r.Task, r.Run}] = true
+		k := runKey{r.Task, r.Run}
+		s.running[k] = true
+		if _, ok := s.paced[k]; !ok {
+			s.paced[k] = unknownPace
+		}
 	}
 	s.listEnds(h.Ended)
 	for _, e := range h.Ended {
