Keep learned pairs of images and run times in the table

Cause: every change of the leader forgot which pairs of images disturb, so serving tasks were pressed over their targets again until the next leader had learned it, and run times were the declared ones for the first runs.

Change: the row learned/main/model holds the sums of the regressions and of the run times; the leader writes it with a commit that goes anyway, at most every two seconds, and a new leader reads it. A damaged or outdated row is learned anew; the row is bounded by 56 KB.

--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -18,7 +18,11 @@
 // durations learns the run times of a queue's tasks from the declared ones: a
 // linear regression of the logarithms.
 type durations struct {
-	n, sumX, sumY, sumXX, sumXY float64
+	N     float64 `cbor:"1,keyasint"`
+	SumX  float64 `cbor:"2,keyasint"`
+	SumY  float64 `cbor:"3,keyasint"`
+	SumXX float64 `cbor:"4,keyasint"`
+	SumXY float64 `cbor:"5,keyasint"`
 }
 
 func (e *durations) add(declared, taken time.Duration) {
@@ -26,20 +30,20 @@
 		return
 	}
 	x, y := math.Log(declared.Seconds()), math.Log(taken.Seconds())
-	e.n++
-	e.sumX += x
-	e.sumY += y
-	e.sumXX += x * x
-	e.sumXY += x * y
+	e.N++
+	e.SumX += x
+	e.SumY += y
+	e.SumXX += x * x
+	e.SumXY += x * y
 }
 
 // expected returns the run time to be expected for a declared one.
 func (e *durations) expected(declared time.Duration) time.Duration {
-	if e == nil || e.n < enoughRuns || declared <= 0 {
+	if e == nil || e.N < enoughRuns || declared <= 0 {
 		return declared
 	}
-	meanX, meanY := e.sumX/e.n, e.sumY/e.n
-	slope := (e.sumXY - e.n*meanX*meanY) / (e.sumXX - e.n*meanX*meanX + estimateRidge)
+	meanX, meanY := e.SumX/e.N, e.SumY/e.N
+	slope := (e.SumXY - e.N*meanX*meanY) / (e.SumXX - e.N*meanX*meanX + estimateRidge)
 	slope = min(max(0, slope), 1)
 	return time.Duration(math.Exp(meanY+slope*(math.Log(declared.Seconds())-meanX)) * float64(time.Second))
 }
--- /dev/null
+++ b/core/dispatch/learned_test.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandervalve"
+	"oleandervalve/core/contention"
+	"oleandervalve/core/work"
+)
+
+// Guards against serving tasks that are disturbed anew after each change of
+// the leader, because the next one does not know the pairs of images.
+func TestNextLeaderKnowsWhatWasLearned(t *testing.T) {
+	is := is.New(t)
+	w := filled(t)
+	for range 2 * enoughRuns {
+		w.d.learnDuration("f", time.Second, 3*time.Second)
+	}
+	pair := contention.Pair{Fill: "press", Serving: "board"}
+	value := w.d.Learned()
+	next := New(Options{})
+	is.True(!next.contention.Disturbs(pair))
+	is.NoErr(next.Recall(oleandervalve.Row{Key: LearnedKey, Value: value, Version: 7}))
+	is.True(next.contention.Disturbs(pair))
+	difference := next.contention.Weight(pair) - w.d.contention.Weight(pair)
+	is.True(difference < 0.01 && difference > -0.01)
+	is.Equal(next.durations["f"].expected(time.Second), w.d.durations["f"].expected(time.Second))
+}
+
+// Guards against a new leader that does not start because of a damaged row,
+// and against rows that the table refuses for their size.
+func TestLearnedRowIsBoundedAndChecked(t *testing.T) {
+	is := is.New(t)
+	d := New(Options{})
+	is.Equal(d.Learned(), nil)
+	is.True(d.Recall(oleandervalve.Row{Key: LearnedKey, Value: []byte("?"), Version: 1}) != nil)
+	damaged := learned{Contention: []contention.Learned{
+		{Serving: "a", Images: []oleandervalve.KindName{"x", "x"}, Products: [][]float32{{1, 2}, {2, 1}}, Results: []float32{1, 1}},
+		{Serving: "b", Images: []oleandervalve.KindName{"x"}, Products: [][]float32{{1, 2}}, Results: []float32{1}},
+		{Serving: "c", Images: []oleandervalve.KindName{"x"}, Results: []float32{1}},
+	}}
+	is.NoErr(d.Recall(oleandervalve.Row{Key: LearnedKey, Value: work.Encode(damaged), Version: 1}))
+	is.Equal(len(d.contention.Snapshot()), 0)
+
+	now := time.Unix(1000, 0)
+	for n := range 20 {
+		for _, a := range []oleandervalve.AgentID{"x", "y"} {
+			now = now.Add(100 * time.Millisecond)
+			s := contention.Sample{}
+			for i := range 40 {
+				s.Filling = append(s.Filling, contention.Filling{Image: oleandervalve.KindName(fmt.Sprintf("fill-%03d", n%2*40+i)), Used: 100})
+				s.Serving = append(s.Serving, contention.Serving{Job: oleandervalve.JobID(fmt.Sprint(i)), Image: oleandervalve.KindName(fmt.Sprintf("serve-%03d", i)), Tail: 40, Target: 150})
+			}
+			d.contention.Observe(now, a, 16000, s)
+		}
+	}
+	is.True(len(work.Encode(learned{Contention: d.contention.Snapshot()})) > maxLearned)
+	value := d.Learned()
+	is.True(len(value) > 0)
+	is.True(len(value) <= maxLearned)
+}
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -63,6 +63,9 @@
 		renewal = work.Encode(next)
 		t.Puts = append([]oleandervalve.Put{{Key: Key, Value: renewal}}, t.Puts...)
 	}
+	if value := l.learned(); value != nil && len(t.Puts) > 0 {
+		t.Puts = append(slices.Clip(t.Puts), oleandervalve.Put{Key: dispatch.LearnedKey, Value: value})
+	}
 	timeout := min(max(firstCommitTimeout, timeoutFactor*usual), longestCommitTimeout)
 	// sent means that an earlier attempt may still take effect.
 	sent := false
@@ -109,6 +112,22 @@
 	}
 }
 
+// learnEvery is the shortest time between two writes of what is learned; a new
+// leader learns as much again in about this time.
+const learnEvery = 2 * time.Second
+
+// learned returns the value of the row of what is learned if it is due, or nil.
+func (l *Leader) learned() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Clock.Now()
+	if now.Sub(l.learnedAt) < learnEvery {
+		return nil
+	}
+	l.learnedAt = now
+	return l.dispatcher.Learned()
+}
+
 // ours reports whether a conflict shows that the transaction itself was applied before.
 func ours(t oleandervalve.Transaction, c *oleandervalve.ConflictError) bool {
 	for _, p := range t.Puts {
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -81,6 +81,8 @@
 	followers  map[oleandervalve.EntryID]*follower
 	provedAt   time.Time
 	takenAt    time.Time
+	// learnedAt is when what is learned was last written.
+	learnedAt time.Time
 	// failingSince is the time of the first of the commits that fail now.
 	failingSince time.Time
 	loaded       bool
@@ -291,7 +293,17 @@
 	if err != nil {
 		return err
 	}
+	learned, err := l.get(ctx, dispatch.LearnedKey)
+	if err != nil {
+		return err
+	}
 	l.mu.Lock()
+	if learned.Version > 0 {
+		if err := l.dispatcher.Recall(learned); err != nil {
+			l.options.Log.WithError(err).Warn("what the last leader learned is unreadable; it is learned again")
+		}
+	}
+	l.learnedAt = l.options.Clock.Now()
 	l.dispatcher.Load(l.options.Clock.Now(), stored)
 	l.loaded = true
 	l.mu.Unlock()
@@ -300,6 +312,34 @@
 	return nil
 }
 
+// retry repeats a read of the table that fails, a few times.
+func (l *Leader) retry(ctx context.Context, read func(context.Context) error) error {
+	for try := 0; ; try++ {
+		call, cancel := context.WithTimeout(ctx, longestCommitTimeout)
+		err := read(call)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil || try >= readTries {
+			return errors.Wrap(err, "read the stored jobs")
+		}
+		l.options.Clock.Sleep(commitRetry)
+	}
+}
+
+// get reads one row; an absent one has version 0.
+func (l *Leader) get(ctx context.Context, key oleandervalve.Key) (row oleandervalve.Row, err error) {
+	err = l.retry(ctx, func(ctx context.Context) error {
+		rows, err := l.options.Table.Get(ctx, key)
+		if err == nil {
+			row = rows[0]
+		}
+		return err
+	})
+	return row, err
+}
+
 // scanPage is the number of rows in one page of a scan; the table sends at most 500.
 const scanPage = 500
 
@@ -307,18 +347,12 @@
 	var after oleandervalve.Key
 	for {
 		var p oleandervalve.Page
-		for try := 0; ; try++ {
-			call, cancel := context.WithTimeout(ctx, longestCommitTimeout)
-			var err error
-			p, err = l.options.Table.Scan(call, prefix, after, scanPage)
-			cancel()
-			if err == nil {
-				break
-			}
-			if ctx.Err() != nil || try >= scanTries {
-				return errors.Wrap(err, "read the stored jobs")
-			}
-			l.options.Clock.Sleep(commitRetry)
+		err := l.retry(ctx, func(ctx context.Context) (err error) {
+			p, err = l.options.Table.Scan(ctx, prefix, after, scanPage)
+			return err
+		})
+		if err != nil {
+			return err
 		}
 		for _, r := range p.Rows {
 			take(r)
@@ -330,5 +364,5 @@
 	}
 }
 
-// scanTries bounds the attempts at one page before leadership is given up.
-const scanTries = 5
+// readTries bounds the attempts at one read before leadership is given up.
+const readTries = 5
