Notice and replace a silent leader sooner

Change: entries count a connection as lost after 1.3 s without a sign of life (they come every 0.5 s), the leader renews its row every 0.7 s instead of 1 s, and a row that is unchanged for 1.7 s is taken over. Agents keep 2 s.

Ruled out: waiting 1.2 s for the next leader after a loss, which answers requests from the last second before the loss and holds none to its end.

--- a/core/contention/regression.go
+++ b/core/contention/regression.go
@@ -22,9 +22,9 @@
 
 func newRegression() *regression { return &regression{index: map[oleandervalve.KindName]int{}} }
 
-func (r *regression) place(f oleandervalve.KindName) int {
-	if i, ok := r.index[f]; ok {
-		return i
+func (r *regression) place(f oleandervalve.KindName) {
+	if _, ok := r.index[f]; ok {
+		return
 	}
 	i := len(r.images)
 	r.index[f] = i
@@ -35,7 +35,6 @@
 	r.products = append(r.products, make([]float64, i+1))
 	r.results = append(r.results, 0)
 	r.weights = append(r.weights, priorWeight)
-	return i
 }
 
 func (r *regression) weight(f oleandervalve.KindName) float64 {
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -20,8 +20,8 @@
 	// pingEvery is the period of signs of life to the leading entry.
 	pingEvery = 500 * time.Millisecond
 	// leaseTime is how long the leader's row must stay unchanged before an
-	// unreachable leader is replaced; it renews the row every second.
-	leaseTime = 2500 * time.Millisecond
+	// unreachable leader is replaced: two periods of its renewal and a slow commit.
+	leaseTime = 1700 * time.Millisecond
 	// firstTake is the pause before an attempt to lead of an entry with a whole
 	// processor; it grows with a smaller share, so that a strong entry leads and
 	// attempts rarely collide.
@@ -299,7 +299,7 @@
 		}
 	}()
 	for {
-		call, cancel := context.WithTimeout(ctx, leader.Silence)
+		call, cancel := context.WithTimeout(ctx, leader.EntrySilence)
 		m, err := u.conn.Receive(call)
 		cancel()
 		if err != nil {
--- a/io/gateway/service_test.go
+++ b/io/gateway/service_test.go
@@ -14,6 +14,7 @@
 	"oleandervalve"
 	"oleandervalve/core/dispatch"
 	"oleandervalve/core/work"
+	"oleandervalve/io/leader"
 	"oleandervalve/io/peer"
 )
 
@@ -80,3 +81,13 @@
 	is.True(refused.RetryAfter > 0)
 	is.NoErr(ctx.Err())
 }
+
+// Guards against a leader that is lost in silence for longer than callers
+// wait, and against the replacement of one that only renews its row slowly.
+func TestSilentLeaderIsReplacedWhileCallersWait(t *testing.T) {
+	is := is.New(t)
+	const callersWait = 3 * time.Second // the deadline of the users' requests
+	is.True(leader.EntrySilence+leaseTime <= callersWait)
+	is.True(leaseTime >= 2*leader.RenewEvery)
+	is.True(leader.EntrySilence >= 2*pingEvery)
+}
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -18,7 +18,7 @@
 // changes that gather during a commit go into the next one.
 func (l *Leader) commitLoop(ctx context.Context) error {
 	usual := firstCommitTimeout / timeoutFactor
-	renew := l.options.Clock.NewTimer(renewEvery)
+	renew := l.options.Clock.NewTimer(RenewEvery)
 	defer renew.Stop()
 	for {
 		select {
@@ -31,10 +31,10 @@
 		l.dispatcher.Schedule(l.options.Clock.Now())
 		l.carryOut(l.dispatcher.Next())
 		b := l.dispatcher.Batch()
-		due := elapsed(l.options.Clock.Now(), l.provedAt) >= renewEvery
+		due := elapsed(l.options.Clock.Now(), l.provedAt) >= RenewEvery
 		l.mu.Unlock()
 		if b == nil && !due {
-			renew.Reset(renewEvery)
+			renew.Reset(RenewEvery)
 			continue
 		}
 		if b == nil {
@@ -45,7 +45,7 @@
 			return err
 		}
 		usual = (7*usual + took) / 8
-		renew.Reset(renewEvery)
+		renew.Reset(RenewEvery)
 		if l.handedOver() {
 			return ErrHandedOver
 		}
@@ -59,7 +59,7 @@
 	next := l.row
 	next.Renewal++
 	var renewal []byte
-	if len(t.Puts) == 0 || elapsed(l.options.Clock.Now(), l.provedAt) >= renewEvery {
+	if len(t.Puts) == 0 || elapsed(l.options.Clock.Now(), l.provedAt) >= RenewEvery {
 		renewal = work.Encode(next)
 		t.Puts = append([]oleandervalve.Put{{Key: Key, Value: renewal}}, t.Puts...)
 	}
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -19,8 +19,8 @@
 const (
 	// tickEvery is the period of the dispatcher's timers.
 	tickEvery = 100 * time.Millisecond
-	// renewEvery is the longest time between two proofs of leadership.
-	renewEvery = time.Second
+	// RenewEvery is the longest time between two proofs of leadership.
+	RenewEvery = 700 * time.Millisecond
 	// ProofLifetime is how long after a proof of leadership an agent may extend
 	// its executor's lease; it covers an outage of the table of five seconds.
 	ProofLifetime = 7 * time.Second
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -11,8 +11,14 @@
 	"oleandervalve/io/peer"
 )
 
-// Silence is how long a connection may be silent before it counts as lost.
-const Silence = 2 * time.Second
+const (
+	// Silence is how long the connection of an agent may be silent before it
+	// counts as lost; signs of life come every 0.7 s.
+	Silence = 2 * time.Second
+	// EntrySilence is the same for the connection of an entry, whose signs of life
+	// come every 0.5 s: callers wait while a lost leader is not noticed.
+	EntrySilence = 1300 * time.Millisecond
+)
 
 // session is the connection of one agent.
 type session struct {
