Learn contention of jobs on one executor; no limit for harmless images

And beside serving tasks at the peak of their load, images with a weight of 0.1 to 0.5 were held back although 17 to 53 processors of each executor idled and 150 tasks waited.

Change: without a task elsewhere, a sample is compared with the last one of the same executor, at most 1.1 s old.

--- a/core/contention/model.go
+++ b/core/contention/model.go
@@ -28,10 +28,16 @@
 	saturated = 0.94
 	// lightWeight is the weight below which a pair counts as undisturbed.
 	lightWeight = 0.8
+	// harmlessWeight is the weight below which filling tasks need no limit: a task
+	// that fills a tenth of an executor adds less than the tail latency swings.
+	harmlessWeight = 0.5
 	// enoughInformation is what a known pair needs.
 	enoughInformation = 0.03
 	// peerAge is how old the sample of another task of the job may be.
 	peerAge = 800 * time.Millisecond
+	// lastAge is how old the last sample of a task may be to compare it with
+	// itself; agents send samples every 0.7 s.
+	lastAge = 1100 * time.Millisecond
 	// loadMemory is how long a sample tells the load of its job.
 	loadMemory = 1500 * time.Millisecond
 	// unknownLoad is assumed for jobs without samples.
@@ -122,6 +128,9 @@
 // Disturbs reports whether a pair is known to disturb.
 func (m *Model) Disturbs(p Pair) bool { return m.known(p) && m.Weight(p) >= lightWeight }
 
+// Harmless reports whether a pair is known to disturb so little that it needs no limit.
+func (m *Model) Harmless(p Pair) bool { return m.known(p) && m.Weight(p) < harmlessWeight }
+
 // Light lists the pairs that are known not to disturb, in order.
 func (m *Model) Light() []Pair {
 	var out []Pair
@@ -161,7 +170,7 @@
 func (m *Model) Load(now time.Time, j oleandervalve.JobID, image oleandervalve.KindName) float64 {
 	sum, n := 0.0, 0
 	for _, s := range m.jobs[j] {
-		if now.Sub(s.at) > loadMemory || s.utilisation >= saturated {
+		if !s.tells(now, loadMemory) {
 			continue
 		}
 		own := s.utilisation
@@ -223,36 +232,54 @@
 // negligibleShare is a share that is not followed any longer.
 const negligibleShare = 0.002
 
-// learn compares a task with the other tasks of its job at the same time.
+// learn compares a task with the other tasks of its job at the same time, or,
+// if there are none on other executors, with its own last sample: its load
+// changes more slowly than filling tasks come and go.
 func (m *Model) learn(x Serving, own loadSample, a oleandervalve.AgentID) {
-	difference := maps.Clone(own.shares)
-	mean, n := 0.0, 0
-	for id, peer := range m.jobs[x.Job] {
-		if id != a && own.at.Sub(peer.at) <= peerAge && peer.utilisation < saturated {
-			n++
-			mean += peer.utilisation
-		}
+	others := m.peers(x.Job, own, a)
+	if last, ok := m.jobs[x.Job][a]; len(others) == 0 && ok && own.at.After(last.at) && last.tells(own.at, lastAge) {
+		others = append(others, last)
 	}
-	if n == 0 {
+	if len(others) == 0 {
 		return
 	}
-	mean /= float64(n)
-	for id, peer := range m.jobs[x.Job] {
-		if id != a && own.at.Sub(peer.at) <= peerAge && peer.utilisation < saturated {
-			for f, share := range peer.shares {
-				difference[f] -= share / float64(n)
-			}
+	difference := maps.Clone(own.shares)
+	mean := 0.0
+	for _, o := range others {
+		mean += o.utilisation / float64(len(others))
+		for f, share := range o.shares {
+			difference[f] -= share / float64(len(others))
 		}
 	}
-	r := m.regressions[x.Image]
+	m.add(x.Image, difference, own.utilisation, mean)
+}
+
+// peers returns the samples of a job's tasks on other executors at about the same time.
+func (m *Model) peers(j oleandervalve.JobID, own loadSample, a oleandervalve.AgentID) []loadSample {
+	var out []loadSample
+	for id, peer := range m.jobs[j] {
+		if id != a && peer.tells(own.at, peerAge) {
+			out = append(out, peer)
+		}
+	}
+	return out
+}
+
+// tells reports whether a sample still tells the load at a time.
+func (s loadSample) tells(at time.Time, age time.Duration) bool {
+	return at.Sub(s.at) <= age && s.utilisation < saturated
+}
+
+// add takes the difference between a task and what it is compared with.
+func (m *Model) add(image oleandervalve.KindName, difference map[oleandervalve.KindName]float64, own, other float64) {
+	r := m.regressions[image]
 	if r == nil {
 		r = newRegression()
-		m.regressions[x.Image] = r
+		m.regressions[image] = r
 	}
-	excess := own.utilisation - mean
 	// A saturated task shows only that the weights are at least so large.
-	if own.utilisation >= saturated && r.predict(difference) >= excess {
+	if own >= saturated && r.predict(difference) >= own-other {
 		return
 	}
-	r.add(difference, excess)
+	r.add(difference, own-other)
 }
--- a/core/contention/model_test.go
+++ b/core/contention/model_test.go
@@ -80,3 +80,26 @@
 	is.True(!m.Disturbs(p))
 	is.Equal(len(m.Light()), 0)
 }
+
+// Guards against a serving job that is pressed over its target again and again
+// because all its tasks are on one executor, so that no other tells the
+// difference that a filling task makes.
+func TestModelLearnsFromOneExecutor(t *testing.T) {
+	for seed := range uint64(5) {
+		is := is.New(t)
+		m := New()
+		r := rand.New(rand.NewPCG(seed, 2))
+		for step := range 60 {
+			now := time.Unix(1000, 0).Add(time.Duration(step) * 700 * time.Millisecond)
+			load := 0.4 + 0.1*math.Sin(float64(step)/5)
+			press, sort := float64(step/3%2)*14000, float64(step/5%2)*14000
+			u := load + 0.02*r.NormFloat64() + 2.5*press/64000
+			m.Observe(now, "a", 64000, Sample{
+				Serving: []Serving{{Job: "alone", Image: "board", Tail: int64(25 / (1 - min(u, 0.985))), Target: 150}},
+				Filling: []Filling{{Image: "press", Used: oleandervalve.Millicores(press)}, {Image: "sort", Used: oleandervalve.Millicores(sort)}},
+			})
+		}
+		is.True(m.Disturbs(Pair{"press", "board"}))
+		is.True(m.Harmless(Pair{"sort", "board"}))
+	}
+}
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -374,3 +374,20 @@
 	_, known = w.d.State("a")
 	is.True(!known)
 }
+
+// Guards against idle processors beside serving tasks whose load is high: an
+// image that is known to do no harm is started there all the same.
+func TestHarmlessImagesFillBesideBusyServingTasks(t *testing.T) {
+	is := is.New(t)
+	w := filled(t)
+	watch := w.d.agents[w.order[1]]
+	w.d.agents[w.order[0]].status.State = oleandervalve.ExecutorDraining
+	w.now = w.now.Add(2 * time.Second)
+	w.d.contention.Observe(w.now, "x", 16000, contention.Sample{Serving: []contention.Serving{{Job: "serve-watch", Image: "watch", Tail: 95, Target: 150}}})
+	// A weight of 0.3: a task adds 0.04 to the utilisation of the serving tasks.
+	w.d.contention.Restore([]contention.Learned{{Serving: "watch", Images: []oleandervalve.KindName{"press"}, Products: [][]float32{{1}}, Results: []float32{0.3}}})
+	load := w.d.contention.Load(w.now, "serve-watch", "watch")
+	is.True(load > tenantLimit)
+	w.submit("fill", work.Queue{Name: "f", Service: "press", MaxAttempts: 3, Stretch: 2, Slack: time.Second}, work.Spec{Steps: []work.Step{{Count: 2, Fills: true, Image: "press", Estimate: time.Second, Demand: oleandervalve.Resources{CPU: 2000}}}})
+	is.Equal(len(watch.runs), 4)
+}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -210,7 +210,11 @@
 	share := float64(s.spec.Demand.CPU) / float64(max(1, a.status.Capacity.CPU))
 	pace = a.knownPace(s.spec.Image, now)
 	for _, p := range a.pressure {
-		added := d.contention.Weight(contention.Pair{Fill: s.spec.Image, Serving: p.image}) * share
+		pair := contention.Pair{Fill: s.spec.Image, Serving: p.image}
+		if d.contention.Harmless(pair) {
+			continue
+		}
+		added := d.contention.Weight(pair) * share
 		most = max(most, added)
 		if added > negligible {
 			pace = min(pace, (tenantLimit-p.utilisation)/added)
