Ask for placement permits where a queue's policy needs them

Change: a queue may need permits. The leader asks for a step that has tasks left, for up to thirty executors with room at a time, one question after another, and keeps tickets and denials for the step. A start carries the ticket; one that expires within 0.4 s starts nothing; a refused ticket is asked for again; a question without an answer is repeated after 0.3 s. The client is part of platform/.

Checked: a third of the random interleavings has a queue that allows every second executor, with lost answers, and fails on a start without the right ticket; table and golden tests of the client.

--- a/cmd/oleandervalve/platform.go
+++ b/cmd/oleandervalve/platform.go
@@ -75,8 +75,13 @@
 	}
 	defer out.Close()
 	signals := process.Signals()
+	var permits oleandervalve.PermitService
+	if s.PermitAddress != "" {
+		permits = platform.NewPermits(s.PermitAddress)
+	}
 	g := gateway.New(gateway.Options{
-		ID: oleandervalve.EntryID(s.Name), Process: uuid.NewString(), Address: s.PeerAddress, Seeds: s.PeerSeeds, CPUShare: s.CPUShare,
+		Permits: permits,
+		ID:      oleandervalve.EntryID(s.Name), Process: uuid.NewString(), Address: s.PeerAddress, Seeds: s.PeerSeeds, CPUShare: s.CPUShare,
 		Table: platform.NewStore(s.TableAddress), Clock: oleandervalve.SystemClock(), Log: p.Log(), Scope: p.Scope(),
 		ConfigurationKey: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
 		Retention: s.Retention, EarlyBy: s.EarlyBy,
--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -45,6 +45,8 @@
 	Payload    string                    `cbor:"4,keyasint,omitempty"`
 	Checkpoint string                    `cbor:"5,keyasint,omitempty"`
 	Traits     Traits                    `cbor:"6,keyasint"`
+	// Ticket is the placement permit; empty where none is needed.
+	Ticket string `cbor:"7,keyasint,omitempty"`
 }
 
 // Traits are the properties of a run that matter to the agent beside it.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -52,6 +52,7 @@
 	// ranked is the rank of the step as of rankedAt.
 	ranked   int
 	rankedAt time.Time
+	permits  permits
 	// avoid names for a task the agent where it failed last.
 	avoid map[int]oleandervalve.AgentID
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -28,6 +28,11 @@
 
 // fits reports whether one more task of a step may run on an executor.
 func (d *Dispatcher) fits(s *step, a *agent, now time.Time) bool {
+	return s.isPermitted(a, now) && d.hasRoom(s, a, now)
+}
+
+// hasRoom is fits without the permit.
+func (d *Dispatcher) hasRoom(s *step, a *agent, now time.Time) bool {
 	if !a.usable() || a.status.Service != s.job.rec.Queue.Service || !a.hasLabel(s.spec.Label) {
 		return false
 	}
@@ -66,7 +71,7 @@
 
 // noteRefusal remembers that a task of a step has found no executor in this pass.
 func (d *Dispatcher) noteRefusal(s *step, now time.Time) {
-	if s.spec.Fills && s.spec.MaxPerExecutor == 0 && !d.starves(s, now) {
+	if s.spec.Fills && s.spec.MaxPerExecutor == 0 && !s.needsPermits() && !d.starves(s, now) {
 		d.refusals[fillKey{s.job.rec.Queue.Service, s.spec.Label, s.spec.Image}] = refusal{s.spec.Demand, d.leastPace(s, now)}
 	}
 }
--- a/core/dispatch/property_test.go
+++ b/core/dispatch/property_test.go
@@ -35,7 +35,7 @@
 
 // play runs one random interleaving of load and faults.
 func (w *world) play(steps int) {
-	queue := work.Queue{Name: "q", Service: "press", MaxAttempts: 3, Stretch: 2}
+	queue := work.Queue{Name: "q", Service: "press", MaxAttempts: 3, Stretch: 2, Permits: w.permits}
 	jobs := 0
 	for range steps {
 		a := w.agents[w.order[w.r.IntN(len(w.order))]]
@@ -88,6 +88,9 @@
 	for seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			w := newWorld(t, seed, 5)
+			if seed%3 == 2 {
+				w.permits = work.PermitPolicy{Decide: 50 * time.Millisecond, PerExecutor: 5 * time.Millisecond, Valid: 3 * time.Second}
+			}
 			defer func() {
 				if t.Failed() {
 					t.Log(strings.Join(w.events, "\n"))
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -176,6 +176,9 @@
 		}
 		r.step.setAvoid(r.index, id)
 	}
+	if r.step != nil && v.Reason == oleandervalve.RefusedTicket {
+		r.step.dropPermit(a)
+	}
 	d.unheld(now, a, k, string(v.Reason))
 }
 
--- a/core/dispatch/schedule.go
+++ b/core/dispatch/schedule.go
@@ -46,6 +46,8 @@
 	if len(s.waiting) == 0 {
 		s.ready = false
 		delete(d.ready, s)
+	} else {
+		d.askPermits(now, s)
 	}
 	if placed > 0 {
 		if s.job.rec.State == work.Pending {
@@ -104,7 +106,7 @@
 	a.hold(k, &run{step: s, index: index, size: s.spec.Reserved(), startAt: now})
 	s.job.effects = append(s.job.effects, Start{
 		Agent: a.id, Executor: a.status.Incarnation, Task: k.task, Run: k.run,
-		Payload: s.job.spec.Payload, Checkpoint: t.Checkpoint, Traits: traits,
+		Payload: s.job.spec.Payload, Checkpoint: t.Checkpoint, Ticket: s.ticket(a), Traits: traits,
 	})
 }
 
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -26,6 +26,10 @@
 	// outbox holds orders that have not reached their agent.
 	outbox []Action
 	specs  map[oleandervalve.JobID]work.Spec
+	// questions are those for permits that wait for an answer.
+	questions []AskPermits
+	// permits is the policy of the queue of all jobs.
+	permits work.PermitPolicy
 	// finished holds tasks of which a run has ended with success, and done those
 	// of which such an end has been acknowledged.
 	finished map[oleandervalve.TaskName]bool
@@ -107,7 +111,7 @@
 		stored = append(stored, s)
 	}
 	w.d.Load(w.now, stored)
-	w.batch, w.outbox = nil, nil
+	w.batch, w.outbox, w.questions = nil, nil, nil
 	for _, a := range w.agents {
 		a.connected = false
 	}
@@ -155,6 +159,8 @@
 				w.t.Fatalf("%v: %v is ordered after its job was cancelled", w.now, x.Task)
 			}
 			w.outbox = append(w.outbox, x)
+		case AskPermits:
+			w.questions = append(w.questions, x)
 		case Stop, Acknowledge:
 			w.outbox = append(w.outbox, x)
 		case Reply:
@@ -244,8 +250,41 @@
 	}
 }
 
+// isAllowed reports whether the queue's policy allows a step on an executor:
+// on every second one.
+func (w *world) isAllowed(s oleandervalve.StepName, e oleandervalve.ExecutorID) bool {
+	return (int(e[len(e)-1])+int(s.Job[len(s.Job)-1])+s.Step)%2 == 0
+}
+
+func ticketOf(s oleandervalve.StepName, e oleandervalve.ExecutorID) string {
+	return fmt.Sprintf("%s.%d@%s", s.Job, s.Step, e)
+}
+
+// answer answers the first question for permits, or loses it.
+func (w *world) answer() {
+	if len(w.questions) == 0 {
+		return
+	}
+	q := w.questions[0]
+	w.questions = w.questions[1:]
+	if w.r.IntN(5) == 0 {
+		w.d.Permitted(w.now, q, nil)
+		w.collect()
+		return
+	}
+	g := &oleandervalve.PermitGrant{Valid: w.permits.Valid}
+	for _, e := range q.Executors {
+		if w.isAllowed(q.Step, e) {
+			g.Permits = append(g.Permits, oleandervalve.Permit{Executor: e, Ticket: ticketOf(q.Step, e)})
+		}
+	}
+	w.d.Permitted(w.now, q, g)
+	w.collect()
+}
+
 // deliver carries out the first order on its way.
 func (w *world) deliver() {
+	w.answer()
 	if len(w.outbox) == 0 {
 		return
 	}
@@ -286,6 +325,10 @@
 	if x.Run <= a.refused[x.Task] {
 		w.t.Fatalf("%v: start of %v run %d after its stop or end", w.now, x.Task, x.Run)
 	}
+	step := oleandervalve.StepName{Job: x.Task.Job, Occurrence: x.Task.Occurrence, Step: x.Task.Step}
+	if w.permits.Required() && (!w.isAllowed(step, a.status.Incarnation.ID) || x.Ticket != ticketOf(step, a.status.Incarnation.ID)) {
+		w.t.Fatalf("%v: %v starts on %s with ticket %q", w.now, x.Task, a.id, x.Ticket)
+	}
 	s := w.specs[x.Task.Job].Steps[x.Task.Step]
 	for _, b := range w.agents {
 		for _, r := range b.running {
@@ -459,6 +502,7 @@
 		for len(w.outbox) > 0 {
 			w.deliver()
 		}
+		w.answer()
 		open := 0
 		for id := range w.rows {
 			if st, _ := w.d.State(id); !st.Terminal() {
--- a/core/work/spec.go
+++ b/core/work/spec.go
@@ -146,8 +146,23 @@
 	Stretch float64 `cbor:"5,keyasint,omitempty"`
 	// Slack is added to the wanted time to completion.
 	Slack time.Duration `cbor:"6,keyasint,omitempty"`
+	// Permits says whether tasks need a permit for their executor.
+	Permits PermitPolicy `cbor:"7,keyasint,omitzero"`
 }
 
+// PermitPolicy is what a queue's permits cost; zero means that none are needed.
+type PermitPolicy struct {
+	_ struct{} `cbor:",toarray"`
+	// Decide is the time of one question, and PerExecutor that of each executor in it.
+	Decide      time.Duration
+	PerExecutor time.Duration
+	// Valid is how long a ticket holds.
+	Valid time.Duration
+}
+
+// Required reports whether tasks need a permit.
+func (p PermitPolicy) Required() bool { return p.Valid > 0 }
+
 // Objective is the wanted time from submission to completion of a job.
 func (q Queue) Objective(s Spec) time.Duration {
 	return time.Duration(max(1, q.Stretch)*float64(s.CriticalPath())) + q.Slack
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -90,7 +90,7 @@
 		err := error(&oleandervalve.UnavailableError{Service: "leading entry", Remedy: "wait for a proof of leadership"})
 		if until > 0 {
 			_, refusal, err = s.agent.options.Executor.Start(call, s.status.Incarnation.ID, oleandervalve.StartOrder{
-				Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: until, Token: s.token, Checkpoint: o.Checkpoint,
+				Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: until, Token: s.token, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 			})
 		}
 		cancel()
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -156,7 +156,7 @@
 	call, cancel := context.WithTimeout(ctx, takeTimeout)
 	l, err := leader.Take(call, leader.Options{
 		Table: g.options.Table, Clock: g.options.Clock, Log: g.options.Log, Scope: g.options.Scope,
-		CPUShare: g.options.CPUShare, Keep: keep, Retention: g.options.Retention, EarlyBy: g.options.EarlyBy, Revision: g.Revision,
+		CPUShare: g.options.CPUShare, Keep: keep, Permits: g.options.Permits, Retention: g.options.Retention, EarlyBy: g.options.EarlyBy, Revision: g.Revision,
 	}, current, leader.Row{Entry: g.options.ID, Address: g.options.Address, Process: g.options.Process})
 	cancel()
 	if err != nil {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -38,8 +38,10 @@
 	// ConfigurationKey and Decode read the operators' configuration.
 	ConfigurationKey oleandervalve.Key
 	Decode           func(oleandervalve.Row) (work.Configuration, error)
-	Retention        time.Duration
-	EarlyBy          time.Duration
+	// Permits decides which executors may run a step; nil without such a service.
+	Permits   oleandervalve.PermitService
+	Retention time.Duration
+	EarlyBy   time.Duration
 }
 
 // Gateway is one entry process.
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -62,6 +62,8 @@
 	Scope     tally.Scope
 	Retention time.Duration
 	EarlyBy   time.Duration
+	// Permits decides which executors may run a step; nil where no queue asks for it.
+	Permits oleandervalve.PermitService
 	// Revision returns the configuration in force.
 	Revision func() oleandervalve.Revision
 }
@@ -90,6 +92,9 @@
 	successor    string
 
 	// ready is closed when the jobs are loaded or the term has ended.
+	// questions are the questions for permits that wait for their turn.
+	questions chan dispatch.AskPermits
+
 	ready     chan struct{}
 	readyOnce sync.Once
 
@@ -120,7 +125,7 @@
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, agents: map[oleandervalve.AgentID]*session{},
 		followers: map[oleandervalve.EntryID]*follower{}, provedAt: started, takenAt: started,
-		ready: make(chan struct{}), kick: make(chan struct{}, 1), done: make(chan struct{}),
+		questions: make(chan dispatch.AskPermits, maxQuestions), ready: make(chan struct{}), kick: make(chan struct{}, 1), done: make(chan struct{}),
 	}, nil
 }
 
@@ -163,6 +168,7 @@
 		return err
 	}
 	go l.tick(ctx)
+	go l.askLoop(ctx)
 	return l.commitLoop(ctx)
 }
 
@@ -240,6 +246,8 @@
 			}
 			l.options.Log.WithFields(f).Info(a.Event)
 			l.countEvent(a)
+		case dispatch.AskPermits:
+			l.ask(a)
 		case dispatch.Start:
 			l.send(a.Agent, startRun(a))
 		case dispatch.Adopt:
