Take the bounds on harm, pace, bodies and memory from the settings

Cause: settings and the configuration were read and not used: the pacer had the bound of four seconds as a constant, so a deployment with a shorter one would have been broken; the body limit of the configuration was not enforced.

Change: the pacer takes HarmAfter and PaceDelay; distrust and halt are shares of the bound (0.3 and 0.6, as before for four seconds). A route carries the body limit. The collector works harder from 0.7 of the process's memory.

--- a/cmd/oleandervalve/platform.go
+++ b/cmd/oleandervalve/platform.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"oleandervalve"
+	"oleandervalve/core/pacing"
 	"oleandervalve/io/executor"
 	"oleandervalve/io/gateway"
 	"oleandervalve/io/leader"
@@ -26,6 +28,9 @@
 	// stopNotice is how long listeners stay open after the entry reports that it
 	// is not ready; the balancer checks every second and acts after two misses.
 	stopNotice = 2500 * time.Millisecond
+	// memoryShare is the share of the process's memory from which the collector
+	// works harder; the rest is for stacks and unread input.
+	memoryShare = 0.7
 )
 
 // listener is one address that a process serves.
@@ -49,6 +54,7 @@
 	out := process.NewOutput(os.Stdout)
 	p := process.New(s.Name, "info", out)
 	p.Log().WithFields(logrus.Fields{"role": role, "address": s.IP, "settings": path, "table": s.TableAddress}).Info("started")
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	go watchReload(path, p.Log())
 	return s, p, out, nil
 }
@@ -119,7 +125,7 @@
 		ID: oleandervalve.AgentID(s.Name), Seeds: s.PeerSeeds,
 		Leader:   func(ctx context.Context) (string, error) { return leader.Address(ctx, store) },
 		Executor: platform.NewExecutor(s.ExecutorAddress), Clock: oleandervalve.SystemClock(), Log: p.Log(), Scope: p.Scope(),
-		Lease: s.MaxLease, ProofLifetime: leader.ProofLifetime,
+		Lease: s.MaxLease, Pacing: pacing.Limits{HarmAfter: s.HarmAfter, PaceDelay: s.PaceDelay}, ProofLifetime: leader.ProofLifetime,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/core/pacing/pacer.go
+++ b/core/pacing/pacer.go
@@ -15,18 +15,17 @@
 	backOff = 0.6
 	// recoverStep is added to the pace, in percent, while all tails are low.
 	recoverStep = 10
-	// settle is how long a change takes to show: the pace delay and the half
-	// second over which loads are measured.
-	settle = 600 * time.Millisecond
+	// measured is the time over which executors measure loads.
+	measured = 500 * time.Millisecond
 	// least is the lowest pace above a full stop.
 	least = 10
-	// distrust is how long a tail may stay over its target until filling tasks
-	// that are thought not to disturb it are paced as well.
-	distrust = 1200 * time.Millisecond
-	// haltAfter is how long a tail may stay over its target until all filling
-	// tasks halt; the bound on such times is about four seconds, and a tail
-	// follows a change with a lag of a second.
-	haltAfter = 2400 * time.Millisecond
+	// distrustShare is the share of Limits.HarmAfter for which a tail may stay over
+	// its target until filling tasks that are thought not to disturb it are paced
+	// as well.
+	distrustShare = 0.3
+	// haltShare is the same until all filling tasks halt; a tail follows a change
+	// with a lag of a second.
+	haltShare = 0.6
 	// severe is a tail, as a share of the target, at which the pace is cut twice as much.
 	severe = 1.5
 	// Full is the pace of an undisturbed executor, in percent.
@@ -40,11 +39,28 @@
 	Target  time.Duration
 }
 
+// Limits are the users' bounds on serving tasks.
+type Limits struct {
+	// HarmAfter is how long a serving task may be over its target because of others.
+	HarmAfter time.Duration
+	// PaceDelay is how long a change of pace takes to work.
+	PaceDelay time.Duration
+}
+
+func (l Limits) distrust() time.Duration { return scale(l.HarmAfter, distrustShare) }
+func (l Limits) halt() time.Duration     { return scale(l.HarmAfter, haltShare) }
+
+// settle is how long a change of pace takes to show.
+func (l Limits) settle() time.Duration { return l.PaceDelay + measured }
+
+func scale(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+
 // Pacer holds the pace of the filling tasks of one image on one executor. It
 // answers the load in which filling tasks press serving tasks over their
 // targets: it backs off by a factor, waits until the effect can be seen, and
 // recovers in steps.
 type Pacer struct {
+	limits  Limits
 	pace    int
 	changed time.Time
 	// over is when a tail first exceeded its target without a pause.
@@ -52,7 +68,7 @@
 }
 
 // New returns a pacer at full pace.
-func New() *Pacer { return &Pacer{pace: Full} }
+func New(l Limits) *Pacer { return &Pacer{limits: l, pace: Full} }
 
 // Pace returns the pace in percent.
 func (p *Pacer) Pace() int { return p.pace }
@@ -84,14 +100,14 @@
 	} else if p.over.IsZero() {
 		p.over = now
 	}
-	if !p.over.IsZero() && now.Sub(p.over) >= haltAfter && p.pace > 0 {
+	if !p.over.IsZero() && now.Sub(p.over) >= p.limits.halt() && p.pace > 0 {
 		p.pace, p.changed = 0, now
 		return p.pace
 	}
-	if !p.over.IsZero() && now.Sub(p.over) >= distrust {
+	if !p.over.IsZero() && now.Sub(p.over) >= p.limits.distrust() {
 		worst = max(worst, any, severe)
 	}
-	if now.Sub(p.changed) < settle {
+	if now.Sub(p.changed) < p.limits.settle() {
 		return p.pace
 	}
 	next := p.pace
--- a/core/work/spec.go
+++ b/core/work/spec.go
@@ -175,14 +175,14 @@
 	Queue  Queue
 	// Timeout bounds the handling of one request.
 	Timeout time.Duration
+	// MaxBody is the longest request body in bytes; 0 means the default.
+	MaxBody int64
 }
 
 // Configuration is one version of the operators' configuration.
 type Configuration struct {
 	Version oleandervalve.Revision
 	Routes  []Route
-	// MaxBody is the longest request body in bytes.
-	MaxBody int64
 }
 
 // Match returns the route with the longest prefix for a host and path.
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
+	"oleandervalve/core/pacing"
 )
 
 // Options describe an agent.
@@ -23,6 +24,8 @@
 	Scope    tally.Scope
 	// Lease is the longest lease that the executor grants.
 	Lease time.Duration
+	// Pacing bounds how long serving tasks are over their targets.
+	Pacing pacing.Limits
 	// ProofLifetime is how long after a proof of leadership the lease may be extended.
 	ProofLifetime time.Duration
 }
--- a/io/executor/hold.go
+++ b/io/executor/hold.go
@@ -223,7 +223,7 @@
 func (s *session) pacer(image oleandervalve.KindName) *pacing.Pacer {
 	p := s.pacers[image]
 	if p == nil {
-		p = pacing.New()
+		p = pacing.New(s.agent.options.Pacing)
 		s.pacers[image] = p
 	}
 	return p
--- a/io/executor/memory_test.go
+++ b/io/executor/memory_test.go
@@ -19,7 +19,7 @@
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
 	return &session{
-		agent:  &Agent{options: Options{Clock: clock, Log: logrus.NewEntry(log)}},
+		agent:  &Agent{options: Options{Pacing: pacing.Limits{HarmAfter: 4 * time.Second, PaceDelay: 100 * time.Millisecond}, Clock: clock, Log: logrus.NewEntry(log)}},
 		traits: map[runKey]dispatch.Traits{}, pacers: map[oleandervalve.KindName]*pacing.Pacer{}, paced: map[runKey]int{},
 		progress: map[runKey]*progress{}, light: map[contention.Pair]bool{},
 	}
