Place filling tasks up to a utilisation of 0.66 beside serving tasks

Cause: with what is learned kept and compared better, the room that was left for rising loads had become too small: a third of the task-seconds over target were executors filled with images that hardly disturb.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -256,7 +256,7 @@
 	// tenantLimit is the estimated utilisation up to which filling tasks are
 	// added beside a serving task; at 0.83 it reaches its target, and the
 	// difference covers the change of its load while a task runs.
-	tenantLimit = 0.72
+	tenantLimit = 0.66
 	// usefulPace is the lowest predicted pace at which a task is started: waiting
 	// for a quiet moment ends sooner than working at a low pace.
 	usefulPace = 0.85
