Keep the checkpoints of running tasks

Only the end of a run told its checkpoint.

Change: an agent sends new checkpoints with its sign of life; the leader takes them into the job's record, which goes with the next commit, at most every two seconds for their sake alone. A task whose executor or leader is lost resumes from there. Run times are learned from runs that began afresh.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -21,7 +21,9 @@
 	// ordered means that the start order has been given to the process.
 	ordered  bool
 	stopping bool
-	startAt  time.Time
+	// resumed means that the run began from a checkpoint.
+	resumed bool
+	startAt time.Time
 }
 
 // agent is the view of one agent and the executor beside it.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -136,7 +136,7 @@
 			}
 			// A place that differs from the agent's newest known one is an earlier
 			// life of the executor; it is resolved when the agent connects.
-			a.hold(runKey{st.name(i), t.Run}, &run{step: st, index: i, size: st.spec.Reserved(), ordered: true, startAt: now})
+			a.hold(runKey{st.name(i), t.Run}, &run{step: st, index: i, size: st.spec.Reserved(), ordered: true, resumed: true, startAt: now})
 		}
 	}
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -29,6 +29,8 @@
 	effects []Action
 	// retainUntil is when the record of the ended job may go.
 	retainUntil time.Time
+	// savedAt is when the record was last written for its checkpoints alone.
+	savedAt time.Time
 	// expired means that the rows of the ended job are to be deleted.
 	expired bool
 }
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -231,7 +231,7 @@
 	case e.How == oleandervalve.EndDone && !s.spec.LongRunning:
 		a.health.succeeded()
 		a.crashes = 0
-		if ended != nil && t.Checkpoint == "" {
+		if ended != nil && !ended.resumed {
 			d.learnDuration(j.rec.Queue.Name, s.spec.Estimate, now.Sub(ended.startAt))
 		}
 		d.done(now, s, t)
--- a/core/dispatch/schedule.go
+++ b/core/dispatch/schedule.go
@@ -103,7 +103,7 @@
 		pace, _ := d.pace(s, a, now)
 		traits.Pace = int(100 * pace)
 	}
-	a.hold(k, &run{step: s, index: index, size: s.spec.Reserved(), startAt: now})
+	a.hold(k, &run{step: s, index: index, size: s.spec.Reserved(), resumed: t.Checkpoint != "", startAt: now})
 	s.job.effects = append(s.job.effects, Start{
 		Agent: a.id, Executor: a.status.Incarnation, Task: k.task, Run: k.run,
 		Payload: s.job.spec.Payload, Checkpoint: t.Checkpoint, Ticket: s.ticket(a), Traits: traits,
--- a/io/executor/hold.go
+++ b/io/executor/hold.go
@@ -110,7 +110,9 @@
 	s.clock, s.clockAt = h.Clock, s.agent.options.Clock.Now()
 	running := make(map[runKey]bool, len(h.Running))
 	for _, r := range h.Running {
-		running[runKey{r.Task, r.Run}] = true
+		k := runKey{r.Task, r.Run}
+		running[k] = true
+		s.noteSaved(k, r.Checkpoint)
 	}
 	s.listEnds(h.Ended)
 	for _, e := range h.Ended {
@@ -122,6 +124,8 @@
 		delete(s.stopped, k)
 		delete(s.traits, k)
 		delete(s.paced, k)
+		delete(s.saved, k)
+		delete(s.unsent, k)
 	}
 	var voids []runKey
 	for k, at := range s.stopped {
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -78,6 +78,10 @@
 	pacers map[oleandervalve.KindName]*pacing.Pacer
 	// light holds the pairs of images that are known not to disturb.
 	light map[contention.Pair]bool
+	// saved holds the newest checkpoints, and unsent those that the leader does not
+	// know yet.
+	saved  map[runKey]string
+	unsent map[runKey]string
 	// sample is the newest sample for the leader.
 	sample contention.Sample
 	paced  map[runKey]int
@@ -135,7 +139,7 @@
 		agent: a, conn: c, token: admit.Token, cancel: cancel, orders: make(chan struct{}, parallelOrders),
 		acknowledged: map[uint64]bool{}, traits: map[runKey]dispatch.Traits{}, running: map[runKey]bool{},
 		starting: map[runKey]*starting{}, stopped: map[runKey]time.Time{}, ended: map[runKey]bool{},
-		pacers: map[oleandervalve.KindName]*pacing.Pacer{}, progress: map[runKey]*progress{}, light: map[contention.Pair]bool{}, paced: map[runKey]int{}, wakeHold: make(chan struct{}, 1),
+		saved: map[runKey]string{}, unsent: map[runKey]string{}, pacers: map[oleandervalve.KindName]*pacing.Pacer{}, progress: map[runKey]*progress{}, light: map[contention.Pair]bool{}, paced: map[runKey]int{}, wakeHold: make(chan struct{}, 1),
 	}
 	a.mu.Lock()
 	s.status = a.status
@@ -221,8 +225,9 @@
 		s.pings = append(s.pings, sentPing{n, s.agent.options.Clock.Now()})
 		sample := s.sample
 		s.sample = contention.Sample{}
+		saved := s.takeSaved()
 		s.mu.Unlock()
-		s.conn.TrySend(&peer.Ping{Sequence: n, Sample: sample})
+		s.conn.TrySend(&peer.Ping{Sequence: n, Sample: sample, Saved: saved})
 		select {
 		case <-ctx.Done():
 			return
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -122,6 +122,7 @@
 			s.conn.TrySend(&peer.Pong{Sequence: p.Sequence, ProofAge: age})
 			l.dispatcher.Granted(now, id)
 			l.dispatcher.Sampled(now, id, p.Sample)
+			l.dispatcher.Saved(now, id, p.Saved)
 		}
 		l.mu.Unlock()
 		return
--- a/io/peer/dispatch.go
+++ b/io/peer/dispatch.go
@@ -89,6 +89,8 @@
 	TableAge time.Duration `cbor:"2,keyasint,omitempty"`
 	// Sample is what an agent's executor shows of the load of its tasks.
 	Sample contention.Sample `cbor:"3,keyasint,omitempty"`
+	// Saved are the checkpoints that an agent's executor has made since the last Ping.
+	Saved []dispatch.SavedRun `cbor:"4,keyasint,omitempty"`
 }
 
 // Pong answers a Ping.
