Tell callers to come back later the longer the table is away

Cause: callers that are refused while the table is away were always told one second; with four retries they had spent them before an outage of four to five seconds ended.

Change: Retry-After is as long as the outage has lasted, from one to four seconds. The attempts of a caller then reach beyond ten seconds; the first retry still comes after one.

--- a/io/leader/calls.go
+++ b/io/leader/calls.go
@@ -17,8 +17,10 @@
 		switch m.Kind {
 		case peer.CallSubmit:
 			if !l.failingSince.IsZero() && now.Sub(l.failingSince) > refuseAfter && !d.Knows(m.Job) {
-				answer(peer.JobReply{ID: m.ID, Verdict: dispatch.NotRun, Reason: "tableUnavailable", RetryAfter: time.Second})
-				l.options.Log.WithFields(logrus.Fields{"job": m.Job, "failingMs": now.Sub(l.failingSince).Milliseconds()}).Info("refused: table is out of reach")
+				failing := now.Sub(l.failingSince)
+				after := comeBack(failing)
+				answer(peer.JobReply{ID: m.ID, Verdict: dispatch.NotRun, Reason: "tableUnavailable", RetryAfter: after})
+				l.options.Log.WithFields(logrus.Fields{"job": m.Job, "failingMs": failing.Milliseconds(), "retryAfterMs": after.Milliseconds()}).Info("refused: table is out of reach")
 				return
 			}
 			d.Submit(now, dispatch.Submission{Token: l.await(m.ID, answer), Job: m.Job, Queue: m.Queue, Spec: m.Spec})
@@ -48,3 +50,17 @@
 	}
 	return l.nextToken
 }
+
+const (
+	// firstComeBack and lastComeBack bound the time after which a refused caller
+	// is told to come back; callers try a few times only.
+	firstComeBack = time.Second
+	lastComeBack  = 4 * time.Second
+)
+
+// comeBack is when a caller should try again while the table has been out of
+// reach for a time: an outage goes on for about as long as it has lasted, and
+// callers with few retries left must not spend them all within it.
+func comeBack(failing time.Duration) time.Duration {
+	return min(max(failing, firstComeBack), lastComeBack)
+}
