Log when a request is passed to the next leader

A decision that touches a request gets a line: the job, whether an earlier leader had the request, and how long it has waited. No change of behaviour.

--- a/io/gateway/service.go
+++ b/io/gateway/service.go
@@ -84,6 +84,9 @@
 		}
 		select {
 		case <-next:
+			g.options.Log.WithFields(logrus.Fields{
+				"job": m.Job, "kind": m.Kind, "lost": sent, "waitedMs": g.options.Clock.Since(started).Milliseconds(),
+			}).Info("asking the next leader")
 		case <-g.options.Clock.After(wait - g.options.Clock.Since(started)):
 			return r, sent, false
 		case <-ctx.Done():
