Add an experiment tool for the order of waiting work

The command experiment plays a load of the kind on the users' sheets (urgent and batch jobs, a burst, cancelled jobs, slow and failing executors, declared times that are off) against the decision code on a fake clock, with four orders and several seeds, as a table or JSON. The baselines are part of the dispatcher's package, and its own flood test uses them.

--- a/cmd/oleandervalve/commands.go
+++ b/cmd/oleandervalve/commands.go
@@ -33,6 +33,8 @@
 		"Reads the settings file that the variable "+platform.SettingsVariable+" names.", &hostedAgentCommand{})
 	add(p.Command, "soak", "run entries and agents as processes against the emulated platform and inject faults",
 		"Prints one line of JSON for each seed. Example: oleandervalve soak --seed 1 --seeds 5 --duration 20s", &soakCommand{})
+	add(p.Command, "experiment", "play a load against the decision code with baselines beside it",
+		"Runs on a fake clock and prints what callers get. Example: oleandervalve experiment --burst 2.5 --seeds 5", &experimentCommand{})
 	add(p.Command, "check", "check a settings file and print the settings in force",
 		"Prints all problems at once, each with file, line, field and remedy. Example: oleandervalve check --settings examples/entry-1.yaml", &checkCommand{})
 	standin := add(p.Command, "standin", "run a stand-in of an external system",
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -48,7 +48,7 @@
 	refusals map[fillKey]refusal
 	// durations are learned by queue.
 	durations map[work.QueueName]*durations
-	// order sorts the waiting steps; tests replace it by a baseline.
+	// order sorts the waiting steps.
 	order func([]*step, time.Time)
 	// submittedAt is when the last new job came.
 	submittedAt time.Time
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"testing"
 	"time"
 
@@ -21,11 +20,11 @@
 
 // flood hands in 2.5 times the work that the fleet finishes for ten seconds,
 // beside a small urgent job every half second, and plays until all has ended.
-func flood(t *testing.T, seed uint64, order func([]*step, time.Time)) (batch, urgent outcome) {
+func flood(t *testing.T, seed uint64, order Order) (batch, urgent outcome) {
 	w := newWorld(t, seed, 5)
 	w.failShare = 0
-	if order != nil {
-		w.d.order = order
+	if err := w.d.SetOrder(order); err != nil {
+		t.Fatal(err)
 	}
 	queues := map[string]work.Queue{
 		"batch":  {Name: "batch", Service: "press", Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: time.Second},
@@ -89,11 +88,6 @@
 	return batch, urgent
 }
 
-// firstCome is the baseline: steps in the order of their submission.
-func firstCome(steps []*step, _ time.Time) {
-	sort.SliceStable(steps, func(i, j int) bool { return steps[i].job.rec.AcceptedAt.Before(steps[j].job.rec.AcceptedAt) })
-}
-
 // Guards against a flood of batch work in which urgent work waits, in which
 // fewer callers are served in time than with first come, first served, or in
 // which a job never ends.
@@ -101,8 +95,8 @@
 	for seed := range uint64(5) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			is := is.New(t)
-			batch, urgent := flood(t, seed, nil)
-			baseBatch, baseUrgent := flood(t, seed, firstCome)
+			batch, urgent := flood(t, seed, OrderProduct)
+			baseBatch, baseUrgent := flood(t, seed, OrderFirstCome)
 			t.Logf("batch %+v, first come %+v; urgent %+v, first come %+v", batch, baseBatch, urgent, baseUrgent)
 			is.True(batch.inTime > 2*baseBatch.inTime) // most callers ask for little
 			is.True(batch.hopeless < baseBatch.hopeless)
