Send payloads once, pairs of images by executor, and less of each record

At full size the pairs of images that don't interfere, sent to all agents with each change, were the largest part.

Ruled out: processor time (the same without it), the store, the load.

Change: an agent keeps the payloads of its last 64 jobs and the leader mirrors which it has; payloads are compressed; agents hear of the pairs on their own executor; records leave out executors and checkpoints of tasks that are done; a commit that fails at once is repeated at a falling rate. Messages and commits are counted by type and table.

--- a/core/contention/model.go
+++ b/core/contention/model.go
@@ -143,12 +143,17 @@
 	return m.isEstimated(p) && m.Coefficient(p) < negligibleCoefficient
 }
 
+// IsNonInterfering reports whether a pair is known not to interfere.
+func (m *Model) IsNonInterfering(p Pair) bool {
+	return m.isEstimated(p) && m.Coefficient(p) < minInterferingCoefficient
+}
+
 // NonInterfering returns the pairs that are known not to interfere, sorted.
 func (m *Model) NonInterfering() []Pair {
 	var out []Pair
 	for image, r := range m.regressions {
 		for _, beImage := range r.images {
-			if p := (Pair{beImage, image}); m.isEstimated(p) && m.Coefficient(p) < minInterferingCoefficient {
+			if p := (Pair{beImage, image}); m.IsNonInterfering(p) {
 				out = append(out, p)
 			}
 		}
--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -86,7 +86,8 @@
 	Number   uint64                    `cbor:"2,keyasint"`
 }
 
-// ShareContention sends an agent the pairs of images that don't interfere with each other.
+// ShareContention sends an agent the pairs of images on its executor that don't interfere
+// with each other. It replaces what was sent before.
 type ShareContention struct {
 	Agent          oleandervalve.AgentID `cbor:"-"`
 	NonInterfering []contention.Pair     `cbor:"1,keyasint"`
--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -71,6 +71,7 @@
 	compatibility float64
 	usableCPU     float64
 	health        health
+	shared        sharedPairs
 }
 
 func newAgent(id oleandervalve.AgentID) *agent {
--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -67,7 +67,7 @@
 		} else {
 			d.sequence++
 			j.rec.Sequence = d.sequence
-			value := work.Encode(j.rec)
+			value := work.Encode(j.rec.Compact())
 			b.Transaction.Puts = append(b.Transaction.Puts, oleandervalve.Put{Key: key, Value: value})
 			size += len(value)
 		}
@@ -136,6 +136,7 @@
 	}
 	r.startSent = true
 	r.startedAt = now
+	d.shareContentionWith(now, a)
 	d.enqueueAction(s)
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -40,9 +40,9 @@
 	contention *contention.Model
 	// beImages holds the images of the best-effort steps of all jobs so far.
 	beImages map[oleandervalve.KindName]bool
-	// nonInterfering holds the pairs that were sent to the agents at pairsSharedAt.
+	// nonInterfering holds the pairs that were logged as not interfering at pairsLoggedAt.
 	nonInterfering []contention.Pair
-	pairsSharedAt  time.Time
+	pairsLoggedAt  time.Time
 	// serviceUtilisation caches the estimated CPU utilisation of each service's executors
 	// for the current scheduling pass.
 	serviceUtilisation map[oleandervalve.ServiceName]float64
@@ -344,6 +344,7 @@
 	d.delayed = stillDelayed
 	d.deleteExpiredJobs(now)
 	d.shareContention(now)
+	d.logContention(now)
 	d.migrateStalledTasks(now)
 	d.placementNeeded = d.placementNeeded || len(d.ready) > 0
 	for _, a := range d.sortedAgents {
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -46,9 +46,7 @@
 			d.releaseUnstarted(now, a, k, "notListed")
 		}
 	}
-	if len(d.nonInterfering) > 0 {
-		d.enqueueAction(ShareContention{Agent: id, NonInterfering: d.nonInterfering})
-	}
+	a.shared = sharedPairs{}
 	d.note("executorJoined", "", map[string]any{
 		"agent": id, "executor": status.Incarnation.ID, "state": status.State,
 		"running": len(runs.Running), "ended": len(runs.Ended), "held": len(a.runs),
@@ -296,10 +294,6 @@
 	}
 }
 
-// pairShareInterval is the minimum interval between two updates of the non-interfering
-// pairs to agents.
-const pairShareInterval = time.Second
-
 // LoadSampled handles a load sample of an executor.
 func (d *Dispatcher) LoadSampled(now time.Time, id oleandervalve.AgentID, s contention.Sample) {
 	a := d.agents[id]
@@ -313,21 +307,3 @@
 	d.contention.Observe(now, id, a.status.Capacity.CPU, s)
 	a.recordSpeedLimits(now, s.BestEffort)
 }
-
-// shareContention sends the non-interfering pairs of images to the agents if they have changed.
-func (d *Dispatcher) shareContention(now time.Time) {
-	if now.Sub(d.pairsSharedAt) < pairShareInterval {
-		return
-	}
-	pairs := d.contention.NonInterfering()
-	if slices.Equal(pairs, d.nonInterfering) {
-		return
-	}
-	d.nonInterfering, d.pairsSharedAt = pairs, now
-	d.note("contentionLearned", "", map[string]any{"lightPairs": len(pairs), "weights": d.contention.Coefficients()})
-	for _, a := range d.sortedAgents {
-		if a.connected {
-			d.enqueueAction(ShareContention{Agent: a.id, NonInterfering: pairs})
-		}
-	}
-}
--- a/core/work/record.go
+++ b/core/work/record.go
@@ -82,6 +82,34 @@
 	SpecPrefix oleandervalve.Key = "specs/main/"
 )
 
+// Compact returns the record without what no reader needs: the executors and checkpoints of
+// tasks that are done. The records of large jobs are written after each burst of ends, so
+// their size counts.
+func (r Record) Compact() Record {
+	index := make(map[int]int, len(r.Executors))
+	tasks := make([]TaskRecord, len(r.Tasks))
+	var executors []ExecutorRef
+	for i, t := range r.Tasks {
+		switch t.State {
+		case TaskAssigned:
+			n, ok := index[t.ExecutorIndex]
+			if !ok {
+				n = len(executors)
+				index[t.ExecutorIndex] = n
+				executors = append(executors, r.Executors[t.ExecutorIndex])
+			}
+			t.ExecutorIndex = n
+		case TaskDone:
+			t.ExecutorIndex, t.Checkpoint = 0, ""
+		case TaskWaiting:
+			t.ExecutorIndex = 0
+		}
+		tasks[i] = t
+	}
+	r.Tasks, r.Executors = tasks, executors
+	return r
+}
+
 // RecordKey returns the key of the row that holds a job's record.
 func RecordKey(j oleandervalve.JobID) oleandervalve.Key {
 	return RecordPrefix + oleandervalve.Key(j)
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -10,6 +10,7 @@
 
 	"oleandervalve"
 	"oleandervalve/core/pacing"
+	"oleandervalve/io/peer"
 )
 
 // Options configures an Agent.
@@ -41,6 +42,8 @@
 type Agent struct {
 	options       Options
 	leaseDuration time.Duration
+	// meter counts the bytes of messages to and from entries.
+	meter *peer.Meter
 
 	mu           sync.Mutex
 	status       oleandervalve.ExecutorStatus
@@ -58,7 +61,7 @@
 
 // New returns an agent. Run must be called to connect it to the leader.
 func New(o Options) *Agent {
-	return &Agent{options: o, leaseDuration: min(o.MaxLease, agentMaxLease), statusReceived: make(chan struct{}, 1)}
+	return &Agent{options: o, meter: peer.NewMeter(o.Scope), leaseDuration: min(o.MaxLease, agentMaxLease), statusReceived: make(chan struct{}, 1)}
 }
 
 // StatusAnnounced handles a status announced by the executor. Announcements that
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -125,7 +125,7 @@
 	}
 	call, cancelCall := context.WithTimeout(ctx, sessionDialTimeout)
 	defer cancelCall()
-	c, err := peer.DialDispatch(call, address, peer.Join{Agent: a.options.ID})
+	c, err := peer.DialDispatch(call, address, peer.Join{Agent: a.options.ID, CachesPayloads: true}, a.meter)
 	if err != nil {
 		return "", err
 	}
@@ -266,6 +266,7 @@
 // receive handles the leader's messages until the connection ends. It returns the
 // address of the leader if it is redirected.
 func (s *session) receive(ctx context.Context) (string, error) {
+	payloads := peer.NewPayloadCache()
 	for {
 		call, cancel := context.WithTimeout(ctx, leader.HeartbeatTimeout)
 		m, err := s.conn.Receive(call)
@@ -277,6 +278,9 @@
 		case *peer.Pong:
 			s.handlePong(m)
 		case *peer.StartRun:
+			if err := payloads.Complete(m); err != nil {
+				return "", err
+			}
 			s.startRun(ctx, m.Start)
 		case *peer.StopRun:
 			s.stopRun(ctx, m.Stop)
--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -269,7 +269,7 @@
 func (g *Gateway) follow(ctx context.Context, address string) (string, error) {
 	callCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := peer.DialDispatch(callCtx, address, peer.Join{Entry: g.options.ID, Address: g.options.Address, CPUShare: g.options.CPUShare})
+	c, err := peer.DialDispatch(callCtx, address, peer.Join{Entry: g.options.ID, Address: g.options.Address, CPUShare: g.options.CPUShare}, g.meter)
 	if err != nil {
 		if isConnectionRefused(err) {
 			return "", errNotLeading
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -50,6 +50,8 @@
 // Gateway is one entry process.
 type Gateway struct {
 	options Options
+	// meter counts the bytes of messages of all connections.
+	meter *peer.Meter
 
 	mu            sync.Mutex
 	configuration *work.Configuration
@@ -81,7 +83,7 @@
 
 // New returns an entry. Run must be called to start it.
 func New(o Options) *Gateway {
-	return &Gateway{options: o, takeoverRequests: make(chan struct{}, 1), upstreamSet: make(chan struct{})}
+	return &Gateway{options: o, meter: peer.NewMeter(o.Scope), takeoverRequests: make(chan struct{}, 1), upstreamSet: make(chan struct{})}
 }
 
 // Run follows the configuration and the leader until the context ends.
@@ -97,7 +99,7 @@
 // entry doesn't lead, the handler redirects them to the leader.
 func (g *Gateway) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, j, err := peer.AcceptDispatch(w, r)
+		c, j, err := peer.AcceptDispatch(w, r, g.meter)
 		if err != nil {
 			g.options.Log.WithError(err).Warn("incoming connection rejected")
 			return
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,7 +80,7 @@
 		cancel()
 		took := l.options.Clock.Since(started)
 		if err == nil {
-			l.commitSucceeded(b, c.Versions[0], renewal != nil, next, started)
+			l.commitSucceeded(b, t, c.Versions[0], renewal != nil, next, started)
 			return took, nil
 		}
 		if ctx.Err() != nil {
@@ -88,7 +89,7 @@
 		var conflict *oleandervalve.ConflictError
 		if errors.As(err, &conflict) {
 			if isOwnCommit(t, conflict) {
-				l.commitSucceeded(b, conflict.Current.Version, renewal != nil, next, started)
+				l.commitSucceeded(b, t, conflict.Current.Version, renewal != nil, next, started)
 				return took, nil
 			}
 			l.options.Log.WithFields(logrus.Fields{"row": conflict.Key, "expected": conflict.Expected, "found": conflict.Current.Version}).Warn("commit conflicts with that of another leader")
@@ -109,10 +110,23 @@
 			l.requestCommit()
 			return averageTime, nil
 		}
-		if errors.As(err, &unavailable) {
-			l.options.Clock.Sleep(retryDelay)
-		}
+		l.options.Clock.Sleep(repeatDelay(attempt, took, errors.As(err, &unavailable)))
+	}
+}
+
+// maxRepeatDelay is the largest pause between the starts of two attempts of a commit with
+// an unknown outcome.
+const maxRepeatDelay = 600 * time.Millisecond
+
+// repeatDelay returns the pause before a commit with an unknown outcome is repeated.
+// Attempts that fail at once, such as by a reset, are repeated at a falling rate: a commit
+// may be hundreds of kilobytes, and its repetitions must not fill a thin link.
+func repeatDelay(attempt int, took time.Duration, refused bool) time.Duration {
+	pause := min(retryDelay<<min(attempt-1, 3), maxRepeatDelay) - took
+	if refused {
+		return max(pause, retryDelay)
 	}
+	return max(pause, 0)
 }
 
 // learnedWriteInterval is the minimum time between two writes of the learned model.
@@ -145,7 +159,7 @@
 
 // commitSucceeded records an applied commit, and a renewal of leadership if the
 // commit contained one, and notifies the dispatcher.
-func (l *Leader) commitSucceeded(b *dispatch.Batch, v oleandervalve.Version, renewed bool, next Row, started time.Time) {
+func (l *Leader) commitSucceeded(b *dispatch.Batch, t oleandervalve.Transaction, v oleandervalve.Version, renewed bool, next Row, started time.Time) {
 	l.mu.Lock()
 	if renewed {
 		l.row, l.version = next, v
@@ -157,6 +171,7 @@
 	}
 	l.mu.Unlock()
 	l.options.Scope.Counter("commits").Inc(1)
+	l.countCommitBytes(t)
 	l.options.Scope.Histogram("commit_time", durationBuckets).RecordDuration(l.options.Clock.Since(started))
 	l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.CommitApplied(now, b, v) })
 }
@@ -184,3 +199,11 @@
 	f.conn.TrySend(takeOverRequest(f.address))
 	return true
 }
+
+// countCommitBytes counts the bytes of the written values by table.
+func (l *Leader) countCommitBytes(t oleandervalve.Transaction) {
+	for _, p := range t.Puts {
+		table, _, _ := strings.Cut(string(p.Key), "/")
+		l.options.Scope.Tagged(map[string]string{"table": table}).Counter("commit_bytes").Inc(int64(len(p.Value)))
+	}
+}
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -82,10 +82,12 @@
 	row     Row
 	version oleandervalve.Version
 
-	mu            sync.Mutex
-	dispatcher    *dispatch.Dispatcher
-	replies       map[dispatch.Token]func(dispatch.Reply)
-	nextToken     dispatch.Token
+	mu         sync.Mutex
+	dispatcher *dispatch.Dispatcher
+	replies    map[dispatch.Token]func(dispatch.Reply)
+	nextToken  dispatch.Token
+	// compressed holds the compressed payloads of jobs.
+	compressed    map[oleandervalve.JobID][]byte
 	sessionCount  uint64
 	agents        map[oleandervalve.AgentID]*session
 	followers     map[oleandervalve.EntryID]*follower
@@ -133,7 +135,7 @@
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs,
 		}),
-		replies: map[dispatch.Token]func(dispatch.Reply){}, agents: map[oleandervalve.AgentID]*session{},
+		replies: map[dispatch.Token]func(dispatch.Reply){}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{},
 		followers: map[oleandervalve.EntryID]*follower{}, lastProofAt: started, termStartedAt: started,
 		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}),
 	}, nil
@@ -264,7 +266,7 @@
 		case dispatch.RequestPermits:
 			l.queuePermitRequest(a)
 		case dispatch.Start:
-			l.send(a.Agent, startRun(a))
+			l.sendStart(a)
 		case dispatch.Adopt:
 			l.send(a.Agent, adoptRun(a))
 		case dispatch.Stop:
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -186,3 +186,27 @@
 	suspended := time.Now().Round(0).Add(5 * time.Second) // only the wall clock has advanced
 	is.True(elapsed(suspended, earlier) >= 4*time.Second)
 }
+
+// Guards against a commit that is repeated at once after each reset, which fills a thin link
+// with its repetitions, and against a pause after an attempt that has waited long already.
+func TestRepeatedCommitsSlowDown(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		attempt int
+		took    time.Duration
+		refused bool
+		want    time.Duration
+	}{
+		{"first reset", 1, 2 * time.Millisecond, false, 98 * time.Millisecond},
+		{"second reset", 2, 2 * time.Millisecond, false, 198 * time.Millisecond},
+		{"many resets", 50, 2 * time.Millisecond, false, 598 * time.Millisecond},
+		{"timeout", 1, 150 * time.Millisecond, false, 0},
+		{"long timeout", 4, 2 * time.Second, false, 0},
+		{"refused after an unknown outcome", 1, 150 * time.Millisecond, true, 100 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(repeatDelay(c.attempt, c.took, c.refused), c.want)
+		})
+	}
+}
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -26,6 +26,8 @@
 type session struct {
 	conn  *peer.Conn
 	token oleandervalve.FencingToken
+	// payloads mirrors the agent's cache of payloads; nil if it has none.
+	payloads *peer.PayloadCache
 }
 
 // follower is one connection from another entry, with what the entry reported.
@@ -47,7 +49,6 @@
 	return &peer.Redirect{Leader: leader, TakeOver: true}
 }
 
-func startRun(s dispatch.Start) peer.Message { return &peer.StartRun{Start: s} }
 func adoptRun(s dispatch.Adopt) peer.Message { return &peer.AdoptRun{Adopt: s} }
 func stopRun(s dispatch.Stop) peer.Message   { return &peer.StopRun{Stop: s} }
 func acknowledgeEnd(s dispatch.Acknowledge) peer.Message {
@@ -67,13 +68,40 @@
 	}
 }
 
+// sendStart queues a start order for an agent. The payload is left out or compressed if the
+// agent supports that, because the payloads make up most of what the leader sends.
+func (l *Leader) sendStart(s dispatch.Start) {
+	m := &peer.StartRun{Start: s}
+	if a := l.agents[s.Agent]; a != nil && a.payloads != nil {
+		a.payloads.Shorten(m, func() []byte { return l.compressedPayload(s) })
+	}
+	l.send(s.Agent, m)
+}
+
+// maxCompressedPayloads limits the compressed payloads that the leader keeps.
+const maxCompressedPayloads = 512
+
+// compressedPayload returns the compressed payload of a job, which is computed once for the
+// starts of many tasks. The lock must be held.
+func (l *Leader) compressedPayload(s dispatch.Start) []byte {
+	if z, ok := l.compressed[s.Task.Job]; ok {
+		return z
+	}
+	if len(l.compressed) >= maxCompressedPayloads {
+		clear(l.compressed)
+	}
+	z := peer.CompressPayload(s.Payload)
+	l.compressed[s.Task.Job] = z
+	return z
+}
+
 // Serve handles the connection of an agent or entry that has joined, until the
 // connection ends.
 func (l *Leader) Serve(c *peer.Conn, j peer.Join) {
 	defer c.Close()
 	<-l.ready
 	if j.Agent != "" {
-		l.serveAgent(c, j.Agent)
+		l.serveAgent(c, j)
 		return
 	}
 	l.serveEntry(c, j)
@@ -88,7 +116,8 @@
 
 // serveAgent handles the connection of an agent. A new connection replaces an
 // earlier one of the same agent.
-func (l *Leader) serveAgent(c *peer.Conn, id oleandervalve.AgentID) {
+func (l *Leader) serveAgent(c *peer.Conn, j peer.Join) {
+	id := j.Agent
 	l.mu.Lock()
 	if l.stopped {
 		l.mu.Unlock()
@@ -96,6 +125,9 @@
 	}
 	l.sessionCount++
 	s := &session{conn: c, token: oleandervalve.FencingToken(l.row.Term*sessionsPerTerm + l.sessionCount)}
+	if j.CachesPayloads {
+		s.payloads = peer.NewPayloadCache()
+	}
 	if old := l.agents[id]; old != nil {
 		old.conn.Close()
 		l.dispatcher.AgentDisconnected(l.options.Clock.Now(), id)
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -67,7 +67,10 @@
 }
 
 // DecodeFrame returns the messages of a frame; the error is a *FrameError.
-func DecodeFrame(frame []byte) ([]Message, error) {
+func DecodeFrame(frame []byte) ([]Message, error) { return decodeFrame(frame, nil) }
+
+// decodeFrame decodes a frame and counts the bytes of its messages.
+func decodeFrame(frame []byte, meter *Meter) ([]Message, error) {
 	if len(frame) > MaxFrame {
 		return nil, &FrameError{Detail: fmt.Sprintf("%d bytes exceed the limit of %d", len(frame), MaxFrame)}
 	}
@@ -82,9 +85,12 @@
 		if m == nil {
 			return nil, &FrameError{Detail: fmt.Sprintf("unknown message type %.40q", t)}
 		}
-		if frame, err = decMode.UnmarshalFirst(rest, m); err != nil {
+		next, err := decMode.UnmarshalFirst(rest, m)
+		if err != nil {
 			return nil, &FrameError{Detail: "fields of " + t, Cause: err}
 		}
+		meter.add(directionReceived, Type(t), len(frame)-len(next))
+		frame = next
 		out = append(out, m)
 	}
 	return out, nil
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -35,12 +35,16 @@
 	pending      []Message
 	received     atomic.Int64
 	sent         atomic.Int64
+	// meter counts messages by type; nil means that they are not counted.
+	meter *Meter
 }
 
 // NewConn wraps a WebSocket connection and starts the goroutine that writes to it.
-func NewConn(s *websocket.Conn) *Conn {
+func NewConn(s *websocket.Conn) *Conn { return newConn(s, nil) }
+
+func newConn(s *websocket.Conn, m *Meter) *Conn {
 	s.SetReadLimit(MaxFrame)
-	c := &Conn{socket: s, queue: make(chan Message, sendQueueSize), closed: make(chan struct{}), shuttingDown: make(chan struct{}), writerDone: make(chan struct{})}
+	c := &Conn{meter: m, socket: s, queue: make(chan Message, sendQueueSize), closed: make(chan struct{}), shuttingDown: make(chan struct{}), writerDone: make(chan struct{})}
 	go c.writeLoop()
 	return c
 }
@@ -91,7 +95,7 @@
 		if kind != websocket.MessageBinary {
 			return nil, &FrameError{Detail: "text frame"}
 		}
-		if c.pending, err = DecodeFrame(frame); err != nil {
+		if c.pending, err = decodeFrame(frame, c.meter); err != nil {
 			return nil, err
 		}
 	}
@@ -135,6 +139,7 @@
 			c.Close()
 			return
 		}
+		c.meter.add(directionSent, m.Type(), frame.Len())
 		for c.appendQueued(&frame, &message) {
 			if !c.writeFrame(&frame) {
 				return
@@ -182,6 +187,7 @@
 				c.Close()
 				return false
 			}
+			c.meter.add(directionSent, m.Type(), message.Len())
 			if frame.Len()+message.Len() > MaxFrame {
 				return true
 			}
--- a/io/peer/dispatch.go
+++ b/io/peer/dispatch.go
@@ -25,6 +25,8 @@
 	Address string `cbor:"4,keyasint,omitempty"`
 	// CPUShare is the share of a processor available to the sending entry.
 	CPUShare float64 `cbor:"5,keyasint,omitempty"`
+	// CachesPayloads means that the sending agent keeps a PayloadCache.
+	CachesPayloads bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Admit accepts a connection to the leader.
@@ -70,7 +72,13 @@
 type RunNeverStarted struct{ dispatch.NeverStarted }
 
 // StartRun requests that an agent start a run.
-type StartRun struct{ dispatch.Start }
+type StartRun struct {
+	dispatch.Start
+	// CompressedPayload replaces the payload for agents that cache payloads.
+	CompressedPayload []byte `cbor:"8,keyasint,omitempty"`
+	// PayloadCached means that the agent has got the payload with an earlier order.
+	PayloadCached bool `cbor:"9,keyasint,omitempty"`
+}
 
 // StopRun requests that an agent stop a run.
 type StopRun struct{ dispatch.Stop }
@@ -251,23 +259,23 @@
 
 // DialDispatch connects to an entry and sends the Join. The first message
 // received on the connection is the response.
-func DialDispatch(ctx context.Context, address string, j Join) (*Conn, error) {
+func DialDispatch(ctx context.Context, address string, j Join, m *Meter) (*Conn, error) {
 	s, _, err := websocket.Dial(ctx, "ws://"+address+DispatchPath, nil) //nolint:bodyclose // the library closes the body of a successful upgrade
 	if err != nil {
 		return nil, err
 	}
-	c := NewConn(s)
+	c := newConn(s, m)
 	j.Version = ProtocolVersion
 	return c, c.Send(&j)
 }
 
 // AcceptDispatch upgrades an HTTP request and receives the Join.
-func AcceptDispatch(w http.ResponseWriter, r *http.Request) (*Conn, Join, error) {
+func AcceptDispatch(w http.ResponseWriter, r *http.Request, meter *Meter) (*Conn, Join, error) {
 	s, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return nil, Join{}, err
 	}
-	c := NewConn(s)
+	c := newConn(s, meter)
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	m, err := c.Receive(ctx)
