Date proofs by uptime, and accept a restart that looks earlier

Cause: ages of proofs followed the time of day, which may jump, at the leader, and only the steady clock at the agent, which stands still while an instance is suspended: an agent that is suspended for eight seconds with an order in its queue would send it when the run may be elsewhere already. An executor whose time of day has jumped back before it starts again looked older than its earlier life and got no work for good.

Left open: release of timed occurrences while the time of day is ahead.

--- a/cmd/oleandervalve/platform.go
+++ b/cmd/oleandervalve/platform.go
@@ -91,7 +91,7 @@
 	g := gateway.New(gateway.Options{
 		Permits: permits,
 		ID:      oleandervalve.EntryID(s.Name), Process: uuid.NewString(), Address: s.PeerAddress, Seeds: s.PeerSeeds, CPUShare: s.CPUShare,
-		Table: platform.NewTableClient(s.TableAddress), Clock: oleandervalve.SystemClock(), Log: p.Log(), Scope: p.Scope(),
+		Table: platform.NewTableClient(s.TableAddress), Clock: oleandervalve.SystemClock(), Uptime: oleandervalve.SystemUptime, Log: p.Log(), Scope: p.Scope(),
 		ConfigurationKey: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
 		Retention: s.Retention, EarlyStart: s.EarlyStart,
 	})
@@ -127,7 +127,7 @@
 	a := executor.New(executor.Options{
 		ID: oleandervalve.AgentID(s.Name), Seeds: s.PeerSeeds,
 		LeaderAddress: func(ctx context.Context) (string, error) { return leader.Address(ctx, store) },
-		Executor:      platform.NewExecutorClient(s.ExecutorAddress), Clock: oleandervalve.SystemClock(), Log: p.Log(), Scope: p.Scope(),
+		Executor:      platform.NewExecutorClient(s.ExecutorAddress), Clock: oleandervalve.SystemClock(), Uptime: oleandervalve.SystemUptime, Log: p.Log(), Scope: p.Scope(),
 		MaxLease: s.MaxLease, Pacing: pacing.Limits{ViolationLimit: s.ViolationLimit, ThrottleDelay: s.ThrottleDelay}, ProofLifetime: leader.ProofLifetime,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -22,8 +22,10 @@
 	LeaderAddress func(context.Context) (string, error)
 	Executor      oleandervalve.ExecutorClient
 	Clock         oleandervalve.Clock
-	Log           *logrus.Entry
-	Scope         tally.Scope
+	// Uptime may be nil if the instance is never suspended.
+	Uptime oleandervalve.Uptime
+	Log    *logrus.Entry
+	Scope  tally.Scope
 	// MaxLease is the maximum lease duration that the executor grants.
 	MaxLease time.Duration
 	// Pacing limits how long latency-critical tasks may exceed their latency targets.
@@ -33,6 +35,9 @@
 	ProofLifetime time.Duration
 }
 
+// now reads the clocks.
+func (o Options) now() oleandervalve.Instant { return oleandervalve.ReadInstant(o.Clock, o.Uptime) }
+
 // agentMaxLease is the maximum lease duration that agents request. It is long enough
 // for runs to survive a restart of the agent, and short enough that the runs of a
 // failed executor can be started elsewhere within ten seconds.
@@ -55,6 +60,9 @@
 	entries        []string
 	// lastThrottleState is the throttle state at the end of the previous session.
 	lastThrottleState *throttleState
+	// polledStartedAt is the start of the executor according to its last answer to a poll
+	// that named another one than its announcement, or 0.
+	polledStartedAt int64
 	// drainingSince is when the executor first announced that it is draining.
 	drainingSince time.Time
 }
@@ -71,7 +79,9 @@
 	defer a.mu.Unlock()
 	if a.statusKnown {
 		previous := a.status
-		if s.Incarnation.StartedAt < previous.Incarnation.StartedAt ||
+		// The time of day that dates the start may have jumped back, so a start that the
+		// executor itself has named counts also if it is earlier.
+		if s.Incarnation.StartedAt < previous.Incarnation.StartedAt && s.Incarnation.StartedAt != a.polledStartedAt ||
 			s.Incarnation == previous.Incarnation && s.Sequence < previous.Sequence {
 			a.options.Log.WithFields(logrus.Fields{"executor": s.Incarnation.ID, "sequence": s.Sequence, "newest": previous.Sequence}).Info("outdated announcement ignored")
 			return nil
@@ -104,6 +114,13 @@
 	return nil
 }
 
+// recordPolledStart records the start that the executor has named in its answer to a poll.
+func (a *Agent) recordPolledStart(startedAt int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.polledStartedAt = startedAt
+}
+
 // ExecutorDeregistered handles the deregistration of the executor, which has terminated.
 func (a *Agent) ExecutorDeregistered(e oleandervalve.ExecutorID) {
 	a.mu.Lock()
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -19,13 +19,13 @@
 // leaseUntil returns the end, on the executor's clock, of the lease that may be
 // requested now, or zero if the proof of leadership is missing or too old. It updates
 // leaseEnd. s.mu must be held.
-func (s *session) leaseUntil(now time.Time) oleandervalve.ExecutorTime {
+func (s *session) leaseUntil(now oleandervalve.Instant) oleandervalve.ExecutorTime {
 	remaining := min(s.agent.leaseDuration, s.agent.options.ProofLifetime-now.Sub(s.proofAt))
 	if remaining <= 0 || s.proofAt.IsZero() {
 		return 0
 	}
-	s.leaseEnd = latest(s.leaseEnd, now.Add(s.maxElapsed(remaining)))
-	return s.clock + oleandervalve.ExecutorTime(now.Sub(s.clockAt)+remaining)
+	s.leaseEnd = latest(s.leaseEnd, now.Time.Add(s.maxElapsed(remaining)))
+	return s.clock + oleandervalve.ExecutorTime(now.Time.Sub(s.clockAt)+remaining)
 }
 
 func latest(a, b time.Time) time.Time {
@@ -85,7 +85,7 @@
 			return
 		}
 		s.mu.Lock()
-		until := s.leaseUntil(s.agent.options.Clock.Now())
+		until := s.leaseUntil(s.agent.options.now())
 		s.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, timeout)
 		refusal := oleandervalve.StartRefusal("")
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -42,7 +42,7 @@
 		if s.proofAt.IsZero() {
 			wait = initialPollWait
 		}
-		request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: s.lastAcknowledgedEnd, LeaseUntil: s.leaseUntil(now), Wait: wait}
+		request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: s.lastAcknowledgedEnd, LeaseUntil: s.leaseUntil(s.agent.options.now()), Wait: wait}
 		s.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, wait+pollTimeoutMargin)
 		result, err := s.agent.options.Executor.Poll(call, s.status.Incarnation.ID, request)
@@ -69,6 +69,7 @@
 			failing = false
 		}
 		if result.StartedAt != 0 && result.StartedAt != s.status.Incarnation.StartedAt {
+			s.agent.recordPolledStart(result.StartedAt)
 			s.end("executor has a new incarnation")
 			return
 		}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -41,7 +41,7 @@
 // leadership in its answer.
 type sentPing struct {
 	sequence uint64
-	at       time.Time
+	at       oleandervalve.Instant
 }
 
 // session is a connection to a leader that has admitted the agent. It ends when the
@@ -57,7 +57,7 @@
 
 	mu sync.Mutex
 	// proofAt is the latest time at which the leader is known to have led.
-	proofAt time.Time
+	proofAt oleandervalve.Instant
 	pings   []sentPing
 	// clock is the executor's time as of clockAt on the agent's clock.
 	clock   oleandervalve.ExecutorTime
@@ -202,6 +202,7 @@
 		return err
 	}
 	if result.StartedAt != 0 && result.StartedAt != s.status.Incarnation.StartedAt {
+		s.agent.recordPolledStart(result.StartedAt)
 		return &oleandervalve.WrongIncarnationError{ID: s.status.Incarnation.ID}
 	}
 	s.mu.Lock()
@@ -232,7 +233,7 @@
 	defer t.Stop()
 	for n := uint64(1); ; n++ {
 		s.mu.Lock()
-		s.pings = append(s.pings, sentPing{n, s.agent.options.Clock.Now()})
+		s.pings = append(s.pings, sentPing{n, s.agent.options.now()})
 		sample := s.sample
 		s.sample = contention.Sample{}
 		checkpoints := s.takeUnsentCheckpoints()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -34,8 +34,10 @@
 	CPUShare float64
 	Table    Table
 	Clock    oleandervalve.Clock
-	Log      *logrus.Entry
-	Scope    tally.Scope
+	// Uptime may be nil if the instance is never suspended.
+	Uptime oleandervalve.Uptime
+	Log    *logrus.Entry
+	Scope  tally.Scope
 	// ConfigurationKey is the key of the row with the operators' configuration; Decode
 	// decodes the row.
 	ConfigurationKey oleandervalve.Key
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -32,7 +32,7 @@
 		l.dispatcher.Schedule(l.options.Clock.Now())
 		l.executeActions(l.dispatcher.TakeActions())
 		b := l.dispatcher.Batch()
-		renewalDue := elapsed(l.options.Clock.Now(), l.lastProofAt) >= RenewInterval
+		renewalDue := l.options.now().Sub(l.lastProofAt) >= RenewInterval
 		l.mu.Unlock()
 		if b == nil && !renewalDue {
 			renew.Reset(RenewInterval)
@@ -63,7 +63,7 @@
 	next := l.row
 	next.Renewal++
 	var renewal []byte
-	if len(t.Puts) == 0 || elapsed(l.options.Clock.Now(), l.lastProofAt) >= RenewInterval {
+	if len(t.Puts) == 0 || l.options.now().Sub(l.lastProofAt) >= RenewInterval {
 		renewal = work.Encode(next)
 		t.Puts = append([]oleandervalve.Put{{Key: Key, Value: renewal}}, t.Puts...)
 	}
@@ -74,11 +74,11 @@
 	// mayApply is set when an earlier attempt may still take effect.
 	mayApply := false
 	for attempt := 1; ; attempt++ {
-		started := l.options.Clock.Now()
+		started := l.options.now()
 		commitCtx, cancel := context.WithTimeout(ctx, timeout)
 		c, err := l.options.Table.Commit(commitCtx, t)
 		cancel()
-		took := l.options.Clock.Since(started)
+		took := l.options.Clock.Since(started.Time)
 		if err == nil {
 			l.commitSucceeded(b, t, c.Versions[0], renewal != nil, next, started)
 			return took, nil
@@ -159,7 +159,7 @@
 
 // commitSucceeded records an applied commit, and a renewal of leadership if the
 // commit contained one, and notifies the dispatcher.
-func (l *Leader) commitSucceeded(b *dispatch.Batch, t oleandervalve.Transaction, v oleandervalve.Version, renewed bool, next Row, started time.Time) {
+func (l *Leader) commitSucceeded(b *dispatch.Batch, t oleandervalve.Transaction, v oleandervalve.Version, renewed bool, next Row, started oleandervalve.Instant) {
 	l.mu.Lock()
 	if renewed {
 		l.row, l.version = next, v
@@ -172,18 +172,18 @@
 	l.mu.Unlock()
 	l.options.Scope.Counter("commits").Inc(1)
 	l.countCommitBytes(t)
-	l.options.Scope.Histogram("commit_time", durationBuckets).RecordDuration(l.options.Clock.Since(started))
+	l.options.Scope.Histogram("commit_time", durationBuckets).RecordDuration(l.options.Clock.Since(started.Time))
 	l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.CommitApplied(now, b, v) })
 }
 
 // commitFailed records a failed commit. It reports whether commits have failed for
 // so long that the leader resigns in favour of an entry that reaches the table.
-func (l *Leader) commitFailed(started time.Time) bool {
+func (l *Leader) commitFailed(started oleandervalve.Instant) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Clock.Now()
 	if l.failingSince.IsZero() {
-		l.failingSince = started
+		l.failingSince = started.Time
 		l.options.Log.Warn("table is out of reach")
 	}
 	failing := now.Sub(l.failingSince)
--- a/io/leader/handover.go
+++ b/io/leader/handover.go
@@ -29,7 +29,7 @@
 func (l *Leader) tryHandover() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f := l.handoverTarget(l.options.Clock.Now())
+	f := l.handoverTarget(l.options.now())
 	if f == nil {
 		return false
 	}
@@ -41,8 +41,8 @@
 
 // handoverTarget returns a much stronger entry that should lead instead, or nil. The
 // lock must be held.
-func (l *Leader) handoverTarget(now time.Time) *follower {
-	if l.options.DisableHandover || elapsed(now, l.termStartedAt) < handoverDelay {
+func (l *Leader) handoverTarget(now oleandervalve.Instant) *follower {
+	if l.options.DisableHandover || now.Sub(l.termStartedAt) < handoverDelay {
 		return nil
 	}
 	if f := l.strongestFollower(maxSuccessorTableAge); f != nil && f.cpuShare >= handoverShareFactor*l.options.CPUShare {
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -65,10 +65,12 @@
 	DisableHandover bool
 	Table           oleandervalve.Table
 	Clock           oleandervalve.Clock
-	Log             *logrus.Entry
-	Scope           tally.Scope
-	Retention       time.Duration
-	EarlyStart      time.Duration
+	// Uptime may be nil if the instance is never suspended.
+	Uptime     oleandervalve.Uptime
+	Log        *logrus.Entry
+	Scope      tally.Scope
+	Retention  time.Duration
+	EarlyStart time.Duration
 	// Permits decides which executors may run a step. It may be nil if no queue
 	// requires permits.
 	Permits oleandervalve.PermitService
@@ -76,6 +78,9 @@
 	Revision func() oleandervalve.Revision
 }
 
+// now reads the clocks.
+func (o Options) now() oleandervalve.Instant { return oleandervalve.ReadInstant(o.Clock, o.Uptime) }
+
 // Leader leads for one term. A new Leader is needed for each term.
 type Leader struct {
 	options Options
@@ -91,8 +96,8 @@
 	sessionCount  uint64
 	agents        map[oleandervalve.AgentID]*session
 	followers     map[oleandervalve.EntryID]*follower
-	lastProofAt   time.Time
-	termStartedAt time.Time
+	lastProofAt   oleandervalve.Instant
+	termStartedAt oleandervalve.Instant
 	// learnedWrittenAt is the time of the last write of the learned model.
 	learnedWrittenAt time.Time
 	// failingSince is the start of the first failed commit since the last successful
@@ -122,7 +127,7 @@
 		o.Log.WithError(err).Warn("the leader's row can't be decoded and will be replaced")
 	}
 	own.Term = previous.Term + 1
-	started := o.Clock.Now()
+	started := o.now()
 	version, err := commitTakeover(ctx, o, oleandervalve.Transaction{
 		Conditions: []oleandervalve.Condition{{Key: Key, Version: current.Version}},
 		Puts:       []oleandervalve.Put{{Key: Key, Value: work.Encode(own)}},
--- a/io/leader/row.go
+++ b/io/leader/row.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"oleandervalve"
 	"oleandervalve/core/work"
@@ -37,13 +36,6 @@
 	return out, err
 }
 
-// elapsed returns the time between two readings of the clock, by the monotonic or
-// the wall clock, whichever gives more. The monotonic clock stops while an instance
-// is suspended.
-func elapsed(now, earlier time.Time) time.Duration {
-	return max(now.Sub(earlier), now.Round(0).Sub(earlier.Round(0)))
-}
-
 // Address reads the address of the leading entry from the table. It returns "" if no
 // entry has led yet.
 func Address(ctx context.Context, t oleandervalve.Table) (string, error) {
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -160,7 +160,7 @@
 	if p, ok := m.(*peer.Ping); ok {
 		l.mu.Lock()
 		now := l.options.Clock.Now()
-		age := elapsed(now, l.lastProofAt)
+		age := l.options.now().Sub(l.lastProofAt)
 		if !l.stopped && l.agents[id] == s {
 			s.conn.TrySend(&peer.Pong{Sequence: p.Sequence, ProofAge: age})
 			l.dispatcher.LeaseGranted(now, id)
@@ -230,7 +230,7 @@
 			l.mu.Lock()
 			now := l.options.Clock.Now()
 			f.tableAge, f.heartbeatAt = m.TableAge, now
-			age := elapsed(now, l.lastProofAt)
+			age := l.options.now().Sub(l.lastProofAt)
 			l.mu.Unlock()
 			c.TrySend(&peer.Pong{Sequence: m.Sequence, ProofAge: age, Revision: l.options.Revision()})
 		case *peer.JobCall:
