Find slow executors by job

Cause: a job whose run time is declared much too short looks slow on every executor.

Ruled out: slow executors, throttling.

--- a/core/contention/model.go
+++ b/core/contention/model.go
@@ -85,6 +85,14 @@
 	// their declared speed, and MeasuredJobs is the number of these jobs.
 	Speed        int `cbor:"3,keyasint,omitempty"`
 	MeasuredJobs int `cbor:"4,keyasint,omitempty"`
+	// JobSpeeds are the speeds of these jobs.
+	JobSpeeds []JobSpeed `cbor:"5,keyasint,omitempty"`
+}
+
+// JobSpeed is the speed of one job's tasks on an executor, in percent of the declared one.
+type JobSpeed struct {
+	Job     oleandervalve.JobID `cbor:"1,keyasint"`
+	Percent int                 `cbor:"2,keyasint"`
 }
 
 // loadSample is the newest sample of a job's task on one executor.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -36,6 +36,8 @@
 	// checkpointsCommittedAt is when the record was last queued for a commit only because
 	// of new checkpoints.
 	checkpointsCommittedAt time.Time
+	// speeds holds the last measured speeds of the job's tasks by agent.
+	speeds map[oleandervalve.AgentID]jobSpeed
 	// expired means that the rows of an ended job are to be deleted.
 	expired bool
 }
--- a/io/executor/progress.go
+++ b/io/executor/progress.go
@@ -27,9 +27,9 @@
 const minUnthrottledLimit = 90
 
 // measureSpeed sets the speed in the sample to the median over the jobs that have
-// unthrottled runs with an estimated run time on this executor. The tasks of a job share
-// the error of its estimate, so a job counts once, with its fastest task. s.mu must be
-// held.
+// unthrottled runs with an estimated run time on this executor, and adds the speed of each.
+// The tasks of a job share the error of its estimate, so a job counts once, with its fastest
+// task. s.mu must be held.
 func (s *session) measureSpeed(now time.Time, result oleandervalve.PollResult, sample *contention.Sample) {
 	measured := make(map[runKey]bool, len(result.Running))
 	jobSpeeds := map[oleandervalve.JobID]int{}
@@ -61,5 +61,8 @@
 	if len(jobSpeeds) > 0 {
 		speeds := slices.Sorted(maps.Values(jobSpeeds))
 		sample.Speed, sample.MeasuredJobs = speeds[len(speeds)/2], len(speeds)
+		for _, j := range slices.Sorted(maps.Keys(jobSpeeds)) {
+			sample.JobSpeeds = append(sample.JobSpeeds, contention.JobSpeed{Job: j, Percent: jobSpeeds[j]})
+		}
 	}
 }
