--- a/io/leader/thinlink_test.go
+++ b/io/leader/thinlink_test.go
@@ -115,8 +115,10 @@
 		go a.run(func(j oleandervalve.JobID) string { return payloads[j] }, ends.Done)
 	}
 	for job, payload := range payloads {
-		l.Call(peer.JobCall{Kind: peer.CallSubmit, Job: job, Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 1},
-			Spec: work.Spec{Payload: payload, Steps: []work.Step{{Count: tasks, Estimate: time.Second, Demand: oleandervalve.Resources{CPU: 1000}}}}},
+		l.Call(peer.JobCall{
+			Kind: peer.CallSubmit, Job: job, Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 1},
+			Spec: work.Spec{Payload: payload, Steps: []work.Step{{Count: tasks, Estimate: time.Second, Demand: oleandervalve.Resources{CPU: 1000}}}},
+		},
 			func(r peer.JobReply) {
 				if r.Verdict != dispatch.Accepted {
 					t.Errorf("%s: verdict %v", job, r.Verdict)
