Give paused executors work again beside long-running tasks

Cause: after a series of failures an executor gets one run at a time until one succeeds, counted over all its runs. Long-running tasks from before the pause stay, so it never had none, and it got no work for good.

Ruled out: placement, as no other executor had capacity; the requeueing of lost tasks.

Change: only runs since the pause count as probes, and a long-running one that works for 3 s is a success.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -322,6 +322,7 @@
 func (d *Dispatcher) Tick(now time.Time) {
 	d.pausedExecutors = 0
 	for _, a := range append([]*agent(nil), d.sortedAgents...) {
+		a.recordLongRuns(now)
 		if a.health.probing || a.isSlow(now) {
 			d.pausedExecutors++
 			d.placementNeeded = true
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -17,6 +17,9 @@
 	// maxPausedShare limits the share of the executors that are paused at a time: if more
 	// are, tasks are placed without regard to pauses.
 	maxPausedShare = 0.34
+	// longRunSuccess is how long a long-running task must run on a probed executor to
+	// count as a success; on an executor that fails everything, tasks fail sooner.
+	longRunSuccess = 3 * time.Second
 )
 
 // health distinguishes executors on which every job fails from jobs that fail on every executor.
@@ -57,10 +60,41 @@
 	h.probing = true
 }
 
-// admits reports whether an executor with the given number of runs may get one more.
-func (h *health) admits(now time.Time, runs int) bool {
+// admits reports whether an executor may get one more run, given the number of its runs that
+// started after its pause and have not succeeded.
+func (h *health) admits(now time.Time, probes int) bool {
 	if !h.probing {
 		return true
 	}
-	return !now.Before(h.pausedUntil) && runs == 0
+	return !now.Before(h.pausedUntil) && probes == 0
+}
+
+// admits reports whether the executor may get one more run. Runs from before its pause don't
+// count: long-running tasks may stay for good.
+func (a *agent) admits(now time.Time) bool {
+	if !a.health.probing {
+		return true
+	}
+	probes := 0
+	for _, r := range a.runs {
+		if !r.startedAt.Before(a.health.pausedUntil) {
+			probes++
+		}
+	}
+	return a.health.admits(now, probes)
+}
+
+// recordLongRuns records the success of a probe that is a long-running task, which doesn't
+// end by itself.
+func (a *agent) recordLongRuns(now time.Time) {
+	if !a.health.probing {
+		return
+	}
+	for _, r := range a.runs {
+		if r.step != nil && r.step.spec.LongRunning && r.startSent && !r.stopping &&
+			!r.startedAt.Before(a.health.pausedUntil) && now.Sub(r.startedAt) >= longRunSuccess {
+			a.health.recordSuccess()
+			return
+		}
+	}
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -43,7 +43,7 @@
 	if !a.reserved.Add(s.spec.Reserved()).Fits(a.status.Capacity) {
 		return false
 	}
-	return d.pausedExecutors >= d.maxPausedExecutors() || a.health.admits(now, len(a.runs)) && !a.isSlow(now)
+	return d.pausedExecutors >= d.maxPausedExecutors() || a.admits(now) && !a.isSlow(now)
 }
 
 // beGroup is the key of best-effort steps that are eligible for the same executors.
