Tell the age of the leader's row, and fulfil a request to take over once

Cause: entries that had lost a silent leader began to watch its row only then, for 1.7 s, so 3 s passed without a leader. And a request to take over stayed noted after the entry had led, so a leader that was fenced took leadership back from its healthy successor.

Ruled out: loading of the jobs (27 to 100 ms), the table.

Change: a renewal carries the time of the table's clock; a row that was not renewed for 1.7 s, and three durations of the read, is vacant at the first read. A request to take over is spent by the next attempt and is valid for 1.5 s.

--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -77,7 +77,8 @@
 			}
 			hint = ""
 		}
-		stored, err := g.readLeaderRow(ctx)
+		readAt := g.options.Clock.Now()
+		stored, tableTime, err := g.readLeaderRow(ctx)
 		if err != nil {
 			g.options.Log.WithError(err).Warn("the leader's row can't be read; retrying")
 			hint, hintedAt = g.fallbackAddress(), time.Time{}
@@ -92,12 +93,9 @@
 		if err != nil {
 			g.options.Log.WithError(err).Warn("the leader's row can't be decoded")
 		}
-		vacant := row.Entry == "" || row.Released || row.Entry == g.options.ID || now.Sub(observed.since) >= leaderLease
-		select {
-		case <-g.takeoverRequests:
-			vacant = true
-		default:
-		}
+		vacant := row.Entry == "" || row.Released || row.Entry == g.options.ID || now.Sub(observed.since) >= leaderLease ||
+			isStale(row.Age(tableTime), now.Sub(readAt))
+		vacant = vacant || g.isTakeoverRequested(now)
 		if !vacant {
 			next, err := g.follow(ctx, row.Address)
 			switch {
@@ -119,16 +117,31 @@
 	}
 }
 
-// readLeaderRow reads the leader's row from the table.
-func (g *Gateway) readLeaderRow(ctx context.Context) (oleandervalve.Row, error) {
+// isStale reports whether a leader's row of the given age shows that its leader no longer
+// renews it. A read that took long shows that renewals take long as well.
+func isStale(age, readTook time.Duration) bool {
+	return age >= leaderLease+slowReadFactor*readTook
+}
+
+// slowReadFactor is by how many durations of a read the age of a row may exceed leaderLease.
+const slowReadFactor = 3
+
+// readLeaderRow reads the leader's row and the time by the clock of the table, which is zero
+// if the table doesn't tell it.
+func (g *Gateway) readLeaderRow(ctx context.Context) (oleandervalve.Row, time.Time, error) {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	rows, err := g.options.Table.Get(callCtx, leader.Key)
+	page, err := g.options.Table.Scan(callCtx, leader.Key, "", 1)
 	if err != nil {
-		return oleandervalve.Row{}, err
+		return oleandervalve.Row{}, time.Time{}, err
 	}
 	g.recordTableSuccess()
-	return rows[0], nil
+	for _, r := range page.Rows {
+		if r.Key == leader.Key {
+			return r, page.At, nil
+		}
+	}
+	return oleandervalve.Row{Key: leader.Key}, page.At, nil
 }
 
 // fallbackAddress returns the address of another entry that may lead or know the
@@ -161,6 +174,9 @@
 	done := make(chan struct{})
 	g.mu.Lock()
 	g.takeoverDone = done
+	// The attempt fulfils the request. If the request stayed, it would depose a healthy
+	// leader as soon as this entry follows one.
+	g.takeoverRequestedAt = time.Time{}
 	disableHandover := g.options.Clock.Now().Sub(g.handedOverAt) < handoverCooldown
 	g.mu.Unlock()
 	defer g.finishTakeover(done)
@@ -202,6 +218,21 @@
 	return l.Successor()
 }
 
+// requestTakeover records that a leader asks this entry to take over.
+func (g *Gateway) requestTakeover() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.takeoverRequestedAt = g.options.Clock.Now()
+}
+
+// isTakeoverRequested reports whether a leader has asked this entry within successorTimeout
+// to take over, and the entry has not tried yet.
+func (g *Gateway) isTakeoverRequested(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.takeoverRequestedAt.IsZero() && now.Sub(g.takeoverRequestedAt) < successorTimeout
+}
+
 // finishTakeover releases the incoming connections that wait for the result of a
 // takeover.
 func (g *Gateway) finishTakeover(c chan struct{}) {
@@ -331,10 +362,7 @@
 		case *peer.Redirect:
 			if m.TakeOver {
 				g.options.Log.Info("the leader asks this entry to take over")
-				select {
-				case g.takeoverRequests <- struct{}{}:
-				default:
-				}
+				g.requestTakeover()
 				return "", errNotLeading
 			}
 			return m.Leader, errNotLeading
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -74,8 +74,9 @@
 	// there is no takeover.
 	takeoverDone chan struct{}
 	stopping     bool
-	// takeoverRequests makes followLeader take over leadership at once.
-	takeoverRequests chan struct{}
+	// takeoverRequestedAt is when a leader last asked this entry to take over; zero if none
+	// did since the last attempt.
+	takeoverRequestedAt time.Time
 }
 
 // upstream forwards requests about jobs to the leading entry, which may be this one.
@@ -85,7 +86,7 @@
 
 // New returns an entry. Run must be called to start it.
 func New(o Options) *Gateway {
-	return &Gateway{options: o, meter: peer.NewMeter(o.Scope), takeoverRequests: make(chan struct{}, 1), upstreamSet: make(chan struct{})}
+	return &Gateway{options: o, meter: peer.NewMeter(o.Scope), upstreamSet: make(chan struct{})}
 }
 
 // Run follows the configuration and the leader until the context ends.
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -62,6 +62,7 @@
 	t.Conditions = append([]oleandervalve.Condition{{Key: Key, Version: l.version}}, t.Conditions...)
 	next := l.row
 	next.Renewal++
+	next.RenewedAt = l.estimateTableTime()
 	var renewal []byte
 	if len(t.Puts) == 0 || l.options.now().Sub(l.lastProofAt) >= RenewInterval {
 		renewal = work.Encode(next)
@@ -80,6 +81,7 @@
 		cancel()
 		took := l.options.Clock.Since(started.Time)
 		if err == nil {
+			l.recordTableTime(c.At)
 			l.commitSucceeded(b, t, c.Versions[0], renewal != nil, next, started)
 			return took, nil
 		}
@@ -129,6 +131,27 @@
 	return max(pause, 0)
 }
 
+// recordTableTime records the time of the table's clock in an answer that has just arrived.
+func (l *Leader) recordTableTime(at time.Time) {
+	if at.IsZero() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tableTime, l.tableTimeAt = at, l.options.now()
+}
+
+// estimateTableTime returns the present time by the clock of the table, or the zero time if
+// it is unknown.
+func (l *Leader) estimateTableTime() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tableTime.IsZero() {
+		return time.Time{}
+	}
+	return l.tableTime.Add(l.options.now().Sub(l.tableTimeAt))
+}
+
 // learnedWriteInterval is the minimum time between two writes of the learned model.
 // A new leader needs about this time to relearn what was not written.
 const learnedWriteInterval = 2 * time.Second
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -98,6 +98,10 @@
 	followers     map[oleandervalve.EntryID]*follower
 	lastProofAt   oleandervalve.Instant
 	termStartedAt oleandervalve.Instant
+	// tableTime is the time by the clock of the table at the local time tableTimeAt; zero
+	// before the first commit.
+	tableTime   time.Time
+	tableTimeAt oleandervalve.Instant
 	// learnedWrittenAt is the time of the last write of the learned model.
 	learnedWrittenAt time.Time
 	// failingSince is the start of the first failed commit since the last successful
--- a/io/leader/row.go
+++ b/io/leader/row.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"oleandervalve"
 	"oleandervalve/core/work"
@@ -22,6 +23,9 @@
 	Term uint64 `cbor:"4,keyasint"`
 	// Renewal is the number of renewals within the term.
 	Renewal uint64 `cbor:"5,keyasint"`
+	// RenewedAt is when the renewal was sent, by the clock of the table; zero if that is
+	// unknown.
+	RenewedAt time.Time `cbor:"7,keyasint,omitzero"`
 	// Released is set when the leader has given up leadership in a planned stop.
 	Released bool `cbor:"6,keyasint,omitempty"`
 }
@@ -36,6 +40,15 @@
 	return out, err
 }
 
+// Age returns the time since the last renewal, given the time by the clock of the table, or
+// 0 if either is unknown.
+func (r Row) Age(now time.Time) time.Duration {
+	if r.RenewedAt.IsZero() || now.IsZero() {
+		return 0
+	}
+	return now.Sub(r.RenewedAt)
+}
+
 // Address reads the address of the leading entry from the table. It returns "" if no
 // entry has led yet.
 func Address(ctx context.Context, t oleandervalve.Table) (string, error) {
