Refuse jobs behind a commit of unknown outcome

Cause: while the outcome of a commit stays unknown, as with resets or silence of the table, jobs that came after it waited for it, up to their deadlines, although no commit had carried them.

A job that the commit carries waits on: its outcome is truly open.

The test waits for ever without the change.

Conclusion: callers hear at once what is known.

--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"oleandervalve"
@@ -149,12 +150,12 @@
 		if j.version == 0 {
 			d.discardJob(j)
 			for _, t := range append(c.submitters, j.submitters...) {
-				d.enqueueAction(Reply{Token: t, Verdict: NotRun, Reason: "tableUnavailable", RetryAfter: unavailableRetryAfter})
+				d.enqueueAction(Reply{Token: t, Verdict: NotRun, Reason: reasonTableUnavailable, RetryAfter: unavailableRetryAfter})
 			}
 			for _, t := range append(c.cancellers, j.cancellers...) {
 				d.enqueueAction(Reply{Token: t, Verdict: JobNotFound})
 			}
-			d.note("refused", j.id, map[string]any{"reason": "tableUnavailable"})
+			d.note("refused", j.id, map[string]any{"reason": reasonTableUnavailable})
 			continue
 		}
 		j.effects = append(c.effects, j.effects...)
@@ -163,6 +164,29 @@
 	}
 }
 
+// RefuseUnsent refuses the new jobs that no commit has carried yet, for a time in which the
+// outcome of the commit in flight stays unknown: they have certainly not been stored, and
+// their callers would otherwise wait for that outcome.
+func (d *Dispatcher) RefuseUnsent(retryAfter time.Duration) {
+	for _, j := range slices.Clone(d.dirtyJobs) {
+		if j.version > 0 || j.inFlight {
+			continue
+		}
+		submitters, cancellers := j.submitters, j.cancellers
+		d.discardJob(j)
+		for _, t := range submitters {
+			d.enqueueAction(Reply{Token: t, Verdict: NotRun, Reason: reasonTableUnavailable, RetryAfter: retryAfter})
+		}
+		for _, t := range cancellers {
+			d.enqueueAction(Reply{Token: t, Verdict: JobNotFound})
+		}
+		d.note("refused", j.id, map[string]any{"reason": reasonTableUnavailable, "retryAfterMs": retryAfter.Milliseconds()})
+	}
+}
+
+// reasonTableUnavailable is the reason of refusals while the table can't be written to.
+const reasonTableUnavailable oleandervalve.Reason = "tableUnavailable"
+
 // discardJob removes a job that was never stored. No Start of the job has been sent.
 func (d *Dispatcher) discardJob(j *job) {
 	delete(d.jobs, j.id)
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -112,10 +112,21 @@
 			l.requestCommit()
 			return averageTime, nil
 		}
+		l.refuseUnsent()
 		l.options.Clock.Sleep(repeatDelay(attempt, took, errors.As(err, &unavailable)))
 	}
 }
 
+// refuseUnsent refuses the new jobs that wait for the commit in flight, once commits have
+// failed for as long as new submissions are refused at once.
+func (l *Leader) refuseUnsent() {
+	l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) {
+		if failing := now.Sub(l.failingSince); !l.failingSince.IsZero() && failing > refuseSubmissionsAfter {
+			d.RefuseUnsent(retryAfterOutage(failing))
+		}
+	})
+}
+
 // maxRepeatDelay is the largest pause between the starts of two attempts of a commit with
 // an unknown outcome.
 const maxRepeatDelay = 600 * time.Millisecond
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 
 // fakeTable is an in-memory table that can lose answers to commits and refuse them.
 type fakeTable struct {
+	// mu protects all fields while a leader runs.
+	mu      sync.Mutex
 	rows    map[oleandervalve.Key]oleandervalve.Row
 	version oleandervalve.Version
 	// lostAnswers is how many of the next commits are applied but return an unknown
@@ -32,6 +35,8 @@
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[oleandervalve.Key]oleandervalve.Row{}} }
 
 func (t *fakeTable) Get(_ context.Context, keys ...oleandervalve.Key) ([]oleandervalve.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var out []oleandervalve.Row
 	for _, k := range keys {
 		r := t.rows[k]
@@ -42,6 +47,8 @@
 }
 
 func (t *fakeTable) Scan(_ context.Context, prefix, _ oleandervalve.Key, _ int) (oleandervalve.Page, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	p := oleandervalve.Page{Version: t.version}
 	for k, r := range t.rows {
 		if len(k) > len(prefix) && k[:len(prefix)] == prefix {
@@ -52,6 +59,8 @@
 }
 
 func (t *fakeTable) Commit(_ context.Context, x oleandervalve.Transaction) (oleandervalve.Committed, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.commitCount++
 	if t.commitError != nil {
 		return oleandervalve.Committed{}, t.commitError
@@ -160,6 +169,45 @@
 	is.True(!stored)
 }
 
+// Guards against a submission that is held until its deadline because the outcome of an
+// earlier commit stays unknown, although it has certainly not been stored, and against one
+// that is refused although that commit carries it.
+func TestSubmissionBehindUnknownCommit(t *testing.T) {
+	is := is.New(t)
+	x := newFakeTable()
+	l, _ := startLeader(t, x)
+	x.mu.Lock()
+	x.commitError = &oleandervalve.UnknownOutcomeError{Operation: "commit"}
+	x.mu.Unlock()
+	submitJob := func(j oleandervalve.JobID) chan peer.JobReply {
+		answer := make(chan peer.JobReply, 1)
+		l.Call(peer.JobCall{
+			ID: 1, Kind: peer.CallSubmit, Job: j, Queue: work.Queue{Name: "q", Service: "s"},
+			Spec: work.Spec{Steps: []work.Step{{Count: 1, Estimate: time.Second}}},
+		}, func(r peer.JobReply) { answer <- r })
+		return answer
+	}
+	carried := submitJob("carried")
+	for failed := false; !failed; {
+		l.mu.Lock()
+		failed = !l.failingSince.IsZero()
+		l.mu.Unlock()
+	}
+	behind := submitJob("behind")
+	r := <-behind
+	is.Equal(r.Verdict, dispatch.NotRun)
+	is.True(r.RetryAfter > 0)
+	is.Equal(len(carried), 0)
+	x.mu.Lock()
+	x.commitError = nil
+	x.mu.Unlock()
+	is.Equal((<-carried).Verdict, dispatch.Accepted)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	_, stored := x.rows[work.RecordKey("behind")]
+	is.True(!stored)
+}
+
 // Guards against a leader that continues after another entry has replaced the
 // leader's row.
 func TestFencedLeaderStops(t *testing.T) {
