Log which runs an executor had when it crashed

Cause: the logs could not tell a run that crashed its executor from an order that never arrived, nor an innocent run from a guilty one.

Change: an agent records what it has started on its executor and logs at the next incarnation which runs the one before had: confirmed or not, and between which ages. Counter executor_crashes. No decision changes.

Repeated orders and faulty executors are ruled out.

--- /dev/null
+++ b/core/crash/log.go
@@ -0,0 +1,173 @@
+package crash
+
+import (
+	"sort"
+	"time"
+
+	"oleandervalve"
+)
+
+// Run is a run that a crashed executor had, or may have had.
+type Run struct {
+	Task oleandervalve.TaskName  `cbor:"1,keyasint"`
+	Run  oleandervalve.RunNumber `cbor:"2,keyasint"`
+	// Started means that the executor has confirmed or listed the run. Otherwise the start
+	// order had no answer.
+	Started bool `cbor:"3,keyasint,omitempty"`
+	// MinAge and MaxAge are the shortest and the longest time that the run can have lasted.
+	MinAge time.Duration `cbor:"4,keyasint,omitempty"`
+	MaxAge time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// Report lists the runs that an incarnation of an executor had when it ended.
+type Report struct {
+	Executor oleandervalve.Incarnation `cbor:"1,keyasint"`
+	// Runs is empty if the end was planned.
+	Runs []Run `cbor:"2,keyasint,omitempty"`
+}
+
+// maxReports limits the reports that a Log keeps, and reportRetention for how long: a
+// leader that has not been told by then has requeued the runs without the report.
+const (
+	maxReports      = 8
+	reportRetention = 2 * time.Minute
+)
+
+type runKey struct {
+	task oleandervalve.TaskName
+	run  oleandervalve.RunNumber
+}
+
+type runLog struct {
+	orderedAt time.Time
+	started   bool
+}
+
+type datedReport struct {
+	Report
+	at time.Time
+}
+
+// Log records the runs of one executor and reports those that it had when it crashed.
+type Log struct {
+	executor oleandervalve.Incarnation
+	runs     map[runKey]runLog
+	// answeredAt is the time of the last answer of the executor, and silentSince that of the
+	// first call without an answer after it.
+	answeredAt  time.Time
+	silentSince time.Time
+	reports     []datedReport
+}
+
+// NewLog returns an empty Log.
+func NewLog() *Log { return &Log{runs: map[runKey]runLog{}} }
+
+// Replaced records that the executor has a new incarnation. It returns the report of the
+// one before, which has crashed unless its end was planned, or false if there was none.
+func (l *Log) Replaced(now time.Time, next oleandervalve.Incarnation, planned bool) (Report, bool) {
+	if l.executor == next {
+		return Report{}, false
+	}
+	r := Report{Executor: l.executor}
+	if !planned {
+		r.Runs = l.crashedRuns(now)
+	}
+	l.executor, l.runs, l.answeredAt, l.silentSince = next, map[runKey]runLog{}, now, time.Time{}
+	if r.Executor.ID == "" {
+		return r, false
+	}
+	l.reports = append(l.reports, datedReport{r, now})
+	if len(l.reports) > maxReports {
+		l.reports = l.reports[1:]
+	}
+	return r, true
+}
+
+// crashedRuns returns the runs of the executor, sorted by task and run.
+func (l *Log) crashedRuns(now time.Time) []Run {
+	end := now
+	if !l.silentSince.IsZero() {
+		end = l.silentSince
+	}
+	out := make([]Run, 0, len(l.runs))
+	for k, r := range l.runs {
+		x := Run{Task: k.task, Run: k.run, Started: r.started, MaxAge: max(0, end.Sub(r.orderedAt))}
+		if r.started {
+			x.MinAge = max(0, l.answeredAt.Sub(r.orderedAt))
+		}
+		out = append(out, x)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Task != out[j].Task {
+			return out[i].Task.String() < out[j].Task.String()
+		}
+		return out[i].Run < out[j].Run
+	})
+	return out
+}
+
+// Reports returns the reports that are not too old to be of use to a leader.
+func (l *Log) Reports(now time.Time) []Report {
+	var out []Report
+	for _, r := range l.reports {
+		if now.Sub(r.at) < reportRetention {
+			out = append(out, r.Report)
+		}
+	}
+	return out
+}
+
+// StartOrdered records an order to start a run, before it is sent.
+func (l *Log) StartOrdered(now time.Time, x oleandervalve.Incarnation, t oleandervalve.TaskName, n oleandervalve.RunNumber) {
+	if x != l.executor {
+		return
+	}
+	if _, ok := l.runs[runKey{t, n}]; !ok {
+		l.runs[runKey{t, n}] = runLog{orderedAt: now}
+	}
+}
+
+// StartConfirmed records that the executor has started a run.
+func (l *Log) StartConfirmed(now time.Time, x oleandervalve.Incarnation, t oleandervalve.TaskName, n oleandervalve.RunNumber) {
+	r, ok := l.runs[runKey{t, n}]
+	if x != l.executor || !ok {
+		return
+	}
+	l.answeredAt, l.silentSince = now, time.Time{}
+	r.started = true
+	l.runs[runKey{t, n}] = r
+}
+
+// Forget records that a run has ended or never started.
+func (l *Log) Forget(x oleandervalve.Incarnation, t oleandervalve.TaskName, n oleandervalve.RunNumber) {
+	if x == l.executor {
+		delete(l.runs, runKey{t, n})
+	}
+}
+
+// Answered records the lists of runs in an answer of the executor to a poll.
+func (l *Log) Answered(now time.Time, x oleandervalve.Incarnation, lists oleandervalve.PollResult) {
+	if x != l.executor {
+		return
+	}
+	l.answeredAt, l.silentSince = now, time.Time{}
+	for _, t := range lists.Running {
+		k := runKey{t.Task, t.Run}
+		r, ok := l.runs[k]
+		if !ok {
+			r.orderedAt = now
+		}
+		r.started = true
+		l.runs[k] = r
+	}
+	for _, e := range lists.Ended {
+		l.Forget(x, e.Task, e.Run)
+	}
+}
+
+// Silent records that a call to the executor had no answer.
+func (l *Log) Silent(now time.Time, x oleandervalve.Incarnation) {
+	if x == l.executor && l.silentSince.IsZero() {
+		l.silentSince = now
+	}
+}
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -65,11 +65,13 @@
 	polledStartedAt int64
 	// drainingSince is when the executor first announced that it is draining.
 	drainingSince time.Time
+	// crashes tells which runs the executor had when it crashed.
+	crashes *crashLog
 }
 
 // New returns an agent. Run must be called to connect it to the leader.
 func New(o Options) *Agent {
-	return &Agent{options: o, meter: peer.NewMeter(o.Scope), leaseDuration: min(o.MaxLease, agentMaxLease), statusReceived: make(chan struct{}, 1)}
+	return &Agent{options: o, meter: peer.NewMeter(o.Scope), leaseDuration: min(o.MaxLease, agentMaxLease), statusReceived: make(chan struct{}, 1), crashes: newCrashLog(o.Clock)}
 }
 
 // StatusAnnounced handles a status announced by the executor. Announcements that
@@ -92,6 +94,9 @@
 	}
 	newIncarnation := !a.statusKnown || a.status.Incarnation != s.Incarnation
 	changed := newIncarnation || a.status.State != s.State || a.status.Capacity != s.Capacity
+	if newIncarnation {
+		a.executorReplaced(s.Incarnation, a.deregistered || a.status.State == oleandervalve.ExecutorDraining)
+	}
 	a.status, a.statusKnown = s, true
 	if newIncarnation {
 		a.deregistered = false
--- a/io/executor/agent_test.go
+++ b/io/executor/agent_test.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
 )
@@ -15,7 +16,7 @@
 func newAgent(o Options) *Agent {
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
-	o.Log = logrus.NewEntry(log)
+	o.Log, o.Scope = logrus.NewEntry(log), tally.NoopScope
 	return New(o)
 }
 
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"oleandervalve"
+	"oleandervalve/core/crash"
 	"oleandervalve/core/dispatch"
 	"oleandervalve/io/peer"
 )
@@ -91,6 +92,7 @@
 		refusal := oleandervalve.StartRefusal("")
 		err := error(&oleandervalve.UnavailableError{Service: "leading entry", Remedy: "wait for a proof of leadership"})
 		if until > 0 {
+			s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.StartOrdered(now, s.status.Incarnation, o.Task, o.Run) })
 			_, refusal, err = s.agent.options.Executor.Start(call, s.status.Incarnation.ID, oleandervalve.StartOrder{
 				Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: until, Token: s.token, Checkpoint: o.Checkpoint, PermitToken: o.PermitToken,
 			})
@@ -98,6 +100,7 @@
 		cancel()
 		<-s.orderSlots
 		if err == nil && refusal == "" {
+			s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.StartConfirmed(now, s.status.Incarnation, o.Task, o.Run) })
 			s.mu.Lock()
 			s.running[k] = true
 			orders := s.initialSpeedLimit(k)
@@ -129,6 +132,10 @@
 			unanswered = true
 			timeout = min(2*timeout, maxOrderTimeout)
 		}
+		if !unanswered {
+			// The order has not reached the executor.
+			s.agent.crashes.update(func(l *crash.Log, _ time.Time) { l.Forget(s.status.Incarnation, o.Task, o.Run) })
+		}
 		s.agent.waitRetryDelay(ctx)
 	}
 }
@@ -217,6 +224,7 @@
 	s.mu.Lock()
 	delete(s.hints, k)
 	s.mu.Unlock()
+	s.agent.crashes.update(func(l *crash.Log, _ time.Time) { l.Forget(s.status.Incarnation, k.task, k.run) })
 	s.log().WithFields(logrus.Fields{"job": k.task.Job, "task": k.task.String(), "run": k.run, "reason": reason}).Info("run is void")
 	s.conn.TrySend(&peer.RunNeverStarted{NeverStarted: dispatch.NeverStarted{Task: k.task, Run: k.run, Reason: reason}})
 }
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -9,6 +9,7 @@
 
 	"oleandervalve"
 	"oleandervalve/core/contention"
+	"oleandervalve/core/crash"
 	"oleandervalve/core/pacing"
 	"oleandervalve/io/peer"
 )
@@ -51,6 +52,7 @@
 			if s.endIfReplaced(err) || ctx.Err() != nil {
 				return
 			}
+			s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Silent(now, s.status.Incarnation) })
 			if !failing {
 				s.log().WithError(err).Warn("executor is unreachable")
 				failing = true
@@ -73,6 +75,7 @@
 			s.end("executor has a new incarnation")
 			return
 		}
+		s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Answered(now, s.status.Incarnation, result) })
 		s.applyPollResult(ctx, now, result)
 		if len(result.Ended) > 0 {
 			// The executor answers at once while its list of ends is not empty; the
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -10,6 +10,7 @@
 
 	"oleandervalve"
 	"oleandervalve/core/contention"
+	"oleandervalve/core/crash"
 	"oleandervalve/core/dispatch"
 	"oleandervalve/core/pacing"
 	"oleandervalve/io/leader"
@@ -205,6 +206,7 @@
 		s.agent.recordPolledStart(result.StartedAt)
 		return &oleandervalve.WrongIncarnationError{ID: s.status.Incarnation.ID}
 	}
+	s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Answered(now, s.status.Incarnation, result) })
 	s.mu.Lock()
 	s.clock, s.clockAt = result.Clock, sent
 	// An earlier session may have extended the lease until just before this poll.
