Failing test: a task that crashes executors is started again and again

The simulated cluster of core/dispatch gets tasks that crash their executor 10 ms or 700 ms after their start, with and without changes of leader.

--- a/core/dispatch/cluster_test.go
+++ b/core/dispatch/cluster_test.go
@@ -41,6 +41,12 @@
 	tokens    map[Token]oleandervalve.JobID
 	cancels   map[Token]oleandervalve.JobID
 	token     Token
+	// deadly holds the tasks that crash each executor that starts them, with the time from
+	// the start to the crash. crashesUnder counts these crashes, and startsAfterCrashes the
+	// starts after maxDeadlyCrashes of them.
+	deadly             map[oleandervalve.TaskName]time.Duration
+	crashesUnder       map[oleandervalve.TaskName]int
+	startsAfterCrashes map[oleandervalve.TaskName]int
 	// failureProbability is the probability that a run fails.
 	failureProbability float64
 	lastState          map[oleandervalve.JobID]work.State
@@ -57,7 +63,9 @@
 	key   runKey
 	ends  time.Time
 	fails bool
-	size  oleandervalve.Resources
+	// crashes means that the executor crashes when the run ends.
+	crashes bool
+	size    oleandervalve.Resources
 }
 
 type fakeAgent struct {
@@ -72,15 +80,27 @@
 	// the highest number of an end before the last expiry.
 	leaseEnd    time.Time
 	expiredUpTo uint64
+	// downUntil is when a crashed executor is back.
+	downUntil time.Time
 }
 
 const testTakeoverAfter = 7 * time.Second
 
+const (
+	// maxDeadlyCrashes and maxStartsAfterCrashes are the platform's limit of starts of a
+	// task that crashes executors.
+	maxDeadlyCrashes      = 3
+	maxStartsAfterCrashes = 2
+	// crashDowntime is how long an executor is down after a task has crashed it.
+	crashDowntime = 3 * time.Second
+)
+
 func newCluster(t *testing.T, seed uint64, agents int) *cluster {
 	c := &cluster{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0),
 		rows: map[oleandervalve.JobID]StoredJob{}, agents: map[oleandervalve.AgentID]*fakeAgent{},
 		specs: map[oleandervalve.JobID]work.Spec{}, acknowledged: map[oleandervalve.TaskName]bool{}, succeeded: map[oleandervalve.TaskName]bool{}, failures: map[oleandervalve.TaskName]int{},
+		deadly: map[oleandervalve.TaskName]time.Duration{}, crashesUnder: map[oleandervalve.TaskName]int{}, startsAfterCrashes: map[oleandervalve.TaskName]int{},
 		cancelled: map[oleandervalve.JobID]bool{}, replies: map[Token]Reply{}, tokens: map[Token]oleandervalve.JobID{},
 		cancels: map[Token]oleandervalve.JobID{}, lastState: map[oleandervalve.JobID]work.State{}, failureProbability: 0.05,
 	}
@@ -292,7 +312,7 @@
 	x := c.outbox[0]
 	c.outbox = c.outbox[1:]
 	a := c.agents[agentOf(x)]
-	if a == nil || !a.connected {
+	if a == nil || !a.connected || !a.downUntil.IsZero() {
 		return
 	}
 	switch x := x.(type) {
@@ -362,10 +382,23 @@
 	if !used.Fits(a.status.Capacity) {
 		c.t.Fatalf("%v: %s has allocated %+v of %+v", c.now, a.id, used, a.status.Capacity)
 	}
-	a.running = append(a.running, fakeRun{
+	r := fakeRun{
 		key: runKey{x.Task, x.Run}, ends: c.now.Add(time.Duration(200+c.rng.IntN(1500)) * time.Millisecond),
 		fails: c.rng.Float64() < c.failureProbability, size: s.Reserved(),
-	})
+	}
+	if s.LongRunning {
+		r.ends = c.now.Add(time.Hour)
+	}
+	if after, ok := c.deadly[x.Task]; ok {
+		r.crashes, r.ends = true, c.now.Add(after)
+		if c.crashesUnder[x.Task] >= maxDeadlyCrashes {
+			c.startsAfterCrashes[x.Task]++
+			if c.startsAfterCrashes[x.Task] > maxStartsAfterCrashes {
+				c.t.Fatalf("%v: start %d of %v after %d crashes under it", c.now, c.startsAfterCrashes[x.Task], x.Task, c.crashesUnder[x.Task])
+			}
+		}
+	}
+	a.running = append(a.running, r)
 }
 
 func (c *cluster) stop(a *fakeAgent, k runKey) {
@@ -407,6 +440,12 @@
 	c.now = c.now.Add(d)
 	for _, id := range c.order {
 		a := c.agents[id]
+		if !a.downUntil.IsZero() {
+			if a.downUntil.After(c.now) {
+				continue
+			}
+			c.restart(a)
+		}
 		if a.connected {
 			a.leaseEnd = c.now.Add(6 * time.Second)
 			c.dispatcher.LeaseGranted(c.now, id)
@@ -423,6 +462,11 @@
 			case r.ends.After(c.now):
 				i++
 				continue
+			case r.crashes:
+				c.event("%s crashes under %v run %d", a.id, r.key.task, r.key.run)
+				c.crashesUnder[r.key.task]++
+				a.running, a.downUntil = nil, c.now.Add(crashDowntime)
+				continue
 			case r.fails:
 				how = oleandervalve.EndFailed
 			}
@@ -479,7 +523,13 @@
 
 // crash terminates an executor with all its runs and starts a new incarnation.
 func (c *cluster) crash(a *fakeAgent) {
-	a.running, a.ended, a.number, a.expiredUpTo = nil, nil, 0, 0
+	a.running = nil
+	c.restart(a)
+}
+
+// restart starts a new incarnation of an executor that has crashed.
+func (c *cluster) restart(a *fakeAgent) {
+	a.ended, a.number, a.expiredUpTo, a.downUntil = nil, 0, 0, time.Time{}
 	a.highestEnded = map[oleandervalve.TaskName]oleandervalve.RunNumber{}
 	a.status.Incarnation.StartedAt++
 	if a.connected {
--- /dev/null
+++ b/core/dispatch/crash_test.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"oleandervalve"
+	"oleandervalve/core/work"
+)
+
+// Guards against a task that crashes each executor that starts it and is started on one
+// after the other, against jobs that end as failed because they shared an executor with
+// such a task, and against both after a change of leader.
+func TestTaskThatCrashesExecutorsIsGivenUp(t *testing.T) {
+	for _, k := range []struct {
+		name string
+		// crashAfter is the time from the start of a deadly task to the crash.
+		crashAfter    time.Duration
+		deadlyJobs    int
+		longRunning   bool
+		leaderChanges bool
+	}{
+		{"one at its start", 10 * time.Millisecond, 1, false, false},
+		{"four at their start", 10 * time.Millisecond, 4, false, false},
+		{"four at their start with changes of leader", 10 * time.Millisecond, 4, false, true},
+		{"two at work", 700 * time.Millisecond, 2, false, false},
+		{"two at work with changes of leader", 700 * time.Millisecond, 2, false, true},
+		{"long-running", 10 * time.Millisecond, 2, true, true},
+	} {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprintf("%s, seed %d", k.name, seed), func(t *testing.T) {
+				c := newCluster(t, seed, 9)
+				defer func() {
+					if t.Failed() {
+						t.Log(strings.Join(c.events, "\n"))
+					}
+				}()
+				c.failureProbability = 0
+				queue := work.Queue{Name: "q", Service: "press", MaxAttempts: 3, Stretch: 2}
+				innocent := work.Spec{Steps: []work.Step{{Count: 4, Estimate: time.Second, Demand: oleandervalve.Resources{CPU: 1000}}}}
+				for n := range 60 {
+					c.submit(oleandervalve.JobID(fmt.Sprintf("innocent%02d", n)), queue, innocent)
+					if n >= 10 && n < 10+k.deadlyJobs {
+						s := innocent
+						s.Steps = []work.Step{innocent.Steps[0]}
+						s.Steps[0].LongRunning = k.longRunning
+						id := oleandervalve.JobID(fmt.Sprintf("deadly%02d", n))
+						c.deadly[oleandervalve.TaskName{Job: id, Index: c.rng.IntN(4)}] = k.crashAfter
+						c.submit(id, queue, s)
+					}
+					for range 4 {
+						c.step(50 * time.Millisecond)
+					}
+					if k.leaderChanges && c.rng.IntN(20) == 0 {
+						c.startLeader()
+						for _, id := range c.order {
+							if a := c.agents[id]; a.downUntil.IsZero() {
+								c.connect(a)
+							}
+						}
+					}
+				}
+				for range 800 {
+					c.step(50 * time.Millisecond)
+				}
+				for id := range c.rows {
+					want := work.Completed
+					if strings.HasPrefix(string(id), "deadly") {
+						want = work.Failed
+					}
+					if state, _ := c.dispatcher.State(id); state != want {
+						t.Errorf("%s is shown as %v, not as %v", id, state, want)
+					}
+				}
+			})
+		}
+	}
+}
+
+// step lets time pass, commits and delivers all orders.
+func (c *cluster) step(d time.Duration) {
+	c.advance(d)
+	c.advanceCommit(true)
+	c.advanceCommit(true)
+	for len(c.outbox) > 0 {
+		c.deliverNextOrder()
+	}
+}
