Give up tasks that crash the executors that start them

Cause: a run that is lost with its executor cost its task nothing; it was requeued without a limit and with no memory of the crash, neither in the record of its job nor after a change of leader. All runs of a crashed executor went to the same next executor, so nothing could tell the guilty task from the others.

Ruled out by the logs: orders repeated to a later incarnation, executors at fault.

Change: an agent reports which runs its executor had when it was lost, at the next session, as often as it takes. The job's record keeps these incidents. The youngest runs at a crash, and those that were there twice, are suspect: their next run is isolated, with no other start on the executor shortly before and until it is older than it was at the crash. At most a third of the executors are isolated at a time. A task that crashes a second executor while isolated is given up and its job failed; one that is never isolated after four crashes.

--- a/core/crash/log.go
+++ b/core/crash/log.go
@@ -19,11 +19,14 @@
 	MaxAge time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
-// Report lists the runs that an incarnation of an executor had when it ended.
+// Report lists the runs that an incarnation of an executor had when it was lost.
 type Report struct {
 	Executor oleandervalve.Incarnation `cbor:"1,keyasint"`
 	// Runs is empty if the end was planned.
 	Runs []Run `cbor:"2,keyasint,omitempty"`
+	// Crashed means that the executor has certainly crashed. Otherwise it has given no
+	// answer for as long as its lease lasted.
+	Crashed bool `cbor:"3,keyasint,omitempty"`
 }
 
 // maxReports limits the reports that a Log keeps, and reportRetention for how long: a
@@ -70,7 +73,7 @@
 	}
 	r := Report{Executor: l.executor}
 	if !planned {
-		r.Runs = l.crashedRuns(now)
+		r.Runs, r.Crashed = l.lostRuns(now), true
 	}
 	l.executor, l.runs, l.answeredAt, l.silentSince = next, map[runKey]runLog{}, now, time.Time{}
 	if r.Executor.ID == "" {
@@ -83,8 +86,11 @@
 	return r, true
 }
 
-// crashedRuns returns the runs of the executor, sorted by task and run.
-func (l *Log) crashedRuns(now time.Time) []Run {
+// Lost returns the report of the present incarnation, which gives no answers.
+func (l *Log) Lost(now time.Time) Report { return Report{Executor: l.executor, Runs: l.lostRuns(now)} }
+
+// lostRuns returns the runs of the executor that count as lost, sorted by task and run.
+func (l *Log) lostRuns(now time.Time) []Run {
 	end := now
 	if !l.silentSince.IsZero() {
 		end = l.silentSince
@@ -95,7 +101,9 @@
 		if r.started {
 			x.MinAge = max(0, l.answeredAt.Sub(r.orderedAt))
 		}
-		out = append(out, x)
+		if x.MinAge < maxCountedAge {
+			out = append(out, x)
+		}
 	}
 	sort.Slice(out, func(i, j int) bool {
 		if out[i].Task != out[j].Task {
--- a/core/crash/log_test.go
+++ b/core/crash/log_test.go
@@ -37,7 +37,7 @@
 	l.Silent(at(3*time.Second), first)
 	r, ok := l.Replaced(at(5*time.Second), second, false)
 	is.True(ok)
-	is.Equal(r, Report{Executor: first, Runs: []Run{
+	is.Equal(r, Report{Executor: first, Crashed: true, Runs: []Run{
 		{Task: name(0), Run: 1, Started: true, MinAge: 2020 * time.Millisecond, MaxAge: 2100 * time.Millisecond},
 		{Task: name(2), Run: 3, Started: true, MinAge: 20 * time.Millisecond, MaxAge: 100 * time.Millisecond},
 		{Task: name(3), Run: 1, MaxAge: 100 * time.Millisecond},
--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -61,6 +61,9 @@
 	SpeedLimit int `cbor:"5,keyasint,omitempty"`
 	// Estimate is the declared run time; zero for a long-running task.
 	Estimate time.Duration `cbor:"6,keyasint,omitempty"`
+	// Isolation is the time that the run must last before the agent reports that it has
+	// outlived its isolation; zero if it isn't isolated.
+	Isolation time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Adopt sends an agent the hints for a run that it reported when it connected.
--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -27,6 +27,10 @@
 	// stopping means that the run has to end: a Start that has not been sent is dropped,
 	// and otherwise a Stop is sent.
 	stopping bool
+	// isolated means that no other run is started on the executor, so that a crash can be
+	// attributed to the run. isolation is how long that lasts from the start of the run.
+	isolated  bool
+	isolation time.Duration
 	// resumed means that the run started from a checkpoint.
 	resumed   bool
 	startedAt time.Time
@@ -72,6 +76,16 @@
 	usableCPU     float64
 	health        health
 	shared        sharedPairs
+	// isolatedRuns is the number of isolated runs.
+	isolatedRuns int
+	// quietUntil is until when no other run is started on the executor, so that a suspect
+	// task finds it settled.
+	quietUntil time.Time
+	// crashExplained means that a task was given up for the last crash of the executor.
+	crashExplained bool
+	// reported holds the last incarnations of the executor of which the agent has reported
+	// which runs were lost.
+	reported []oleandervalve.Incarnation
 }
 
 func newAgent(id oleandervalve.AgentID) *agent {
@@ -113,6 +127,9 @@
 	if r.step != nil && r.step.spec.TargetLatency > 0 {
 		a.lcRuns[k] = r
 	}
+	if r.isolated {
+		a.isolatedRuns++
+	}
 }
 
 // release frees the capacity of a run and returns the run, or nil if there is none.
@@ -124,6 +141,7 @@
 	delete(a.runs, k)
 	delete(a.lcRuns, k)
 	a.adjustUsage(r, -1)
+	a.endIsolation(r)
 	return r
 }
 
--- a/core/dispatch/cluster_test.go
+++ b/core/dispatch/cluster_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"oleandervalve"
+	"oleandervalve/core/crash"
 	"oleandervalve/core/work"
 )
 
@@ -66,6 +67,9 @@
 	// crashes means that the executor crashes when the run ends.
 	crashes bool
 	size    oleandervalve.Resources
+	// outlivedAt is when the agent reports that the run has outlived its isolation; the
+	// zero time means never.
+	outlivedAt time.Time
 }
 
 type fakeAgent struct {
@@ -82,6 +86,8 @@
 	expiredUpTo uint64
 	// downUntil is when a crashed executor is back.
 	downUntil time.Time
+	// crashes is what the agent records of the executor's crashes.
+	crashes *crash.Log
 }
 
 const testTakeoverAfter = 7 * time.Second
@@ -107,12 +113,13 @@
 	c.startLeader()
 	for i := range agents {
 		id := oleandervalve.AgentID(fmt.Sprintf("agent-%02d", i))
-		a := &fakeAgent{id: id, highestEnded: map[oleandervalve.TaskName]oleandervalve.RunNumber{}}
+		a := &fakeAgent{id: id, crashes: crash.NewLog(), highestEnded: map[oleandervalve.TaskName]oleandervalve.RunNumber{}}
 		a.status = oleandervalve.ExecutorStatus{
 			Incarnation: oleandervalve.Incarnation{ID: oleandervalve.ExecutorID("x" + id), StartedAt: 1}, Service: "press",
 			State: oleandervalve.ExecutorReady, Labels: []string{"a", fmt.Sprintf("r%d", i/3)},
 			Capacity: oleandervalve.Resources{CPU: 16000, Memory: 64 << 30},
 		}
+		a.crashes.Replaced(c.now, a.status.Incarnation, false)
 		c.agents[id] = a
 		c.order = append(c.order, id)
 		c.connect(a)
@@ -147,6 +154,9 @@
 	for _, r := range a.running {
 		h.Running = append(h.Running, oleandervalve.RunningTask{Task: r.key.task, Run: r.key.run})
 	}
+	for _, r := range a.crashes.Reports(c.now) {
+		c.dispatcher.ExecutorLost(c.now, a.id, r)
+	}
 	c.dispatcher.AgentConnected(c.now, a.id, a.status, h)
 	c.collect()
 }
@@ -157,6 +167,8 @@
 		return x.Agent
 	case Stop:
 		return x.Agent
+	case Adopt:
+		return x.Agent
 	case Acknowledge:
 		return x.Agent
 	}
@@ -181,7 +193,7 @@
 			c.outbox = append(c.outbox, x)
 		case RequestPermits:
 			c.permitRequests = append(c.permitRequests, x)
-		case Stop, Acknowledge:
+		case Stop, Acknowledge, Adopt:
 			c.outbox = append(c.outbox, x)
 		case Reply:
 			c.replies[x.Token] = x
@@ -318,6 +330,12 @@
 	switch x := x.(type) {
 	case Start:
 		c.start(a, x)
+	case Adopt:
+		for i := range a.running {
+			if r := &a.running[i]; r.key == (runKey{x.Task, x.Run}) && x.Hints.Isolation > 0 {
+				r.outlivedAt = c.now.Add(x.Hints.Isolation)
+			}
+		}
 	case Stop:
 		c.stop(a, runKey{x.Task, x.Run})
 	case Acknowledge:
@@ -386,6 +404,11 @@
 		key: runKey{x.Task, x.Run}, ends: c.now.Add(time.Duration(200+c.rng.IntN(1500)) * time.Millisecond),
 		fails: c.rng.Float64() < c.failureProbability, size: s.Reserved(),
 	}
+	if x.Hints.Isolation > 0 {
+		r.outlivedAt = c.now.Add(x.Hints.Isolation)
+	}
+	a.crashes.StartOrdered(c.now, a.status.Incarnation, x.Task, x.Run)
+	a.crashes.StartConfirmed(c.now, a.status.Incarnation, x.Task, x.Run)
 	if s.LongRunning {
 		r.ends = c.now.Add(time.Hour)
 	}
@@ -425,6 +448,7 @@
 	if how == oleandervalve.EndDone {
 		c.succeeded[k.task] = true
 	}
+	a.crashes.Forget(a.status.Incarnation, k.task, k.run)
 	a.highestEnded[k.task] = max(a.highestEnded[k.task], k.run)
 	c.event("%s reports the end of %v run %d: %s", a.id, k.task, k.run, how)
 	e := oleandervalve.EndedTask{Number: a.number, Task: k.task, Run: k.run, How: how}
@@ -453,6 +477,7 @@
 		if c.now.After(a.leaseEnd) {
 			a.expiredUpTo = a.number
 		}
+		c.reportOutlived(a)
 		for i := 0; i < len(a.running); {
 			r := a.running[i]
 			how := oleandervalve.EndDone
@@ -466,6 +491,7 @@
 				c.event("%s crashes under %v run %d", a.id, r.key.task, r.key.run)
 				c.crashesUnder[r.key.task]++
 				a.running, a.downUntil = nil, c.now.Add(crashDowntime)
+				a.crashes.Silent(c.now, a.status.Incarnation)
 				continue
 			case r.fails:
 				how = oleandervalve.EndFailed
@@ -475,6 +501,11 @@
 			c.endGang(r.key, how)
 		}
 	}
+	for _, id := range c.order {
+		if a := c.agents[id]; a.connected && a.downUntil.IsZero() {
+			a.crashes.Answered(c.now, a.status.Incarnation, oleandervalve.PollResult{})
+		}
+	}
 	c.dispatcher.Tick(c.now)
 	c.collect()
 	for id, s := range c.rows {
@@ -490,6 +521,18 @@
 	}
 }
 
+// reportOutlived reports the runs that have outlived their isolation.
+func (c *cluster) reportOutlived(a *fakeAgent) {
+	for i := range a.running {
+		r := &a.running[i]
+		if a.connected && !r.outlivedAt.IsZero() && !r.outlivedAt.After(c.now) && (r.ends.After(c.now) || !r.crashes) {
+			r.outlivedAt = time.Time{}
+			c.dispatcher.RunOutlived(a.id, r.key.task, r.key.run)
+			c.collect()
+		}
+	}
+}
+
 // endGang ends the other members of a gang when the first member ends.
 func (c *cluster) endGang(k runKey, how oleandervalve.RunEnd) {
 	s := c.specs[k.task.Job].Steps[k.task.Step]
@@ -532,6 +575,7 @@
 	a.ended, a.number, a.expiredUpTo, a.downUntil = nil, 0, 0, time.Time{}
 	a.highestEnded = map[oleandervalve.TaskName]oleandervalve.RunNumber{}
 	a.status.Incarnation.StartedAt++
+	a.crashes.Replaced(c.now, a.status.Incarnation, false)
 	if a.connected {
 		c.dispatcher.AgentDisconnected(c.now, a.id)
 		c.connect(a)
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -62,6 +62,10 @@
 	// pausedExecutors is the number of executors that are paused or probed because of
 	// failures, or paused because of low speed.
 	pausedExecutors int
+	// isolatingExecutors is the number of executors that get no other starts because of an
+	// isolated run, in the current scheduling pass, and maxIsolating their limit.
+	isolatingExecutors int
+	maxIsolating       int
 	// placementNeeded means that something relevant to placement has changed since the
 	// last scheduling pass.
 	placementNeeded bool
@@ -143,7 +147,7 @@
 			// If the reference differs from the agent's newest known one, it names an
 			// earlier incarnation of the executor, which is resolved when the agent
 			// connects.
-			a.allocate(runKey{st.name(i), t.Run}, &run{step: st, index: i, size: st.spec.Reserved(), startSent: true, resumed: true, startedAt: now})
+			a.allocate(runKey{st.name(i), t.Run}, &run{step: st, index: i, size: st.spec.Reserved(), startSent: true, resumed: true, isolated: st.history(i).Suspect(), isolation: st.history(i).Isolation(), startedAt: now})
 		}
 	}
 }
@@ -298,7 +302,7 @@
 	}
 	d.contention.RemoveJob(j.id)
 	if s == work.Completed {
-		j.rec.Tasks, j.rec.Executors = nil, nil
+		j.rec.Tasks, j.rec.Executors, j.rec.Crashes = nil, nil, nil
 	} else {
 		for _, a := range d.sortedAgents {
 			for k, r := range a.runs {
@@ -323,6 +327,7 @@
 	d.pausedExecutors = 0
 	for _, a := range append([]*agent(nil), d.sortedAgents...) {
 		a.recordLongRuns(now)
+		d.endOldIsolations(now, a)
 		if a.health.probing || a.isSlow(now) {
 			d.pausedExecutors++
 			d.placementNeeded = true
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -13,16 +13,9 @@
 	if len(s.waiting) < s.spec.Count {
 		return false
 	}
-	var plan []*agent
-	if s.spec.SameRack {
-		for _, rack := range d.racks(s) {
-			if plan = d.planGang(s, now, rack); plan != nil {
-				break
-			}
-		}
-	}
-	if plan == nil {
-		plan = d.planGang(s, now, "")
+	plan := d.planGangInRack(s, now, true)
+	if plan == nil && now.Sub(s.readyAt) >= isolationWait {
+		plan = d.planGangInRack(s, now, false)
 	}
 	if plan == nil {
 		return false
@@ -46,6 +39,19 @@
 	return true
 }
 
+// planGangInRack finds an executor for each task of a gang, in a single rack if that is
+// requested and possible. It returns nil if the gang doesn't fit.
+func (d *Dispatcher) planGangInRack(s *step, now time.Time, isolate bool) []*agent {
+	if s.spec.SameRack {
+		for _, rack := range d.racks(s) {
+			if plan := d.planGang(s, now, rack, isolate); plan != nil {
+				return plan
+			}
+		}
+	}
+	return d.planGang(s, now, "", isolate)
+}
+
 // racks lists the racks of usable executors, starting with the rack that holds the data.
 func (d *Dispatcher) racks(s *step) []oleandervalve.RackID {
 	var out []oleandervalve.RackID
@@ -64,18 +70,25 @@
 }
 
 // planGang finds an executor in a rack for each task of a gang, or in any rack if rack is
-// empty. It returns nil if the gang doesn't fit.
-func (d *Dispatcher) planGang(s *step, now time.Time, rack oleandervalve.RackID) []*agent {
+// empty. Suspect members share an executor with no other member if isolate is set. It
+// returns nil if the gang doesn't fit.
+func (d *Dispatcher) planGang(s *step, now time.Time, rack oleandervalve.RackID, isolate bool) []*agent {
 	size := s.spec.Reserved()
 	added := map[*agent]int{}
+	// isolated holds the executors with a suspect member, which get no other.
+	isolated := map[*agent]bool{}
 	plan := make([]*agent, 0, s.spec.Count)
-	for range s.spec.Count {
+	for i := range s.spec.Count {
+		suspect := isolate && s.history(i).Suspect()
 		var best *agent
 		var mostCPU oleandervalve.Millicores
 		for _, a := range d.sortedAgents {
 			if rack != "" && a.rack != rack || !d.fits(s, a, now) {
 				continue
 			}
+			if isolated[a] || suspect && (added[a] > 0 || !d.admitsIsolated(s, i, a, now)) {
+				continue
+			}
 			if s.spec.MaxPerExecutor > 0 && s.runsByAgent[a.id]+added[a] >= s.spec.MaxPerExecutor {
 				continue
 			}
@@ -94,6 +107,7 @@
 			return nil
 		}
 		added[best]++
+		isolated[best] = suspect
 		plan = append(plan, best)
 	}
 	return plan
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleandervalve"
+	"oleandervalve/core/crash"
 	"oleandervalve/core/work"
 )
 
@@ -123,6 +124,17 @@
 	return true
 }
 
+// history returns what is known of the crashes under a task.
+func (s *step) history(index int) crash.History { return s.job.rec.Crashes[s.firstTask+index] }
+
+// setHistory replaces what is known of the crashes under a task.
+func (s *step) setHistory(index int, h crash.History) {
+	if s.job.rec.Crashes == nil {
+		s.job.rec.Crashes = map[int]crash.History{}
+	}
+	s.job.rec.Crashes[s.firstTask+index] = h
+}
+
 // releaseTime returns the time from which the objective of the step's occurrence is measured.
 func (s *step) releaseTime() time.Time {
 	from := s.job.rec.AcceptedAt
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -34,7 +34,7 @@
 // fitsWithoutPermit reports whether one more task of a step may run on an executor, apart
 // from permits.
 func (d *Dispatcher) fitsWithoutPermit(s *step, a *agent, now time.Time) bool {
-	if !a.usable() || a.status.Service != s.job.rec.Queue.Service || !a.hasLabel(s.spec.Label) {
+	if !a.usable() || a.isolatedRuns > 0 || a.status.Service != s.job.rec.Queue.Service || !a.hasLabel(s.spec.Label) {
 		return false
 	}
 	if s.spec.MaxPerExecutor > 0 && s.runsByAgent[a.id] >= s.spec.MaxPerExecutor {
@@ -84,7 +84,7 @@
 	var best *agent
 	var bestScore float64
 	for _, a := range d.sortedAgents {
-		if !d.fits(s, a, now) {
+		if !d.fits(s, a, now) || !d.admitsIsolated(s, index, a, now) {
 			continue
 		}
 		var score float64
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -19,9 +19,7 @@
 		a = d.addAgent(id)
 	}
 	if old := a.status; old.Incarnation.ID != "" && old.Incarnation != status.Incarnation && old.State == oleandervalve.ExecutorReady {
-		a.crashes++
-		a.health.recordCrash(now, a.crashes)
-		d.note("executorRestarted", "", map[string]any{"agent": id, "crashes": a.crashes, "pauseMs": a.health.pause.Milliseconds()})
+		d.recordRestart(now, a)
 	}
 	a.connected = true
 	a.grantedAt = now
@@ -43,6 +41,7 @@
 			continue
 		}
 		if !listed[k] {
+			d.recordUnreported(now, a, k)
 			d.releaseUnstarted(now, a, k, "notListed")
 		}
 	}
@@ -79,7 +78,11 @@
 		d.enqueueAction(Stop{Agent: a.id, Task: k.task, Run: k.run})
 		return
 	}
-	d.enqueueAction(Adopt{Agent: a.id, Task: k.task, Run: k.run, Hints: s.hints()})
+	hints := s.hints()
+	if r := a.runs[k]; r.isolated {
+		hints.Isolation = r.isolation
+	}
+	d.enqueueAction(Adopt{Agent: a.id, Task: k.task, Run: k.run, Hints: hints})
 }
 
 // sortedRuns returns the keys of the runs sorted by task and run number, so that decisions
--- a/core/dispatch/schedule.go
+++ b/core/dispatch/schedule.go
@@ -17,6 +17,7 @@
 	d.placementNeeded = false
 	clear(d.serviceUtilisation)
 	clear(d.placementFailures)
+	d.countIsolations(now)
 	steps := make([]*step, 0, len(d.ready))
 	for s := range d.ready {
 		steps = append(steps, s)
@@ -80,18 +81,24 @@
 	if d.knownUnplaceable(s, now) {
 		return 0
 	}
+	placed := 0
+	var left []int
 	for n, i := range s.waiting {
-		a := d.choose(s, i, now)
-		if a == nil {
+		if a := d.choose(s, i, now); a != nil {
+			d.assign(now, s, i, a)
+			placed++
+			continue
+		}
+		if !s.history(i).Suspect() {
 			d.recordPlacementFailure(s, now)
-			s.waiting = append([]int(nil), s.waiting[n:]...)
-			return n
+			left = append(left, s.waiting[n:]...)
+			break
 		}
-		d.assign(now, s, i, a)
+		d.quiesce(now, s, i)
+		left = append(left, i)
 	}
-	n := len(s.waiting)
-	s.waiting = nil
-	return n
+	s.waiting = left
+	return placed
 }
 
 // assign assigns a task to an executor. The Start is sent once the assignment is durable.
@@ -106,7 +113,9 @@
 		speed, _ := d.predictSpeed(s, a, now)
 		hints.SpeedLimit = int(100 * speed)
 	}
-	a.allocate(k, &run{step: s, index: index, size: s.spec.Reserved(), resumed: t.Checkpoint != "", startedAt: now})
+	r := &run{step: s, index: index, size: s.spec.Reserved(), resumed: t.Checkpoint != "", startedAt: now}
+	d.isolate(now, a, r, &hints)
+	a.allocate(k, r)
 	s.job.effects = append(s.job.effects, Start{
 		Agent: a.id, Executor: a.status.Incarnation, Task: k.task, Run: k.run,
 		Payload: s.job.spec.Payload, Checkpoint: t.Checkpoint, PermitToken: s.permitToken(a), Hints: hints,
--- a/core/work/record.go
+++ b/core/work/record.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"oleandervalve"
+	"oleandervalve/core/crash"
 )
 
 // State is the state of a job.
@@ -73,6 +74,8 @@
 	// Sequence is set to a new number whenever the record is written, so that no two versions
 	// of it are equal.
 	Sequence uint64 `cbor:"7,keyasint"`
+	// Crashes holds what is known of the crashes under tasks, by index in Tasks.
+	Crashes map[int]crash.History `cbor:"8,keyasint,omitempty"`
 }
 
 const (
--- a/io/executor/crashes.go
+++ b/io/executor/crashes.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -8,6 +10,7 @@
 
 	"oleandervalve"
 	"oleandervalve/core/crash"
+	"oleandervalve/io/peer"
 )
 
 // crashLog is a crash.Log that several goroutines and sessions share.
@@ -52,3 +55,42 @@
 		}
 	})
 }
+
+// watchIsolation tells the leader when a run has outlived its isolation. It does nothing
+// if the isolation is zero.
+func (s *session) watchIsolation(ctx context.Context, k runKey, isolation time.Duration) {
+	if isolation <= 0 {
+		return
+	}
+	go func() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.agent.options.Clock.After(isolation):
+		}
+		s.reportOutlived(ctx, k)
+	}()
+}
+
+// reportOutlived asks the executor whether it still has a run and tells the leader. If there
+// is no answer, the executor may have crashed, which the next poll finds.
+func (s *session) reportOutlived(ctx context.Context, k runKey) {
+	call, cancel := context.WithTimeout(ctx, initialOrderTimeout)
+	defer cancel()
+	s.mu.Lock()
+	request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: s.lastAcknowledgedEnd}
+	s.mu.Unlock()
+	result, err := s.agent.options.Executor.Poll(call, s.status.Incarnation.ID, request)
+	if err != nil {
+		s.log().WithFields(logrus.Fields{"job": k.task.Job, "task": k.task.String(), "run": k.run}).WithError(err).Info("executor gives no answer after the isolation of a run")
+		return
+	}
+	if result.StartedAt != 0 && result.StartedAt != s.status.Incarnation.StartedAt {
+		return
+	}
+	s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Answered(now, s.status.Incarnation, result) })
+	running := slices.ContainsFunc(result.Running, func(r oleandervalve.RunningTask) bool { return r.Task == k.task && r.Run == k.run })
+	if running {
+		s.conn.TrySend(&peer.RunOutlived{Task: k.task, Run: k.run})
+	}
+}
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -106,6 +106,7 @@
 			orders := s.initialSpeedLimit(k)
 			s.mu.Unlock()
 			s.pollSoon()
+			s.watchIsolation(ctx, k, o.Hints.Isolation)
 			for _, o := range orders {
 				s.sendSpeedLimit(ctx, o)
 			}
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -59,7 +59,7 @@
 			}
 			if s.leaseExpired() {
 				s.log().Warn("executor is unreachable and its lease has expired; reporting its runs as terminated")
-				s.reportTerminated()
+				s.reportLost()
 				s.end("executor has been unreachable until its lease expired")
 				return
 			}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -118,6 +118,14 @@
 	s.conn.TrySend(&peer.ExecutorTerminated{Incarnation: s.status.Incarnation})
 }
 
+// reportLost reports that the executor has given no answer until its lease expired, so
+// that nothing runs on it any more.
+func (s *session) reportLost() {
+	m := &peer.ExecutorTerminated{Incarnation: s.status.Incarnation}
+	s.agent.crashes.update(func(l *crash.Log, now time.Time) { m.Lost = l.Lost(now) })
+	s.conn.TrySend(m)
+}
+
 // runSession runs a session with the entry at the given address. It returns the
 // address to try next, or "" if it is unknown.
 func (a *Agent) runSession(ctx context.Context, address string) (string, error) {
@@ -223,7 +231,7 @@
 		s.lastReportedEnd = max(s.lastReportedEnd, e.Number)
 	}
 	s.mu.Unlock()
-	return s.conn.Send(&peer.ExecutorInventory{Status: s.status, Running: result.Running, Ended: result.Ended})
+	return s.conn.Send(&peer.ExecutorInventory{Status: s.status, Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports()})
 }
 
 // maxElapsed returns an upper bound of the real time that passes while the executor's
@@ -291,6 +299,7 @@
 			s.mu.Lock()
 			s.hints[runKey{m.Task, m.Run}] = m.Hints
 			s.mu.Unlock()
+			s.watchIsolation(ctx, runKey{m.Task, m.Run}, m.Hints.Isolation)
 		case *peer.ShareContention:
 			nonInterfering := make(map[contention.Pair]bool, len(m.NonInterfering))
 			for _, p := range m.NonInterfering {
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -176,15 +176,23 @@
 		}
 		switch m := m.(type) {
 		case *peer.ExecutorInventory:
+			for _, r := range m.Lost {
+				d.ExecutorLost(now, id, r)
+			}
 			d.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended})
 		case *peer.ExecutorChange:
 			d.StatusChanged(id, m.Status)
 		case *peer.ExecutorTerminated:
+			if m.Lost.Executor == m.Incarnation {
+				d.ExecutorLost(now, id, m.Lost)
+			}
 			d.ExecutorTerminated(now, id, m.Incarnation)
 		case *peer.RunsEnded:
 			for _, e := range m.Ends {
 				d.RunEnded(now, id, m.Incarnation, e)
 			}
+		case *peer.RunOutlived:
+			d.RunOutlived(id, m.Task, m.Run)
 		case *peer.RunNeverStarted:
 			d.RunNeverStarted(now, id, m.NeverStarted)
 		default:
--- a/io/peer/dispatch.go
+++ b/io/peer/dispatch.go
@@ -9,6 +9,7 @@
 
 	"oleandervalve"
 	"oleandervalve/core/contention"
+	"oleandervalve/core/crash"
 	"oleandervalve/core/dispatch"
 	"oleandervalve/core/work"
 )
@@ -49,6 +50,9 @@
 	Status  oleandervalve.ExecutorStatus `cbor:"1,keyasint"`
 	Running []oleandervalve.RunningTask  `cbor:"2,keyasint"`
 	Ended   []oleandervalve.EndedTask    `cbor:"3,keyasint"`
+	// Lost are the reports of earlier incarnations of the executor. The leader may know
+	// them already.
+	Lost []crash.Report `cbor:"4,keyasint,omitempty"`
 }
 
 // ExecutorChange reports a new announcement of the executor co-located with an agent.
@@ -60,6 +64,8 @@
 // all its runs.
 type ExecutorTerminated struct {
 	Incarnation oleandervalve.Incarnation `cbor:"1,keyasint"`
+	// Lost tells what is known of the runs; it names no incarnation if the end was planned.
+	Lost crash.Report `cbor:"2,keyasint,omitzero"`
 }
 
 // RunsEnded reports ended runs.
@@ -68,6 +74,12 @@
 	Ends        []oleandervalve.EndedTask `cbor:"2,keyasint"`
 }
 
+// RunOutlived reports that an isolated run has lasted as long as its hints ask for.
+type RunOutlived struct {
+	Task oleandervalve.TaskName  `cbor:"1,keyasint"`
+	Run  oleandervalve.RunNumber `cbor:"2,keyasint"`
+}
+
 // RunNeverStarted reports a run that has not started and never will.
 type RunNeverStarted struct{ dispatch.NeverStarted }
 
@@ -154,6 +166,7 @@
 	typeExecutorTerminated Type = "executorLost"
 	typeRunsEnded          Type = "ends"
 	typeRunNeverStarted    Type = "void"
+	typeRunOutlived        Type = "outlived"
 	typeStartRun           Type = "startRun"
 	typeStopRun            Type = "stopRun"
 	typeAdoptRun           Type = "adoptRun"
@@ -189,6 +202,9 @@
 // Type returns "void".
 func (*RunNeverStarted) Type() Type { return typeRunNeverStarted }
 
+// Type returns "outlived".
+func (*RunOutlived) Type() Type { return typeRunOutlived }
+
 // Type returns "startRun".
 func (*StartRun) Type() Type { return typeStartRun }
 
@@ -235,6 +251,8 @@
 		return &RunsEnded{}
 	case typeRunNeverStarted:
 		return &RunNeverStarted{}
+	case typeRunOutlived:
+		return &RunOutlived{}
 	case typeStartRun:
 		return &StartRun{}
 	case typeStopRun:
