Start nothing beside a run of unknown size

A start could bring an executor over its capacity.

Cause: an agent can list a run whose job its leader no longer knows, for example after the job has ended under another leader. The run is stopped, but until its end is listed it counted with no size at all.

Change: its size comes from the specification of the job as long as that is known; otherwise the executor gets no starts until the run has ended.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -19,8 +19,10 @@
 	step *step
 	// index is the index of the task in its step.
 	index int
-	// size is the capacity that the run reserves.
-	size oleandervalve.Resources
+	// size is the capacity that the run reserves. unsized means that it is unknown because
+	// the specification of the job is.
+	size    oleandervalve.Resources
+	unsized bool
 	// startSent means that the Start action has been queued for TakeActions, by this
 	// dispatcher or that of a previous leader.
 	startSent bool
@@ -46,6 +48,8 @@
 	grantedAt time.Time
 	runs      map[runKey]*run
 	reserved  oleandervalve.Resources
+	// unsizedRuns is the number of runs of unknown size.
+	unsizedRuns int
 	// lcCPU is the CPU demand of long-running runs that are not best-effort, and
 	// lcCPUByImage is that demand by image.
 	lcCPU        oleandervalve.Millicores
@@ -130,6 +134,9 @@
 	if r.isolated {
 		a.isolatedRuns++
 	}
+	if r.unsized {
+		a.unsizedRuns++
+	}
 }
 
 // release frees the capacity of a run and returns the run, or nil if there is none.
@@ -142,6 +149,9 @@
 	delete(a.lcRuns, k)
 	a.adjustUsage(r, -1)
 	a.endIsolation(r)
+	if r.unsized {
+		a.unsizedRuns--
+	}
 	return r
 }
 
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -34,7 +34,7 @@
 // fitsWithoutPermit reports whether one more task of a step may run on an executor, apart
 // from permits.
 func (d *Dispatcher) fitsWithoutPermit(s *step, a *agent, now time.Time) bool {
-	if !a.usable() || a.isolatedRuns > 0 || a.status.Service != s.job.rec.Queue.Service || !a.hasLabel(s.spec.Label) {
+	if !a.usable() || a.isolatedRuns > 0 || a.unsizedRuns > 0 || a.status.Service != s.job.rec.Queue.Service || !a.hasLabel(s.spec.Label) {
 		return false
 	}
 	if s.spec.MaxPerExecutor > 0 && s.runsByAgent[a.id] >= s.spec.MaxPerExecutor {
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -66,9 +66,11 @@
 	wanted := s != nil && !j.rec.State.Terminal() && t.State == work.TaskAssigned && t.Run == k.run &&
 		j.rec.Executors[t.ExecutorIndex] == a.executorRef()
 	if a.runs[k] == nil {
-		r := &run{step: s, index: k.task.Index, startSent: true}
-		if s != nil {
-			r.size = s.spec.Reserved()
+		r := &run{step: s, index: k.task.Index, startSent: true, unsized: true}
+		if j != nil {
+			if known := j.step(k.task.Occurrence, k.task.Step); known != nil {
+				r.size, r.unsized = known.spec.Reserved(), false
+			}
 		}
 		a.allocate(k, r)
 	}
