Send no start to an executor whose capacity has shrunk meanwhile

Seen by callers: nothing yet; found from the rule on executors whose capacity shrinks while they run. An executor that starts whatever it is told could get more than it holds.

Cause: capacity was checked when a task was assigned. The start is sent once the assignment is durable, which takes seconds while the table is out of reach, and was not checked again.

Change: a start that does not fit any more is not sent; the task waits for room again.

Evidence: TestNoStartAfterCapacityShrinks failed before (two starts of 6 cores each on 8) and passes.

--- a/core/dispatch/capacity_test.go
+++ b/core/dispatch/capacity_test.go
@@ -10,6 +10,32 @@
 	"oleandervalve/core/work"
 )
 
+// Guards against a start that is sent to an executor whose capacity has shrunk while the
+// assignment was being committed, which can take seconds during an outage of the table.
+func TestNoStartAfterCapacityShrinks(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	d, a := c.dispatcher, c.agents[c.order[0]]
+	queue := work.Queue{Name: "q", Service: "press", MaxAttempts: 3}
+	c.submit("j", queue, work.Spec{Steps: []work.Step{{Count: 2, Demand: oleandervalve.Resources{CPU: 6000}}}})
+	c.batch = d.Batch()
+	is.True(c.batch != nil)
+	a.status.Capacity.CPU = 8000
+	d.StatusChanged(a.id, a.status)
+	c.advance(4 * time.Second)
+	c.advanceCommit(true)
+	starts := 0
+	for _, x := range c.outbox {
+		if _, ok := x.(Start); ok {
+			starts++
+		}
+	}
+	is.Equal(starts, 1)
+	a.status.Capacity.CPU = 16000
+	d.StatusChanged(a.id, a.status)
+	c.runUntilIdle()
+}
+
 // Guards against starts on an executor that has a run of unknown size, which is being
 // stopped: the run still takes room.
 func TestNoStartBesideRunOfUnknownSize(t *testing.T) {
--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -135,6 +135,10 @@
 		d.releaseUnstarted(now, a, k, "executorChanged")
 		return
 	}
+	if !a.reserved.Fits(a.status.Capacity) {
+		d.releaseUnstarted(now, a, k, "capacity")
+		return
+	}
 	r.startSent = true
 	r.startedAt = now
 	d.shareContentionWith(now, a)
