Tell the leader each change of an executor's capacity

Seen by callers: nothing yet; found from the rule on executors whose capacity shrinks. The leader went on placing by the old capacity for as long as the session lasted.

Cause: a status that was announced while a session was being set up was sent on only if the state differed, not the capacity; later announcements then looked unchanged. A status that did not fit into the queue to the leader was dropped without a trace.

Change: state, capacity, service and labels are compared in both places; a session that can't send a status ends, and the next begins with it. The leader logs executorCapacity with what is reserved.

Evidence: TestCapacityAnnouncedDuringSessionSetUp failed before (the leader was told nothing) and passes.

--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -113,7 +113,11 @@
 	if a.status.State != status.State {
 		d.note("executorState", "", map[string]any{"agent": id, "executor": status.Incarnation.ID, "state": status.State})
 	}
+	if a.status.Capacity != status.Capacity {
+		d.note("executorCapacity", "", map[string]any{"agent": id, "executor": status.Incarnation.ID, "cpu": status.Capacity.CPU, "memory": status.Capacity.Memory, "reservedCpu": a.reserved.CPU, "reservedMemory": a.reserved.Memory})
+	}
 	a.status = status
+	a.rack = rackOf(status.Labels)
 	d.placementNeeded = true
 }
 
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,7 +94,7 @@
 		}
 	}
 	newIncarnation := !a.statusKnown || a.status.Incarnation != s.Incarnation
-	changed := newIncarnation || a.status.State != s.State || a.status.Capacity != s.Capacity
+	changed := newIncarnation || changesPlacement(a.status, s)
 	if newIncarnation {
 		a.executorReplaced(s.Incarnation, a.deregistered || a.status.State == oleandervalve.ExecutorDraining)
 	}
@@ -106,7 +107,7 @@
 		a.drainingSince = a.options.Clock.Now()
 	}
 	if changed {
-		a.options.Log.WithFields(logrus.Fields{"executor": s.Incarnation.ID, "born": s.Incarnation.StartedAt, "state": s.State, "sequence": s.Sequence}).Info("executor status changed")
+		a.options.Log.WithFields(logrus.Fields{"executor": s.Incarnation.ID, "born": s.Incarnation.StartedAt, "state": s.State, "cpu": s.Capacity.CPU, "memory": s.Capacity.Memory, "sequence": s.Sequence}).Info("executor status changed")
 	}
 	switch {
 	case a.session == nil:
@@ -119,6 +120,12 @@
 	return nil
 }
 
+// changesPlacement reports whether the difference between two statuses of an executor
+// matters for the choice of its runs.
+func changesPlacement(before, after oleandervalve.ExecutorStatus) bool {
+	return before.State != after.State || before.Capacity != after.Capacity || before.Service != after.Service || !slices.Equal(before.Labels, after.Labels)
+}
+
 // recordPolledStart records the start that the executor has named in its answer to a poll.
 func (a *Agent) recordPolledStart(startedAt int64) {
 	a.mu.Lock()
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -110,8 +110,12 @@
 	return s.agent.options.Log.WithFields(logrus.Fields{"executor": s.status.Incarnation.ID, "token": s.token})
 }
 
+// reportStatus reports a new status of the executor. If that isn't possible, the session
+// ends: the next one begins with the status.
 func (s *session) reportStatus(st oleandervalve.ExecutorStatus) {
-	s.conn.TrySend(&peer.ExecutorChange{Status: st})
+	if !s.conn.TrySend(&peer.ExecutorChange{Status: st}) {
+		s.end("a new status of the executor can't be sent to the leader")
+	}
 }
 
 func (s *session) reportTerminated() {
@@ -176,7 +180,7 @@
 		return address, errors.New("executor got a new incarnation while the session was being set up")
 	}
 	a.session = s
-	if a.status.State != s.status.State {
+	if changesPlacement(s.status, a.status) {
 		s.reportStatus(a.status)
 	}
 	a.mu.Unlock()
