Check the capacity before each attempt at a start order

Seen by callers: nothing yet; found from the rule on executors whose capacity shrinks. The agent beside an executor alone gives it orders and hears first of its capacity, but repeated a start that had not reached it, or had no answer, without looking at the capacity again.

Cause: only the leader counted room, when it assigned a task.

Change: orders carry the memory and accelerators of a run beside its CPU; the agent adds up what its runs reserve, those that are being started or stopped included, and gives a start back that does not fit any more. Runs that ended with an earlier session, or before the leader adopted them, are forgotten, so that they take no room for good.

Evidence: TestRepeatedStartEndsWhenCapacityShrinks failed before (the order was repeated) and passes; TestRoomOfForgottenRunsIsFree fails without the two places that forget runs.

--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -64,6 +64,18 @@
 	// Isolation is the time that the run must last before the agent reports that it has
 	// outlived its isolation; zero if it isn't isolated.
 	Isolation time.Duration `cbor:"7,keyasint,omitempty"`
+	// Memory and Accelerators are what the run reserves beside CPU.
+	Memory       oleandervalve.Bytes        `cbor:"8,keyasint,omitempty"`
+	Accelerators oleandervalve.Accelerators `cbor:"9,keyasint,omitempty"`
+}
+
+// Reserved returns the resources that the run reserves on its executor.
+func (h RunHints) Reserved() oleandervalve.Resources {
+	r := oleandervalve.Resources{CPU: h.CPU, Memory: h.Memory, Accelerators: h.Accelerators}
+	if h.BestEffort {
+		r.CPU = 0
+	}
+	return r
 }
 
 // Adopt sends an agent the hints for a run that it reported when it connected.
--- a/io/executor/capacity_test.go
+++ b/io/executor/capacity_test.go
@@ -12,13 +12,15 @@
 	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
+	"oleandervalve/core/dispatch"
 	"oleandervalve/io/peer"
 )
 
-// fakeExecutor answers polls with empty lists.
+// fakeExecutor answers polls with empty lists, and start orders as start says.
 type fakeExecutor struct {
 	oleandervalve.ExecutorClient
 	onPoll func()
+	start  func(oleandervalve.StartOrder) error
 }
 
 func (x *fakeExecutor) Poll(ctx context.Context, _ oleandervalve.ExecutorID, p oleandervalve.PollRequest) (oleandervalve.PollResult, error) {
@@ -34,6 +36,14 @@
 	return oleandervalve.PollResult{Clock: oleandervalve.ExecutorTime(time.Second)}, nil
 }
 
+func (x *fakeExecutor) Start(_ context.Context, _ oleandervalve.ExecutorID, o oleandervalve.StartOrder) (oleandervalve.ExecutorTime, oleandervalve.StartRefusal, error) {
+	return 0, "", x.start(o)
+}
+
+func (x *fakeExecutor) Stop(context.Context, oleandervalve.ExecutorID, oleandervalve.TaskName, oleandervalve.RunNumber, oleandervalve.FencingToken) error {
+	return nil
+}
+
 // statusWith returns the status of an executor with a number of processors.
 func statusWith(cores, sequence int) oleandervalve.ExecutorStatus {
 	return oleandervalve.ExecutorStatus{
@@ -103,3 +113,85 @@
 		t.Fatal("the leader is not told of the new capacity")
 	}
 }
+
+// Guards against a start order that is repeated until it reaches an executor whose capacity
+// has shrunk since the leader sent it.
+func TestRepeatedStartEndsWhenCapacityShrinks(t *testing.T) {
+	is := is.New(t)
+	x := &fakeExecutor{}
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second})
+	is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+	attempts := 0
+	x.start = func(oleandervalve.StartOrder) error {
+		attempts++
+		if attempts == 2 {
+			is.NoErr(a.StatusAnnounced(statusWith(4, 2)))
+		}
+		if attempts > 3 {
+			t.Error("the order is repeated although the run does not fit any more")
+			return nil
+		}
+		return &oleandervalve.UnavailableError{Service: "executor", Remedy: "wait"}
+	}
+	task := oleandervalve.TaskName{Job: "j"}
+	refusals := make(chan dispatch.NeverStarted, 1)
+	leadAgent(t, a, func(c *peer.Conn, m peer.Message) {
+		switch m := m.(type) {
+		case *peer.ExecutorInventory:
+			c.TrySend(&peer.StartRun{Start: dispatch.Start{
+				Executor: m.Status.Incarnation, Task: task, Run: 1,
+				Hints: dispatch.RunHints{CPU: 5000},
+			}})
+		case *peer.RunNeverStarted:
+			refusals <- m.NeverStarted
+		}
+	})
+	select {
+	case n := <-refusals:
+		is.Equal(n, dispatch.NeverStarted{Task: task, Run: 1, Reason: oleandervalve.RefusedRoom})
+	case <-time.After(5 * time.Second):
+		t.Fatal("the leader is not told that the run does not fit")
+	}
+}
+
+// Guards against room that is taken for good by runs which never started or have ended: an
+// order that ended with its session, and a run that ended before the leader adopted it.
+func TestRoomOfForgottenRunsIsFree(t *testing.T) {
+	is := is.New(t)
+	x := &fakeExecutor{}
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second})
+	is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+	lost, ended := oleandervalve.TaskName{Job: "lost"}, oleandervalve.TaskName{Job: "ended"}
+	started := make(chan oleandervalve.TaskName, 10)
+	x.start = func(o oleandervalve.StartOrder) error {
+		if o.Task == lost {
+			return &oleandervalve.UnavailableError{Service: "executor", Remedy: "wait"}
+		}
+		started <- o.Task
+		return nil
+	}
+	sessions := 0
+	leadAgent(t, a, func(c *peer.Conn, m peer.Message) {
+		inventory, ok := m.(*peer.ExecutorInventory)
+		if !ok {
+			return
+		}
+		sessions++
+		start := func(task oleandervalve.TaskName) {
+			c.TrySend(&peer.StartRun{Start: dispatch.Start{Executor: inventory.Status.Incarnation, Task: task, Run: 1, Hints: dispatch.RunHints{CPU: 10_000}}})
+		}
+		if sessions == 1 {
+			start(lost)
+			time.AfterFunc(300*time.Millisecond, c.Close)
+			return
+		}
+		c.TrySend(&peer.AdoptRun{Adopt: dispatch.Adopt{Task: ended, Run: 1, Hints: dispatch.RunHints{CPU: 10_000}}})
+		start(oleandervalve.TaskName{Job: "next"})
+	})
+	select {
+	case n := <-started:
+		is.Equal(n.Job, oleandervalve.JobID("next"))
+	case <-time.After(5 * time.Second):
+		t.Fatal("the start finds no room")
+	}
+}
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -152,11 +152,13 @@
 	return false
 }
 
-// abortReason reports whether a start order must be abandoned, and why.
+// abortReason reports whether a start order must be abandoned, and why. The executor may
+// start whatever it is told, so its capacity is checked before each attempt.
 func (s *session) abortReason(st *pendingStart) (oleandervalve.StartRefusal, bool) {
 	a := s.agent
 	a.mu.Lock()
 	draining := !a.drainingSince.IsZero() && a.options.Clock.Since(a.drainingSince) > drainStartGrace
+	capacity := a.status.Capacity
 	a.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -165,10 +167,22 @@
 		return oleandervalve.RefusedOld, true
 	case draining:
 		return oleandervalve.RefusedDraining, true
+	case !s.reserved().Fits(capacity):
+		return oleandervalve.RefusedRoom, true
 	}
 	return "", false
 }
 
+// reserved returns what the known runs reserve, those that are being started or stopped
+// included. s.mu must be held.
+func (s *session) reserved() oleandervalve.Resources {
+	var sum oleandervalve.Resources
+	for _, h := range s.hints {
+		sum = sum.Add(h.Reserved())
+	}
+	return sum
+}
+
 // stopRun stops a run or prevents its start.
 func (s *session) stopRun(ctx context.Context, o dispatch.Stop) {
 	k := runKey{o.Task, o.Run}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -230,6 +231,8 @@
 			s.speedLimits[k] = unknownSpeedLimit
 		}
 	}
+	// Runs whose orders ended with an earlier session take no room.
+	maps.DeleteFunc(s.hints, func(k runKey, _ dispatch.RunHints) bool { return !s.running[k] })
 	s.updateListedEnds(result.Ended)
 	for _, e := range result.Ended {
 		s.lastReportedEnd = max(s.lastReportedEnd, e.Number)
@@ -300,10 +303,7 @@
 		case *peer.StopRun:
 			s.stopRun(ctx, m.Stop)
 		case *peer.AdoptRun:
-			s.mu.Lock()
-			s.hints[runKey{m.Task, m.Run}] = m.Hints
-			s.mu.Unlock()
-			s.watchIsolation(ctx, runKey{m.Task, m.Run}, m.Hints.Isolation)
+			s.adoptRun(ctx, m.Adopt)
 		case *peer.ShareContention:
 			nonInterfering := make(map[contention.Pair]bool, len(m.NonInterfering))
 			for _, p := range m.NonInterfering {
@@ -324,6 +324,20 @@
 	}
 }
 
+// adoptRun records the hints of a run that has not ended since the inventory.
+func (s *session) adoptRun(ctx context.Context, o dispatch.Adopt) {
+	k := runKey{o.Task, o.Run}
+	s.mu.Lock()
+	running := s.running[k]
+	if running {
+		s.hints[k] = o.Hints
+	}
+	s.mu.Unlock()
+	if running {
+		s.watchIsolation(ctx, k, o.Hints.Isolation)
+	}
+}
+
 // updateListedEnds records the ends that the executor lists. The executor has
 // discarded the ends before the first listed one, so these count as acknowledged.
 // s.mu must be held.
