Send a request to no third endpoint after two executions without an answer

A request that may be repeated and brings down each endpoint that executes it took up to five of them, for one call.

Cause: only a count of attempts and the retry budget of the service, which counts all requests, limited repetitions; nothing was held against the request itself.

Change: after two executions without a whole answer the outcome is reported as unknown. Attempts that provably did not run don't count.

Evidence: TestRequestThatEndpointsNeverAnswerIsNotSentToAll failed before (5 executions) and passes.

--- a/core/caller/budget.go
+++ b/core/caller/budget.go
@@ -41,3 +41,8 @@
 	b.tokens--
 	return true
 }
+
+// MaxLostExecutions is the number of executions without a whole answer after which a
+// request is not sent to another endpoint, even if it may be repeated: it may be the request
+// that brings down the endpoints that execute it.
+const MaxLostExecutions = 2
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"oleandervalve"
 	"oleandervalve/core/caller"
@@ -49,6 +50,8 @@
 	request  caller.Request
 	w        http.ResponseWriter
 	attempts int
+	// lostExecutions is the number of attempts that may have run without a whole answer.
+	lostExecutions int
 	// serverError is set if the response had a 5xx status.
 	serverError bool
 }
@@ -149,6 +152,11 @@
 	case attemptIndeterminate:
 		e.directory.RecordResult(now, slot.assignment, false, now.Sub(started))
 		s.queue.Finished(now, x.call.Class, now.Sub(started))
+		x.lostExecutions++
+		if x.lostExecutions >= caller.MaxLostExecutions {
+			e.log.WithFields(logrus.Fields{"requestId": x.request.ID, "service": x.call.Service, "executions": x.lostExecutions}).Warn("request is not sent to another endpoint: none that executed it gave a whole answer")
+			return attemptAnswered
+		}
 		if x.call.Idempotent && x.canRepeat() && ctx.Err() == nil && !errors.Is(err, errResponseTruncated) && s.retries.Take() {
 			return attemptIndeterminate
 		}
--- a/io/entry/path_test.go
+++ b/io/entry/path_test.go
@@ -127,6 +127,17 @@
 	}
 }
 
+// Guards against a request that brings down each endpoint that executes it and is sent to
+// one after the other because it may be repeated.
+func TestRequestThatEndpointsNeverAnswerIsNotSentToAll(t *testing.T) {
+	p := newTestbed(t, 2, 0)
+	p.endpoint.SetFault(standin.EndpointFault{DropResponse: true})
+	r := p.call(context.Background(), http.MethodGet, "", "deadly", "20000")
+	p.is.NoErr(r.err)
+	p.is.Equal(r.outcome, "unknown")
+	p.is.Equal(p.books.Runs("deadly"), 2)
+}
+
 // Guards against responses that are mixed up on one connection, and against a
 // large response that blocks small ones.
 func TestLargeResponseDoesNotBlockSmallOnes(t *testing.T) {
