Park tasks of the product's own interface that lose one worker after the other

A task of the job interface that crashes its workers went to the next one at once, for ever.

Cause: a run that ends with its worker was requeued as an end from outside the task and counted nowhere.

Change: the record counts the workers lost under a task, each within an hour of the one before. From the second on the next attempt waits as after a failure; after four the task is parked as workersLost, until an operator unparks it. There is no isolation on this interface.

--- a/core/job/reconcile.go
+++ b/core/job/reconcile.go
@@ -106,7 +106,7 @@
 		if s.cancelled(t) {
 			return finishing(r.Cancel(id, e, s.jobs[r.Job].stored))
 		}
-		return finishing(r.Requeue(id, e))
+		return finishing(r.Lost(now, id, e, s.settings.Backoff))
 	}
 	if t.report == nil || s.cancelled(t) {
 		return nil, 0, nil
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -84,6 +84,11 @@
 	// Attempts counts the failures since submission or the last Unpark.
 	Attempts  int `json:"attempts,omitempty"`
 	Evictions int `json:"evictions,omitempty"`
+	// LostWorkers counts the workers that were lost under the task, each within lossWindow
+	// of the one before. LastLossAt is the time of the last, by the clock of the entry that
+	// owned the shard.
+	LostWorkers int       `json:"lostWorkers,omitempty"`
+	LastLossAt  time.Time `json:"lastLossAt,omitzero"`
 	// NotBefore is the earliest time of the next attempt.
 	NotBefore time.Time            `json:"notBefore,omitzero"`
 	Reason    oleandervalve.Reason `json:"reason,omitempty"`
--- a/core/job/shard.go
+++ b/core/job/shard.go
@@ -62,6 +62,7 @@
 // Reasons given by a Shard.
 const (
 	ReasonWorkerLost   oleandervalve.Reason = "workerLost"
+	ReasonWorkersLost  oleandervalve.Reason = "workersLost"
 	ReasonNoAnswer     oleandervalve.Reason = "noAnswer"
 	ReasonJobCancelled oleandervalve.Reason = "jobCancelled"
 	ReasonObsolete     oleandervalve.Reason = "obsoleteRun"
--- a/core/job/transition.go
+++ b/core/job/transition.go
@@ -154,6 +154,37 @@
 	return s.changeTo(id, n, e.Conditions...), nil
 }
 
+const (
+	// lossWindow is the longest time between two losses of workers that are counted
+	// together. Tasks that run for long lose workers to ordinary failures.
+	lossWindow = time.Hour
+	// maxLostWorkers is the number of workers after whose loss a task is parked, as it may
+	// be the one that crashes them.
+	maxLostWorkers = 4
+)
+
+// Lost returns to the queue a task whose worker was lost. From the second loss on, the next
+// attempt waits; a task that has lost maxLostWorkers is parked.
+func (s Stored) Lost(now time.Time, id oleandervalve.MutationID, e End, b Backoff) (Change, error) {
+	if !s.State.Placed() || e.Run != s.Run() {
+		return Change{}, s.stateError(StateQueued)
+	}
+	n := s.withoutWorker(e)
+	n.State, n.Reason = StateQueued, e.Reason
+	if now.Sub(n.LastLossAt) > lossWindow {
+		n.LostWorkers = 0
+	}
+	n.LostWorkers++
+	n.LastLossAt = now.Round(0)
+	switch {
+	case n.LostWorkers >= maxLostWorkers:
+		n.State, n.Reason = StateParked, ReasonWorkersLost
+	case n.LostWorkers > 1:
+		n.NotBefore = now.Add(b.Delay(n.LostWorkers - 1)).Round(0)
+	}
+	return s.changeTo(id, n, e.Conditions...), nil
+}
+
 // Finish records the success of a run.
 func (s Stored) Finish(id oleandervalve.MutationID, e End) (Change, error) {
 	if !s.State.Placed() || e.Run != s.Run() {
@@ -210,6 +241,7 @@
 	}
 	n := s.Record
 	n.State, n.Reason, n.Attempts = StateQueued, "", 0
+	n.LostWorkers, n.LastLossAt = 0, time.Time{}
 	return s.changeTo(id, n), nil
 }
 
