Refuse jobs whose numbers overflow

One job could take down leader after leader.

Cause: the number of tasks was checked after it was added up and multiplied. Steps or occurrences whose sum or product overflows passed, were stored, and the leader ran out of memory or time while it built the job; the next leader loaded it again. Amounts of CPU or memory near the largest number overflowed the sum of an executor's room, which then had room for everything.

Change: each count, amount and time has a limit of its own. A leader skips a stored job that it would not accept, and logs that.

--- a/core/work/spec.go
+++ b/core/work/spec.go
@@ -16,8 +16,17 @@
 	MaxSteps = 64
 	// MaxTasks limits the tasks of a job so that its record fits into a table row.
 	MaxTasks = 2000
+	// maxDuration limits the times of a step, and the time from the first occurrence of a
+	// job to the last, so that sums of them don't overflow.
+	maxDuration = 20 * 365 * 24 * time.Hour
+	// maxStartYear is the last year in which an occurrence may start.
+	maxStartYear = 9999
 )
 
+// maxDemand limits the resources of a task, so that sums over the runs of an executor don't
+// overflow. No executor has as much.
+var maxDemand = oleandervalve.Resources{CPU: 1e9, Memory: 1 << 50, Accelerators: 1 << 16}
+
 // Step is a group of identical tasks of a job.
 type Step struct {
 	Count    int                     `cbor:"1,keyasint"`
@@ -113,10 +122,19 @@
 		if st.Count < 1 {
 			return invalid(name+".count", strconv.Itoa(st.Count), "ask for at least one task")
 		}
+		if st.Count > MaxTasks {
+			return invalid(name+".count", strconv.Itoa(st.Count), fmt.Sprintf("split the job into jobs of at most %d tasks", MaxTasks))
+		}
 		total += st.Count
 		if st.Demand.IsNegative() {
 			return invalid(name+".demand", fmt.Sprint(st.Demand), "ask for amounts that are not negative")
 		}
+		if !st.Demand.Fits(maxDemand) {
+			return invalid(name+".demand", fmt.Sprint(st.Demand), "ask for what an executor can have")
+		}
+		if st.Estimate > maxDuration/MaxSteps || st.TargetLatency > maxDuration {
+			return invalid(name, fmt.Sprint(max(st.Estimate, st.TargetLatency)), fmt.Sprintf("use times of at most %s", maxDuration/MaxSteps))
+		}
 		if st.Estimate < 0 || st.TargetLatency < 0 || st.MaxPerExecutor < 0 || st.MaxUnavailable < 0 {
 			return invalid(name, "negative", "use values that are not negative")
 		}
@@ -129,6 +147,9 @@
 	if s.Repeat < 0 || s.Interval < 0 {
 		return invalid("repeat", strconv.Itoa(s.Repeat), "use values that are not negative")
 	}
+	if s.Repeat > MaxTasks || s.Repeat > 0 && s.Interval > maxDuration/time.Duration(s.Repeat) || s.Repeat > 0 && s.StartAt.Year() > maxStartYear {
+		return invalid("repeat", fmt.Sprintf("%d times, each %s from %s", s.Repeat, s.Interval, s.StartAt.Format(time.RFC3339)), "ask for fewer occurrences or a shorter time")
+	}
 	if total*s.Occurrences() > MaxTasks {
 		return invalid("steps", strconv.Itoa(total*s.Occurrences())+" tasks", fmt.Sprintf("split the job into jobs of at most %d tasks", MaxTasks))
 	}
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -318,6 +318,10 @@
 		err := work.Decode(r, &s.Record)
 		if err == nil && s.Record.State != work.Completed {
 			err = work.Decode(spec, &s.Spec)
+			if err == nil {
+				// A job that no leader can handle must not bring down one after the other.
+				err = s.Spec.Validate()
+			}
 		}
 		if err != nil {
 			l.options.Log.WithField("job", s.Job).WithError(err).Error("stored job can't be decoded and is skipped")
