Find the longest path of a job in linear time

One job of 64 steps that all depend on each other took down leader after leader.

Cause: the expected time to the end of a job was computed by walking all paths through its steps, 2^62 of them. The leader held its lock meanwhile, lost its leadership, and the next one loaded the same job.

Change: one pass over the steps from the last to the first, with the dependent steps listed once.

Evidence: TestJobOfManyPathsDoesNotBlockLeaders failed before (nothing after 30 s) and passes at once.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"oleandervalve"
@@ -17,6 +18,8 @@
 	version     oleandervalve.Version
 	specVersion oleandervalve.Version
 	steps       []*step
+	// dependents holds, by the index of a step, the indexes of the steps that depend on it.
+	dependents [][]int
 	// dirty means that the job is in Dispatcher.dirtyJobs.
 	dirty bool
 	// inFlight means that a commit with the job is in flight.
@@ -81,6 +84,14 @@
 		j.rec.Tasks = make([]work.TaskRecord, tasksPerOccurrence*spec.Occurrences())
 	}
 	j.objective = rec.Queue.Objective(spec)
+	j.dependents = make([][]int, len(spec.Steps))
+	for i, s := range spec.Steps {
+		for _, a := range s.After {
+			if !slices.Contains(j.dependents[a], i) {
+				j.dependents[a] = append(j.dependents[a], i)
+			}
+		}
+	}
 	base := 0
 	for o := range spec.Occurrences() {
 		for i := range spec.Steps {
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"oleandervalve/core/work"
 )
 
 // zeroValueFactor is the multiple of the objective after which the completion of a job has
@@ -48,16 +50,15 @@
 
 // remainingCriticalPath returns the expected time from the start of the step to the end of its job.
 func (d *Dispatcher) remainingCriticalPath(s *step) time.Duration {
-	var longest time.Duration
-	for i := s.index + 1; i < len(s.job.spec.Steps); i++ {
-		n := s.job.step(s.occurrence, i)
-		for _, a := range n.spec.After {
-			if a == s.index {
-				longest = max(longest, d.remainingCriticalPath(n))
-			}
+	var remaining [work.MaxSteps]time.Duration
+	for i := len(s.job.spec.Steps) - 1; i >= s.index; i-- {
+		var longest time.Duration
+		for _, n := range s.job.dependents[i] {
+			longest = max(longest, remaining[n])
 		}
+		remaining[i] = longest + d.estimate(s.job.step(s.occurrence, i))
 	}
-	return longest + d.estimate(s)
+	return remaining[s.index]
 }
 
 // remainingWork returns the work of the job's occurrence that is not done yet, in
