Blame an isolated run only for a crash that was noticed during its isolation

Seen by callers: a job was shown as failed although only one executor had crashed under its task.

Cause: an isolated run can end well before its executor crashes for another reason, without its agent knowing of the end: the agent or the executor stood still in between. The crash was taken for a second one under the task; the runs were 1.4 to 1.9 s old at most, and crashes before had come after 7 to 485 ms.

Change: a run counts as isolated at a crash only if its greatest possible age is at most that of its isolation and half a second. An older one is counted as any other, and the next run is isolated for longer.

--- a/core/crash/history.go
+++ b/core/crash/history.go
@@ -14,6 +14,8 @@
 	youngAge = 200 * time.Millisecond
 	// burstTime is the time within which runs count as started together.
 	burstTime = 20 * time.Millisecond
+	// maxNoticeTime is the longest time that an agent usually takes to notice a crash.
+	maxNoticeTime = 500 * time.Millisecond
 	// isolationMargin is added to the age at which runs of a task crashed to get the time
 	// for which its next run is isolated. It covers the delays of orders and answers.
 	isolationMargin = 100 * time.Millisecond
@@ -118,10 +120,10 @@
 	return crashes >= crashesToGiveUp && (isolated || len(h.Incidents) >= incidentsWithoutIsolation) || crashes >= crashesWithoutIsolation
 }
 
-// Incidents returns the incidents that the report adds to the histories of tasks. isolated
-// tells of which runs the leader had started no other run on the executor meanwhile. A crash
-// shortly after the start of an isolated run is attributed to that run alone.
-func (r Report) Incidents(isolated func(Run) bool) map[int]Incident {
+// Incidents returns the incidents that the report adds to the histories of tasks. isolation
+// returns for how long the leader was to start no other run on the executor beside a run, or
+// zero if it was not isolated. A crash in that time is attributed to the isolated run alone.
+func (r Report) Incidents(isolation func(Run) time.Duration) map[int]Incident {
 	out := map[int]Incident{}
 	youngest := r.youngest()
 	for i, x := range r.Runs {
@@ -129,7 +131,7 @@
 			continue
 		}
 		young := x.MinAge < youngAge && (!x.Started || x.MinAge <= youngest+burstTime)
-		out[i] = Incident{Run: x.Run, Crashed: r.Crashed && x.Started, Young: young, Isolated: isolated(x) && !r.hasYounger(i), MaxAge: x.MaxAge}
+		out[i] = Incident{Run: x.Run, Crashed: r.Crashed && x.Started, Young: young, Isolated: r.isIsolated(i, isolation(x)), MaxAge: x.MaxAge}
 	}
 	for i, x := range out {
 		if x.Isolated {
@@ -150,6 +152,12 @@
 	return youngest
 }
 
+// isIsolated reports whether the executor was certainly lost during the isolation of run i.
+// A run that may be much older may also have ended before, without the agent knowing it.
+func (r Report) isIsolated(i int, isolation time.Duration) bool {
+	return isolation > 0 && r.Runs[i].MaxAge <= isolation+maxNoticeTime && !r.hasYounger(i)
+}
+
 // hasYounger reports whether another run may have started after run i or shortly before it.
 func (r Report) hasYounger(i int) bool {
 	for n, x := range r.Runs {
--- a/core/crash/history_test.go
+++ b/core/crash/history_test.go
@@ -85,13 +85,20 @@
 		},
 		{"a run from long ago doesn't count", []Run{run(0, true, maxCountedAge, maxCountedAge+ms(10))}, -1, map[int]result{}},
 		{"an isolated run is alone", []Run{run(0, true, ms(4), ms(10)), run(1, true, ms(110), ms(116))}, 0, map[int]result{0: {young: true, isolated: true}}},
+		{"an isolated run may have ended before", []Run{run(0, true, ms(4), ms(1800)), run(1, true, ms(104), ms(1900))}, 0, map[int]result{0: {young: true}, 1: {young: true}}},
 		{"another run started beside it", []Run{run(0, true, ms(4), ms(10)), run(1, true, ms(14), ms(20))}, 0, map[int]result{0: {young: true}, 1: {young: true}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			r := Report{Executor: first, Crashed: true, Runs: c.runs}
 			got := map[int]result{}
-			for i, x := range r.Incidents(func(x Run) bool { return c.isolated >= 0 && x == c.runs[c.isolated] }) {
+			isolation := func(x Run) time.Duration {
+				if c.isolated >= 0 && x == c.runs[c.isolated] {
+					return minIsolation
+				}
+				return 0
+			}
+			for i, x := range r.Incidents(isolation) {
 				is.Equal(x.Crashed, c.runs[i].Started)
 				got[i] = result{x.Young, x.Isolated}
 			}
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -43,9 +43,11 @@
 		a.reported = append(a.reported, r.Executor)
 		a.reported = a.reported[max(0, len(a.reported)-maxReportedIncarnations):]
 	}
-	incidents := r.Incidents(func(x crash.Run) bool {
-		held := a.runs[runKey{x.Task, x.Run}]
-		return held != nil && held.isolated
+	incidents := r.Incidents(func(x crash.Run) time.Duration {
+		if held := a.runs[runKey{x.Task, x.Run}]; held != nil && held.isolated {
+			return held.isolation
+		}
+		return 0
 	})
 	for i, x := range r.Runs {
 		incident, ok := incidents[i]
