Refuse invalid jobs that another entry passes on

Cause: jobs are checked by the entry that takes them. During a release, an entry of the earlier one can pass on a job that the leader can't handle.

Change: the leader checks too, and answers that the job has not run.

Evidence: TestJobThatNoLeaderCanHandle covers this and the stored job; it does not end without the checks.

--- a/io/leader/calls.go
+++ b/io/leader/calls.go
@@ -16,6 +16,12 @@
 		handled = true
 		switch m.Kind {
 		case peer.CallSubmit:
+			if err := m.Spec.Validate(); err != nil {
+				// An entry of an earlier release may accept what this one can't handle.
+				answer(peer.JobReply{ID: m.ID, Verdict: dispatch.NotRun, Reason: "invalidJob", RetryAfter: maxRetryAfter})
+				l.options.Log.WithField("job", m.Job).WithError(err).Warn("submission refused: the job is invalid")
+				return
+			}
 			if !l.failingSince.IsZero() && now.Sub(l.failingSince) > refuseSubmissionsAfter && !d.HasJob(m.Job) {
 				failing := now.Sub(l.failingSince)
 				retryAfter := retryAfterOutage(failing)
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -208,6 +209,24 @@
 	is.True(!stored)
 }
 
+// Guards against a job that no leader can handle and that comes from an entry of an earlier
+// release, or was stored by one: it brought down each leader in turn.
+func TestJobThatNoLeaderCanHandle(t *testing.T) {
+	is := is.New(t)
+	s := work.Spec{Steps: []work.Step{{Count: 1}}, Repeat: math.MaxInt}
+	x := newFakeTable()
+	x.rows[work.SpecKey("stored")] = oleandervalve.Row{Key: work.SpecKey("stored"), Value: work.Encode(s), Version: 1}
+	x.rows[work.RecordKey("stored")] = oleandervalve.Row{Key: work.RecordKey("stored"), Value: work.Encode(work.Record{Queue: work.Queue{Name: "q"}}), Version: 1}
+	x.version = 1
+	l, _ := startLeader(t, x)
+	answer := make(chan peer.JobReply, 1)
+	l.Call(peer.JobCall{ID: 1, Kind: peer.CallSubmit, Job: "passed-on", Queue: work.Queue{Name: "q"}, Spec: s}, func(r peer.JobReply) { answer <- r })
+	r := <-answer
+	is.Equal(r.Verdict, dispatch.NotRun)
+	is.Equal(r.Reason, oleandervalve.Reason("invalidJob"))
+	is.Equal(submit(l).Verdict, dispatch.Accepted)
+}
+
 // Guards against a leader that continues after another entry has replaced the
 // leader's row.
 func TestFencedLeaderStops(t *testing.T) {
