Report the crash of an executor once nothing listens at its address

Cause: the agent reported a lost executor only when it announced itself anew or its lease had ended; it did not tell a refused connection from one that gives no answer.

Change: three refused connections in a row mean that no process listens at the executor's address, so nothing runs there. The agent reports the crash with the runs that were lost, gives up orders on their way, and waits for the next announcement. Resets, silence and executors that leave as planned are treated as before.

Ruled out: that executors in other trouble refuse connections.

--- a/core/crash/log.go
+++ b/core/crash/log.go
@@ -79,11 +79,25 @@
 	if r.Executor.ID == "" {
 		return r, false
 	}
+	l.keep(now, r)
+	return r, true
+}
+
+// Crashed records that the executor has crashed and has no new incarnation yet. It returns
+// the report of the crashed one.
+func (l *Log) Crashed(now time.Time) Report {
+	r := Report{Executor: l.executor, Runs: l.lostRuns(now), Crashed: true}
+	l.executor, l.runs = oleandervalve.Incarnation{}, map[runKey]runLog{}
+	l.keep(now, r)
+	return r
+}
+
+// keep adds a report to those that leaders are told.
+func (l *Log) keep(now time.Time, r Report) {
 	l.reports = append(l.reports, datedReport{r, now})
 	if len(l.reports) > maxReports {
 		l.reports = l.reports[1:]
 	}
-	return r, true
 }
 
 // Lost returns the report of the present incarnation, which gives no answers.
--- a/core/dispatch/checkpoint_test.go
+++ b/core/dispatch/checkpoint_test.go
@@ -39,7 +39,7 @@
 	lost := on(0)
 	c.dispatcher.RunsCheckpointed(c.now.Add(time.Millisecond), lost, []RunCheckpoint{{Task: task(0), Run: 1, Checkpoint: "c3"}})
 	is.True(len(c.dispatcher.dirtyJobs) == 0) // checkpoints are not committed one by one
-	c.dispatcher.ExecutorTerminated(c.now, lost, c.agents[lost].status.Incarnation)
+	c.dispatcher.ExecutorTerminated(c.now, lost, c.agents[lost].status.Incarnation, false)
 	is.Equal(j.rec.Tasks[0].Checkpoint, "c3")
 	is.Equal(j.rec.Tasks[0].State, work.TaskWaiting)
 }
--- a/core/dispatch/crash_test.go
+++ b/core/dispatch/crash_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"oleandervalve"
 	"oleandervalve/core/work"
 )
@@ -88,3 +90,23 @@
 		c.deliverNextOrder()
 	}
 }
+
+// Guards against tasks of a crashed executor that wait although its crash is reported.
+func TestTasksOfCrashedExecutorStartElsewhereAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 3)
+	c.failureProbability = 0
+	c.submit("j", work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{{Count: 6, LongRunning: true, Demand: oleandervalve.Resources{CPU: 4000}}}})
+	c.step(50 * time.Millisecond)
+	a := c.agents[c.order[0]]
+	lost := len(a.running)
+	is.True(lost > 0)
+	a.running, a.downUntil = nil, c.now.Add(time.Hour)
+	report := a.crashes.Crashed(c.now)
+	c.dispatcher.ExecutorLost(c.now, a.id, report)
+	c.dispatcher.ExecutorTerminated(c.now, a.id, a.status.Incarnation, report.Crashed)
+	for range 20 {
+		c.step(50 * time.Millisecond)
+	}
+	is.Equal(len(c.agents[c.order[1]].running)+len(c.agents[c.order[2]].running), 6)
+}
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -137,11 +137,14 @@
 }
 
 // ExecutorTerminated handles the confirmed end of an executor, on which no run exists any more.
-func (d *Dispatcher) ExecutorTerminated(now time.Time, id oleandervalve.AgentID, incarnation oleandervalve.Incarnation) {
+func (d *Dispatcher) ExecutorTerminated(now time.Time, id oleandervalve.AgentID, incarnation oleandervalve.Incarnation, crashed bool) {
 	a := d.agents[id]
 	if a == nil || a.status.Incarnation != incarnation {
 		return
 	}
+	if crashed && a.status.State == oleandervalve.ExecutorReady {
+		d.recordRestart(now, a)
+	}
 	a.status.State = oleandervalve.ExecutorTerminated
 	d.note("executorGone", "", map[string]any{"agent": id, "executor": incarnation.ID, "runs": len(a.runs)})
 	d.releaseAllRuns(now, a)
--- a/errors.go
+++ b/errors.go
@@ -52,6 +52,8 @@
 	Remedy     string
 	RetryAfter time.Duration
 	Cause      error
+	// NotListening means that no process listens at the service's address.
+	NotListening bool
 }
 
 func (e *UnavailableError) Error() string {
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -66,6 +66,8 @@
 	polledStartedAt int64
 	// drainingSince is when the executor first announced that it is draining.
 	drainingSince time.Time
+	// crashed means that the executor has crashed and has not announced itself since.
+	crashed bool
 	// crashes tells which runs the executor had when it crashed.
 	crashes *crashLog
 }
@@ -95,7 +97,9 @@
 	}
 	newIncarnation := !a.statusKnown || a.status.Incarnation != s.Incarnation
 	changed := newIncarnation || changesPlacement(a.status, s)
-	if newIncarnation {
+	back := a.crashed
+	a.crashed = false
+	if newIncarnation || back {
 		a.executorReplaced(s.Incarnation, a.deregistered || a.status.State == oleandervalve.ExecutorDraining)
 	}
 	a.status, a.statusKnown = s, true
@@ -112,7 +116,7 @@
 	switch {
 	case a.session == nil:
 		a.notifyStatusReceived()
-	case newIncarnation:
+	case newIncarnation || back:
 		a.session.end("executor has a new incarnation")
 	case changed:
 		a.session.reportStatus(s)
--- a/io/executor/crashes.go
+++ b/io/executor/crashes.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"oleandervalve"
@@ -41,21 +42,57 @@
 // one before had if it crashed.
 func (a *Agent) executorReplaced(next oleandervalve.Incarnation, planned bool) {
 	a.crashes.update(func(l *crash.Log, now time.Time) {
-		r, ok := l.Replaced(now, next, planned)
-		if !ok || planned {
-			return
-		}
-		a.options.Scope.Counter("executor_crashes").Inc(1)
-		a.options.Log.WithFields(logrus.Fields{"executor": r.Executor.ID, "next": next.ID, "runs": len(r.Runs)}).Warn("executor crashed")
-		for _, x := range r.Runs {
-			a.options.Log.WithFields(logrus.Fields{
-				"executor": r.Executor.ID, "job": x.Task.Job, "task": x.Task.String(), "run": x.Run,
-				"started": x.Started, "minAgeMs": x.MinAge.Milliseconds(), "maxAgeMs": x.MaxAge.Milliseconds(),
-			}).Info("run lost in a crash")
+		if r, ok := l.Replaced(now, next, planned); ok && !planned {
+			a.logCrash(r)
 		}
 	})
 }
 
+// logCrash logs that the executor has crashed and which runs it had.
+func (a *Agent) logCrash(r crash.Report) {
+	a.options.Scope.Counter("executor_crashes").Inc(1)
+	a.options.Log.WithFields(logrus.Fields{"executor": r.Executor.ID, "runs": len(r.Runs)}).Warn("executor crashed")
+	for _, x := range r.Runs {
+		a.options.Log.WithFields(logrus.Fields{
+			"executor": r.Executor.ID, "job": x.Task.Job, "task": x.Task.String(), "run": x.Run,
+			"started": x.Started, "minAgeMs": x.MinAge.Milliseconds(), "maxAgeMs": x.MaxAge.Milliseconds(),
+		}).Info("run lost in a crash")
+	}
+}
+
+// refusalsOfCrashed is the number of consecutive refused connections after which an executor
+// counts as crashed: no process listens at its address, so nothing runs on it any more.
+const refusalsOfCrashed = 3
+
+// isNotListening reports whether a call failed because no process listens at the address.
+func isNotListening(err error) bool {
+	var unavailable *oleandervalve.UnavailableError
+	return errors.As(err, &unavailable) && unavailable.NotListening
+}
+
+// executorCrashed tells the leader that the executor of the session has crashed, unless it
+// is leaving as planned. It reports whether it did. The session goes on until the executor
+// announces itself again.
+func (s *session) executorCrashed() bool {
+	a := s.agent
+	a.mu.Lock()
+	planned := a.deregistered || a.status.State == oleandervalve.ExecutorDraining || a.status.Incarnation != s.status.Incarnation
+	a.crashed = !planned
+	a.mu.Unlock()
+	if planned {
+		return false
+	}
+	m := &peer.ExecutorTerminated{Incarnation: s.status.Incarnation}
+	a.crashes.update(func(l *crash.Log, now time.Time) {
+		m.Lost = l.Crashed(now)
+		a.logCrash(m.Lost)
+	})
+	if !s.conn.TrySend(m) {
+		s.end("the crash of the executor can't be reported to the leader")
+	}
+	return true
+}
+
 // watchIsolation tells the leader when a run has outlived its isolation. It does nothing
 // if the isolation is zero.
 func (s *session) watchIsolation(ctx context.Context, k runKey, isolation time.Duration) {
--- /dev/null
+++ b/io/executor/crashes_test.go
@@ -0,0 +1,96 @@
+package executor
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandervalve"
+	"oleandervalve/core/dispatch"
+	"oleandervalve/io/peer"
+)
+
+// crashingExecutor runs everything until its polls fail with an error.
+type crashingExecutor struct {
+	fakeExecutor
+	mu        sync.Mutex
+	pollError error
+	running   []oleandervalve.RunningTask
+}
+
+func (x *crashingExecutor) Poll(_ context.Context, _ oleandervalve.ExecutorID, _ oleandervalve.PollRequest) (oleandervalve.PollResult, error) {
+	time.Sleep(5 * time.Millisecond)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return oleandervalve.PollResult{Clock: oleandervalve.ExecutorTime(time.Second), Running: x.running}, x.pollError
+}
+
+func (x *crashingExecutor) run(o oleandervalve.StartOrder) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.running = append(x.running, oleandervalve.RunningTask{Task: o.Task, Run: o.Run})
+	return nil
+}
+
+func (x *crashingExecutor) fail(err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.pollError = err
+}
+
+// Guards against tasks that wait until a crashed executor is back or its lease has ended,
+// although nothing listens at its address any more, and against executors that count as
+// crashed because they give no answer, break connections off or leave as planned.
+func TestCrashIsReportedWhenNothingListens(t *testing.T) {
+	refused := &oleandervalve.UnavailableError{Service: "executor", NotListening: true}
+	for _, c := range []struct {
+		name  string
+		err   error
+		state oleandervalve.ExecutorState
+		want  bool
+	}{
+		{"nothing listens", refused, oleandervalve.ExecutorReady, true},
+		{"no answer", &oleandervalve.UnknownOutcomeError{Operation: "poll"}, oleandervalve.ExecutorReady, false},
+		{"not reachable", &oleandervalve.UnavailableError{Service: "executor"}, oleandervalve.ExecutorReady, false},
+		{"left as planned", refused, oleandervalve.ExecutorDraining, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := &crashingExecutor{}
+			x.start = x.run
+			a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second})
+			is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+			task := oleandervalve.TaskName{Job: "j"}
+			terminated, outlived := make(chan *peer.ExecutorTerminated, 10), make(chan bool, 1)
+			leadAgent(t, a, func(conn *peer.Conn, m peer.Message) {
+				switch m := m.(type) {
+				case *peer.ExecutorInventory:
+					conn.TrySend(&peer.StartRun{Start: dispatch.Start{Executor: m.Status.Incarnation, Task: task, Run: 1, Hints: dispatch.RunHints{CPU: 1000, Isolation: time.Millisecond}}})
+				case *peer.RunOutlived:
+					outlived <- true
+				case *peer.ExecutorTerminated:
+					terminated <- m
+				}
+			})
+			<-outlived
+			status := statusWith(16, 2)
+			status.State = c.state
+			is.NoErr(a.StatusAnnounced(status))
+			x.fail(c.err)
+			select {
+			case m := <-terminated:
+				is.True(c.want)
+				is.True(m.Lost.Crashed)
+				is.Equal(len(m.Lost.Runs), 1)
+				is.Equal(m.Lost.Runs[0].Task, task)
+				is.True(m.Lost.Runs[0].Started)
+			case <-time.After(2 * time.Second):
+				is.True(!c.want)
+			}
+		})
+	}
+}
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -158,12 +158,12 @@
 	a := s.agent
 	a.mu.Lock()
 	draining := !a.drainingSince.IsZero() && a.options.Clock.Since(a.drainingSince) > drainStartGrace
-	capacity := a.status.Capacity
+	capacity, crashed := a.status.Capacity, a.crashed
 	a.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case st.stopped:
+	case st.stopped || crashed:
 		return oleandervalve.RefusedOld, true
 	case draining:
 		return oleandervalve.RefusedDraining, true
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -32,7 +32,7 @@
 // pollLoop polls the executor until the session ends. Each poll extends the lease,
 // reports ended runs and updates the speed limits of best-effort tasks.
 func (s *session) pollLoop(ctx context.Context) {
-	failing := false
+	failing, refusals := false, 0
 	for ctx.Err() == nil {
 		now := s.agent.options.Clock.Now()
 		s.mu.Lock()
@@ -57,6 +57,12 @@
 				s.log().WithError(err).Warn("executor is unreachable")
 				failing = true
 			}
+			if !isNotListening(err) {
+				refusals = 0
+			} else if refusals++; refusals >= refusalsOfCrashed && s.executorCrashed() {
+				<-ctx.Done()
+				return
+			}
 			if s.leaseExpired() {
 				s.log().Warn("executor is unreachable and its lease has expired; reporting its runs as terminated")
 				s.reportLost()
@@ -70,6 +76,7 @@
 			s.log().Info("executor is reachable again")
 			failing = false
 		}
+		refusals = 0
 		if result.StartedAt != 0 && result.StartedAt != s.status.Incarnation.StartedAt {
 			s.agent.recordPolledStart(result.StartedAt)
 			s.end("executor has a new incarnation")
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -186,7 +186,7 @@
 			if m.Lost.Executor == m.Incarnation {
 				d.ExecutorLost(now, id, m.Lost)
 			}
-			d.ExecutorTerminated(now, id, m.Incarnation)
+			d.ExecutorTerminated(now, id, m.Incarnation, m.Lost.Crashed)
 		case *peer.RunsEnded:
 			for _, e := range m.Ends {
 				d.RunEnded(now, id, m.Incarnation, e)
