--- a/core/dispatch/crash_test.go
+++ b/core/dispatch/crash_test.go
@@ -53,7 +53,7 @@
 						c.submit(id, queue, s)
 					}
 					for range 4 {
-						c.step(50 * time.Millisecond)
+						c.step()
 					}
 					if k.leaderChanges && c.rng.IntN(20) == 0 {
 						c.startLeader()
@@ -65,7 +65,7 @@
 					}
 				}
 				for range 800 {
-					c.step(50 * time.Millisecond)
+					c.step()
 				}
 				for id := range c.rows {
 					want := work.Completed
@@ -81,9 +81,9 @@
 	}
 }
 
-// step lets time pass, commits and delivers all orders.
-func (c *cluster) step(d time.Duration) {
-	c.advance(d)
+// step lets 50 ms pass, commits and delivers all orders.
+func (c *cluster) step() {
+	c.advance(50 * time.Millisecond)
 	c.advanceCommit(true)
 	c.advanceCommit(true)
 	for len(c.outbox) > 0 {
@@ -97,7 +97,7 @@
 	c := newCluster(t, 1, 3)
 	c.failureProbability = 0
 	c.submit("j", work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{{Count: 6, LongRunning: true, Demand: oleandervalve.Resources{CPU: 4000}}}})
-	c.step(50 * time.Millisecond)
+	c.step()
 	a := c.agents[c.order[0]]
 	lost := len(a.running)
 	is.True(lost > 0)
@@ -106,7 +106,7 @@
 	c.dispatcher.ExecutorLost(c.now, a.id, report)
 	c.dispatcher.ExecutorTerminated(c.now, a.id, a.status.Incarnation, report.Crashed)
 	for range 20 {
-		c.step(50 * time.Millisecond)
+		c.step()
 	}
 	is.Equal(len(c.agents[c.order[1]].running)+len(c.agents[c.order[2]].running), 6)
 }
--- a/core/dispatch/poison_test.go
+++ b/core/dispatch/poison_test.go
@@ -26,7 +26,7 @@
 		defer close(done)
 		c := newCluster(t, 1, 1)
 		c.submit("j", work.Queue{Name: "q", Service: "press", Stretch: 2}, s)
-		c.step(50 * time.Millisecond)
+		c.step()
 	}()
 	select {
 	case <-done:
