Bound how long suspect tasks hold up themselves and others

Seen by callers: nothing yet; found on reading. On a small fleet, or one with many suspects, jobs could wait beside free capacity for longer than the requirements allow; and a suspect that could run nowhere kept a third of the executors free of other starts.

Cause: the wait after which a suspect takes any executor was counted from when its step became ready, not from its own loss, and did not lift the limit of isolated executors; innocent tasks waited for isolations without a limit. An executor was kept free if the task fitted by its reservation, although it would not be placed there.

Change: both kinds of task take any executor after 2.5 s of their own wait; only the executor that would be chosen once it is settled is kept free.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -18,8 +18,9 @@
 	settleTime = 100 * time.Millisecond
 	// quietTime is how long an executor is kept free of other starts for a suspect task.
 	quietTime = 3 * settleTime
-	// isolationWait is how long a suspect task waits for an executor with settled runs;
-	// after that it takes any. The requirements allow 3.5 seconds.
+	// isolationWait is how long a suspect task waits to be isolated, and other tasks for the
+	// end of an isolation; after that they take any executor. The requirements allow 3.5
+	// seconds.
 	isolationWait = 2500 * time.Millisecond
 	// isolationGrace is how long after its isolation a run may be reported to have outlived
 	// it before its executor counts as lost.
@@ -196,18 +197,37 @@
 	return false
 }
 
-// admitsIsolated reports whether a task may run on an executor, which it may not if it is
-// suspect and would not be isolated there: no innocent task is to share its fate, and the
-// next crash is to tell them apart. While a suspect task waits for an executor to settle,
-// others may not run there.
-func (d *Dispatcher) admitsIsolated(s *step, index int, a *agent, now time.Time) bool {
+// admitsIsolated reports whether a task may run on an executor as far as isolation goes. A
+// suspect task must be isolated there: no innocent task is to share its fate, and the next
+// crash is to tell them apart. Other tasks may not run where a suspect one waits for the
+// executor to settle.
+func (d *Dispatcher) admitsIsolated(suspect bool, s *step, index int, a *agent, now time.Time) bool {
+	if now.Sub(s.waitSince(suspect, index)) >= isolationWait {
+		return true
+	}
+	if !suspect {
+		return !a.isQuiet(now) && a.isolatedRuns == 0
+	}
+	return (a.isQuiet(now) || d.isolatingExecutors < d.maxIsolating) && a.isolatedRuns == 0 && a.isSettled(now)
+}
+
+// recordSuspect records since when a task waits if it is suspect.
+func (s *step) recordSuspect(now time.Time, index int) {
 	if !s.history(index).Suspect() {
-		return !a.isQuiet(now)
+		return
 	}
-	if !a.isQuiet(now) && d.isolatingExecutors >= d.maxIsolating {
-		return false
+	if s.suspectSince == nil {
+		s.suspectSince = map[int]time.Time{}
+	}
+	s.suspectSince[index] = now
+}
+
+// waitSince returns since when a task waits.
+func (s *step) waitSince(suspect bool, index int) time.Time {
+	if since, ok := s.suspectSince[index]; ok && suspect {
+		return since
 	}
-	return a.isSettled(now) || now.Sub(s.readyAt) >= isolationWait
+	return s.readyAt
 }
 
 // isQuiet reports whether the executor is kept free of other starts.
@@ -223,19 +243,13 @@
 	return true
 }
 
-// quiesce keeps an executor free of other starts for a suspect task that has found no
-// settled one.
-func (d *Dispatcher) quiesce(now time.Time, s *step, index int) {
-	if d.isolatingExecutors >= d.maxIsolating {
-		return
-	}
-	for _, a := range d.sortedAgents {
-		if a.isQuiet(now) || a.isSettled(now) || !d.fits(s, a, now) {
-			continue
-		}
-		a.quietUntil = now.Add(quietTime)
-		d.isolatingExecutors++
-		d.note("quiesced", s.job.id, map[string]any{"task": s.name(index).String(), "agent": a.id})
+// quiesce keeps an executor free of other starts for a suspect task that could run there
+// once it is settled.
+func (d *Dispatcher) quiesce(now time.Time, s *step, index int, a *agent) {
+	if a.isQuiet(now) || d.isolatingExecutors >= d.maxIsolating {
 		return
 	}
+	a.quietUntil = now.Add(quietTime)
+	d.isolatingExecutors++
+	d.note("quiesced", s.job.id, map[string]any{"task": s.name(index).String(), "agent": a.id})
 }
--- a/core/dispatch/crash_test.go
+++ b/core/dispatch/crash_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"oleandervalve"
+	"oleandervalve/core/crash"
 	"oleandervalve/core/work"
 )
 
@@ -110,3 +111,53 @@
 	}
 	is.Equal(len(c.agents[c.order[1]].running)+len(c.agents[c.order[2]].running), 6)
 }
+
+// submitSuspect submits a job whose tasks are all suspect.
+func (c *cluster) submitSuspect(id oleandervalve.JobID, st work.Step) {
+	c.submit(id, work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{st}})
+	s := c.dispatcher.jobs[id].step(0, 0)
+	for i := range st.Count {
+		s.setHistory(i, crash.History{Incidents: []crash.Incident{{Run: 1, Crashed: true, Young: true}}})
+		s.job.rec.Tasks[i].Run = 1
+	}
+}
+
+// setState changes the state of an executor.
+func (c *cluster) setState(a *fakeAgent, state oleandervalve.ExecutorState) {
+	a.status.State = state
+	c.dispatcher.StatusChanged(a.id, a.status)
+}
+
+// Guards against tasks that wait for the isolation of many suspect ones for longer than the
+// requirements allow a job to wait beside free capacity.
+func TestManySuspectsHoldUpNobodyForLong(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	c.failureProbability = 0
+	a := c.agents[c.order[0]]
+	c.setState(a, oleandervalve.ExecutorDraining)
+	step := work.Step{Count: 40, LongRunning: true, Demand: oleandervalve.Resources{CPU: 100}}
+	c.submitSuspect("suspect", step)
+	c.submit("innocent", work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{step}})
+	c.setState(a, oleandervalve.ExecutorReady)
+	for range 70 { // 3.5 s
+		c.step()
+	}
+	is.Equal(len(a.running), 80)
+}
+
+// Guards against executors that are kept free of other starts for a suspect task that can't
+// run there anyway.
+func TestSuspectThatFitsNowhereKeepsNoExecutorFree(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 3)
+	for _, id := range c.order {
+		c.submit(oleandervalve.JobID("full-"+id), work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{{Count: 1, Demand: oleandervalve.Resources{CPU: 15900}}}})
+	}
+	c.step()
+	c.submitSuspect("suspect", work.Step{Count: 1, BestEffort: true, Image: "press", Demand: oleandervalve.Resources{CPU: 7000}})
+	c.step()
+	for _, a := range c.dispatcher.sortedAgents {
+		is.True(!a.isQuiet(c.now))
+	}
+}
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -86,7 +86,7 @@
 			if rack != "" && a.rack != rack || !d.fits(s, a, now) {
 				continue
 			}
-			if isolated[a] || suspect && (added[a] > 0 || !d.admitsIsolated(s, i, a, now)) {
+			if isolated[a] || suspect && added[a] > 0 || !d.admitsIsolated(suspect, s, i, a, now) {
 				continue
 			}
 			if s.spec.MaxPerExecutor > 0 && s.runsByAgent[a.id]+added[a] >= s.spec.MaxPerExecutor {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -72,6 +72,8 @@
 	permits    permits
 	// avoidedAgents holds, by task index, the agent on which the task last failed or stalled.
 	avoidedAgents map[int]oleandervalve.AgentID
+	// suspectSince holds, by task index, since when a suspect task waits.
+	suspectSince map[int]time.Time
 }
 
 func newJob(id oleandervalve.JobID, spec work.Spec, rec work.Record) *job {
--- a/core/dispatch/migrate.go
+++ b/core/dispatch/migrate.go
@@ -78,7 +78,7 @@
 				continue
 			}
 			r.step.setAvoidedAgent(r.index, a.id)
-			b := d.choose(r.step, r.index, now)
+			b, _ := d.choose(r.step, r.index, now)
 			if b == nil || b == a {
 				continue
 			}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -34,7 +34,7 @@
 // fitsWithoutPermit reports whether one more task of a step may run on an executor, apart
 // from permits.
 func (d *Dispatcher) fitsWithoutPermit(s *step, a *agent, now time.Time) bool {
-	if !a.usable() || a.isolatedRuns > 0 || a.unsizedRuns > 0 || a.status.Service != s.job.rec.Queue.Service || !a.hasLabel(s.spec.Label) {
+	if !a.usable() || a.unsizedRuns > 0 || a.status.Service != s.job.rec.Queue.Service || !a.hasLabel(s.spec.Label) {
 		return false
 	}
 	if s.spec.MaxPerExecutor > 0 && s.runsByAgent[a.id] >= s.spec.MaxPerExecutor {
@@ -79,12 +79,14 @@
 	}
 }
 
-// choose returns the best executor for a task of a step, or nil if none fits.
-func (d *Dispatcher) choose(s *step, index int, now time.Time) *agent {
-	var best *agent
-	var bestScore float64
+// choose returns the best executor for a task of a step, or nil if none fits. If the task
+// is suspect and an executor would be better once it is settled, that is the second result.
+func (d *Dispatcher) choose(s *step, index int, now time.Time) (best, unsettled *agent) {
+	var bestScore, unsettledScore float64
+	suspect := s.history(index).Suspect()
 	for _, a := range d.sortedAgents {
-		if !d.fits(s, a, now) || !d.admitsIsolated(s, index, a, now) {
+		admitted := d.admitsIsolated(suspect, s, index, a, now)
+		if !admitted && !suspect || !d.fits(s, a, now) {
 			continue
 		}
 		var score float64
@@ -105,11 +107,14 @@
 		if s.avoidedAgents[index] == a.id {
 			score -= avoidPenalty
 		}
-		if best == nil || score > bestScore {
+		switch {
+		case admitted && (best == nil || score > bestScore):
 			best, bestScore = a, score
+		case !admitted && (unsettled == nil || score > unsettledScore):
+			unsettled, unsettledScore = a, score
 		}
 	}
-	return best
+	return best, unsettled
 }
 
 // freeCPUShare returns the share of the executor's CPU that is not reserved.
--- a/core/dispatch/schedule.go
+++ b/core/dispatch/schedule.go
@@ -84,7 +84,8 @@
 	placed := 0
 	var left []int
 	for n, i := range s.waiting {
-		if a := d.choose(s, i, now); a != nil {
+		a, unsettled := d.choose(s, i, now)
+		if a != nil {
 			d.assign(now, s, i, a)
 			placed++
 			continue
@@ -94,7 +95,9 @@
 			left = append(left, s.waiting[n:]...)
 			break
 		}
-		d.quiesce(now, s, i)
+		if unsettled != nil {
+			d.quiesce(now, s, i, unsettled)
+		}
 		left = append(left, i)
 	}
 	s.waiting = left
@@ -127,6 +130,7 @@
 	t := &s.job.rec.Tasks[s.firstTask+index]
 	t.State = work.TaskWaiting
 	s.waiting = append(s.waiting, index)
+	s.recordSuspect(now, index)
 	d.markDirty(s.job)
 	d.activate(now, s)
 	d.placementNeeded = true
