Renew the leader's row beside other commits

Seen by callers: three accepted jobs were answered as not known 0.3 s later; and each entry that had lost its connection to a busy, healthy leader took leadership from it.

Cause: a renewal was written only if no other commit had proved the leadership for 0.7 s. Other commits check the leader's row and leave it as it is, so a busy leader's row looked abandoned.

Change: the row is renewed each 0.7 s, with whatever is committed.

--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -32,10 +32,10 @@
 		l.dispatcher.Schedule(l.options.Clock.Now())
 		l.executeActions(l.dispatcher.TakeActions())
 		b := l.dispatcher.Batch()
-		renewalDue := l.options.now().Sub(l.lastProofAt) >= RenewInterval
+		renewalDue := l.options.now().Sub(l.renewedAt) >= RenewInterval
 		l.mu.Unlock()
 		if b == nil && !renewalDue {
-			renew.Reset(RenewInterval)
+			renew.Reset(l.untilRenewal())
 			continue
 		}
 		if b == nil {
@@ -46,13 +46,18 @@
 			return err
 		}
 		averageTime = (7*averageTime + took) / 8
-		renew.Reset(RenewInterval)
+		renew.Reset(l.untilRenewal())
 		if l.tryHandover() {
 			return ErrHandedOver
 		}
 	}
 }
 
+// untilRenewal returns the time until the leader's row is to be renewed.
+func (l *Leader) untilRenewal() time.Duration {
+	return max(0, RenewInterval-l.options.now().Sub(l.renewedAt))
+}
+
 // commit commits a batch and repeats that until the outcome is known. A batch that
 // the table refuses goes back to the dispatcher. The timeout is derived from
 // averageTime, the average duration of commits. commit returns the duration of the
@@ -64,7 +69,7 @@
 	next.Renewal++
 	next.RenewedAt = l.estimateTableTime()
 	var renewal []byte
-	if len(t.Puts) == 0 || l.options.now().Sub(l.lastProofAt) >= RenewInterval {
+	if len(t.Puts) == 0 || l.options.now().Sub(l.renewedAt) >= RenewInterval {
 		renewal = work.Encode(next)
 		t.Puts = append([]oleandervalve.Put{{Key: Key, Value: renewal}}, t.Puts...)
 	}
@@ -196,7 +201,7 @@
 func (l *Leader) commitSucceeded(b *dispatch.Batch, t oleandervalve.Transaction, v oleandervalve.Version, renewed bool, next Row, started oleandervalve.Instant) {
 	l.mu.Lock()
 	if renewed {
-		l.row, l.version = next, v
+		l.row, l.version, l.renewedAt = next, v, started
 	}
 	l.lastProofAt = started
 	if !l.failingSince.IsZero() {
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -92,11 +92,14 @@
 	replies    map[dispatch.Token]func(dispatch.Reply)
 	nextToken  dispatch.Token
 	// compressed holds the compressed payloads of jobs.
-	compressed    map[oleandervalve.JobID][]byte
-	sessionCount  uint64
-	agents        map[oleandervalve.AgentID]*session
-	followers     map[oleandervalve.EntryID]*follower
-	lastProofAt   oleandervalve.Instant
+	compressed   map[oleandervalve.JobID][]byte
+	sessionCount uint64
+	agents       map[oleandervalve.AgentID]*session
+	followers    map[oleandervalve.EntryID]*follower
+	lastProofAt  oleandervalve.Instant
+	// renewedAt is when the last commit that renewed the leader's row was sent. Entries
+	// without a connection judge the leader by that row alone.
+	renewedAt     oleandervalve.Instant
 	termStartedAt oleandervalve.Instant
 	// tableTime is the time by the clock of the table at the local time tableTimeAt; zero
 	// before the first commit.
@@ -145,7 +148,7 @@
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs,
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{},
-		followers: map[oleandervalve.EntryID]*follower{}, lastProofAt: started, termStartedAt: started,
+		followers: map[oleandervalve.EntryID]*follower{}, lastProofAt: started, renewedAt: started, termStartedAt: started,
 		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}),
 	}, nil
 }
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math"
 	"sync"
@@ -227,6 +228,35 @@
 	is.Equal(submit(l).Verdict, dispatch.Accepted)
 }
 
+// Guards against a busy leader whose row looks abandoned: it was renewed only if no other
+// commit had proved the leadership for a while, so an entry that had lost its connection
+// took leadership from a healthy leader.
+func TestBusyLeaderRenewsItsRow(t *testing.T) {
+	is := is.New(t)
+	x := newFakeTable()
+	l, _ := startLeader(t, x)
+	renewals := func() uint64 {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		var row Row
+		is.NoErr(work.Decode(x.rows[Key], &row))
+		return row.Renewal
+	}
+	start := time.Now()
+	for n := 0; renewals() < 2; n++ {
+		if time.Since(start) > 10*RenewInterval {
+			t.Fatal("the row is not renewed beside other commits")
+		}
+		answer := make(chan peer.JobReply, 1)
+		l.Call(peer.JobCall{
+			ID: uint64(n), Kind: peer.CallSubmit, Job: oleandervalve.JobID(fmt.Sprint(n)), Queue: work.Queue{Name: "q", Service: "s"},
+			Spec: work.Spec{Steps: []work.Step{{Count: 1}}},
+		}, func(r peer.JobReply) { answer <- r })
+		is.Equal((<-answer).Verdict, dispatch.Accepted)
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Guards against a leader that continues after another entry has replaced the
 // leader's row.
 func TestFencedLeaderStops(t *testing.T) {
