Isolate suspect tasks on a loaded fleet too

On a loaded fleet all tasks have waited for longer.

Change: waiting lifts an isolation only while much of the fleet is idle, and only for long-running tasks and jobs that have nothing running, as the requirements have it.

Evidence: TestSuspectIsIsolatedUnderLoad fails before and passes.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -18,9 +18,8 @@
 	settleTime = 100 * time.Millisecond
 	// quietTime is how long an executor is kept free of other starts for a suspect task.
 	quietTime = 3 * settleTime
-	// isolationWait is how long a suspect task waits to be isolated, and other tasks for the
-	// end of an isolation; after that they take any executor. The requirements allow 3.5
-	// seconds.
+	// isolationWait is how long tasks wait for isolations while much of the fleet is idle. The
+	// requirements allow 3.5 seconds.
 	isolationWait = 2500 * time.Millisecond
 	// isolationGrace is how long after its isolation a run may be reported to have outlived
 	// it before its executor counts as lost.
@@ -197,15 +196,40 @@
 	return false
 }
 
-// admitsIsolated reports whether a task may run on an executor as far as isolation goes. A
-// suspect task must be isolated there: no innocent task is to share its fate, and the next
-// crash is to tell them apart. Other tasks may not run where a suspect one waits for the
-// executor to settle.
-func (d *Dispatcher) admitsIsolated(suspect bool, s *step, index int, a *agent, now time.Time) bool {
-	if now.Sub(s.waitSince(suspect, index)) >= isolationWait {
-		return true
+// isolationNeed is what a task needs of an executor as far as isolation goes.
+type isolationNeed int
+
+const (
+	// needsNone means that the task has waited for too long to be held up further.
+	needsNone isolationNeed = iota
+	// needsNoIsolated means that no isolated run may be on the executor or expected there.
+	needsNoIsolated
+	// needsIsolation means that the task is suspect and its run must be isolated: no innocent
+	// task is to share its fate, and the next crash is to tell them apart.
+	needsIsolation
+)
+
+// isolationNeed returns what a task needs. Isolation does not hold up a job that has nothing
+// running, or a long-running task, for long while much of the fleet is idle; under load,
+// waiting is due to the load.
+func (d *Dispatcher) isolationNeed(s *step, index int, now time.Time) isolationNeed {
+	need := needsNoIsolated
+	if s.history(index).Suspect() {
+		need = needsIsolation
 	}
-	if !suspect {
+	if now.Sub(s.waitSince(index)) >= isolationWait && (s.spec.LongRunning || !s.job.running()) &&
+		d.utilisation(s.job.rec.Queue.Service, now) < starvationMaxUtilisation {
+		return needsNone
+	}
+	return need
+}
+
+// admitsIsolated reports whether a task may run on an executor as far as isolation goes.
+func (d *Dispatcher) admitsIsolated(need isolationNeed, a *agent, now time.Time) bool {
+	switch need {
+	case needsNone:
+		return true
+	case needsNoIsolated:
 		return !a.isQuiet(now) && a.isolatedRuns == 0
 	}
 	return (a.isQuiet(now) || d.isolatingExecutors < d.maxIsolating) && a.isolatedRuns == 0 && a.isSettled(now)
@@ -223,8 +247,8 @@
 }
 
 // waitSince returns since when a task waits.
-func (s *step) waitSince(suspect bool, index int) time.Time {
-	if since, ok := s.suspectSince[index]; ok && suspect {
+func (s *step) waitSince(index int) time.Time {
+	if since, ok := s.suspectSince[index]; ok {
 		return since
 	}
 	return s.readyAt
--- a/core/dispatch/crash_test.go
+++ b/core/dispatch/crash_test.go
@@ -161,3 +161,32 @@
 		is.True(!a.isQuiet(c.now))
 	}
 }
+
+// Guards against suspect tasks that are not isolated on a loaded fleet, because all tasks have
+// waited for long: tasks that crash executors and innocent ones were given up together.
+func TestSuspectIsIsolatedUnderLoad(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	a := c.agents[c.order[0]]
+	a.running = []fakeRun{}
+	c.submit("load", work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{{Count: 3, Demand: oleandervalve.Resources{CPU: 4000}}}})
+	c.step()
+	is.Equal(len(a.running), 3)
+	for i := range a.running {
+		a.running[i].ends = c.now.Add(time.Hour)
+	}
+	c.setState(a, oleandervalve.ExecutorDraining)
+	c.submitSuspect("a-suspect", work.Step{Count: 1, Demand: oleandervalve.Resources{CPU: 500}})
+	c.submit("b-innocent", work.Queue{Name: "q", Service: "press", Priority: 1}, work.Spec{Steps: []work.Step{{Count: 1, Demand: oleandervalve.Resources{CPU: 500}}}})
+	for range 100 { // 5 s
+		c.step()
+	}
+	c.setState(a, oleandervalve.ExecutorReady)
+	c.step()
+	is.Equal(len(a.running), 4) // the suspect alone has started
+	is.Equal(a.running[3].key.task.Job, oleandervalve.JobID("a-suspect"))
+	for range 10 {
+		c.step()
+	}
+	is.Equal(len(a.running)+len(a.ended), 5)
+}
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -79,14 +79,18 @@
 	isolated := map[*agent]bool{}
 	plan := make([]*agent, 0, s.spec.Count)
 	for i := range s.spec.Count {
-		suspect := isolate && s.history(i).Suspect()
+		need := needsNoIsolated
+		if isolate {
+			need = d.isolationNeed(s, i, now)
+		}
+		suspect := need == needsIsolation
 		var best *agent
 		var mostCPU oleandervalve.Millicores
 		for _, a := range d.sortedAgents {
 			if rack != "" && a.rack != rack || !d.fits(s, a, now) {
 				continue
 			}
-			if isolated[a] || suspect && added[a] > 0 || !d.admitsIsolated(suspect, s, i, a, now) {
+			if isolated[a] || suspect && added[a] > 0 || !d.admitsIsolated(need, a, now) {
 				continue
 			}
 			if s.spec.MaxPerExecutor > 0 && s.runsByAgent[a.id]+added[a] >= s.spec.MaxPerExecutor {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -83,10 +83,10 @@
 // is suspect and an executor would be better once it is settled, that is the second result.
 func (d *Dispatcher) choose(s *step, index int, now time.Time) (best, unsettled *agent) {
 	var bestScore, unsettledScore float64
-	suspect := s.history(index).Suspect()
+	need := d.isolationNeed(s, index, now)
 	for _, a := range d.sortedAgents {
-		admitted := d.admitsIsolated(suspect, s, index, a, now)
-		if !admitted && !suspect || !d.fits(s, a, now) {
+		admitted := d.admitsIsolated(need, a, now)
+		if !admitted && need != needsIsolation || !d.fits(s, a, now) {
 			continue
 		}
 		var score float64
