Report the end of a leaving executor once nothing listens at its address

Cause: such executors send no deregistration; their agents reported the end only with the lease, and were themselves removed before, so the leader waited for their last proof to run out.

Ruled out: placement (the tasks had room), changes of leader (none).

Change: refused connections end an executor whether it was leaving or not; only one that was not leaving counts as crashed.

--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -66,8 +66,8 @@
 	polledStartedAt int64
 	// drainingSince is when the executor first announced that it is draining.
 	drainingSince time.Time
-	// crashed means that the executor has crashed and has not announced itself since.
-	crashed bool
+	// ended means that the executor has ended and has not announced itself since.
+	ended bool
 	// crashes tells which runs the executor had when it crashed.
 	crashes *crashLog
 }
@@ -97,8 +97,8 @@
 	}
 	newIncarnation := !a.statusKnown || a.status.Incarnation != s.Incarnation
 	changed := newIncarnation || changesPlacement(a.status, s)
-	back := a.crashed
-	a.crashed = false
+	back := a.ended
+	a.ended = false
 	if newIncarnation || back {
 		a.executorReplaced(s.Incarnation, a.deregistered || a.status.State == oleandervalve.ExecutorDraining)
 	}
--- a/io/executor/crashes.go
+++ b/io/executor/crashes.go
@@ -60,9 +60,9 @@
 	}
 }
 
-// refusalsOfCrashed is the number of consecutive refused connections after which an executor
-// counts as crashed: no process listens at its address, so nothing runs on it any more.
-const refusalsOfCrashed = 3
+// refusalsOfEnded is the number of consecutive refused connections after which an executor
+// counts as ended: no process listens at its address, so nothing runs on it any more.
+const refusalsOfEnded = 3
 
 // isNotListening reports whether a call failed because no process listens at the address.
 func isNotListening(err error) bool {
@@ -70,25 +70,30 @@
 	return errors.As(err, &unavailable) && unavailable.NotListening
 }
 
-// executorCrashed tells the leader that the executor of the session has crashed, unless it
-// is leaving as planned. It reports whether it did. The session goes on until the executor
-// announces itself again.
-func (s *session) executorCrashed() bool {
+// executorEnded tells the leader that the executor of the session has ended, as no process
+// listens at its address. It has crashed unless it was leaving as planned. The session goes
+// on until the executor announces itself again. executorEnded reports false if the executor
+// has a new incarnation already.
+func (s *session) executorEnded() bool {
 	a := s.agent
 	a.mu.Lock()
-	planned := a.deregistered || a.status.State == oleandervalve.ExecutorDraining || a.status.Incarnation != s.status.Incarnation
-	a.crashed = !planned
+	replaced := a.status.Incarnation != s.status.Incarnation
+	planned := a.deregistered || a.status.State == oleandervalve.ExecutorDraining
+	a.ended = !replaced
 	a.mu.Unlock()
-	if planned {
+	if replaced {
 		return false
 	}
 	m := &peer.ExecutorTerminated{Incarnation: s.status.Incarnation}
-	a.crashes.update(func(l *crash.Log, now time.Time) {
-		m.Lost = l.Crashed(now)
-		a.logCrash(m.Lost)
-	})
+	if !planned {
+		a.crashes.update(func(l *crash.Log, now time.Time) {
+			m.Lost = l.Crashed(now)
+			a.logCrash(m.Lost)
+		})
+	}
+	s.log().WithField("planned", planned).Info("executor has ended: nothing listens at its address")
 	if !s.conn.TrySend(m) {
-		s.end("the crash of the executor can't be reported to the leader")
+		s.end("the end of the executor can't be reported to the leader")
 	}
 	return true
 }
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -158,12 +158,12 @@
 	a := s.agent
 	a.mu.Lock()
 	draining := !a.drainingSince.IsZero() && a.options.Clock.Since(a.drainingSince) > drainStartGrace
-	capacity, crashed := a.status.Capacity, a.crashed
+	capacity, ended := a.status.Capacity, a.ended
 	a.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case st.stopped || crashed:
+	case st.stopped || ended:
 		return oleandervalve.RefusedOld, true
 	case draining:
 		return oleandervalve.RefusedDraining, true
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -59,7 +59,7 @@
 			}
 			if !isNotListening(err) {
 				refusals = 0
-			} else if refusals++; refusals >= refusalsOfCrashed && s.executorCrashed() {
+			} else if refusals++; refusals >= refusalsOfEnded && s.executorEnded() {
 				<-ctx.Done()
 				return
 			}
