Name tasks that crash executors in plain terms

GiveUp counted crashes beside the method that does, and isolationTimeout had an unnamed part; its value stays 4 s.

--- a/core/crash/history.go
+++ b/core/crash/history.go
@@ -116,17 +116,14 @@
 
 // GiveUp reports whether the task crashes the executors that start it.
 func (h History) GiveUp() bool {
-	isolated := false
-	crashes, early := 0, 0
+	isolated, early := false, 0
 	for _, x := range h.Incidents {
 		isolated = isolated || x.Isolated
-		if x.Crashed {
-			crashes++
-		}
 		if x.Crashed && !x.Outlived {
 			early++
 		}
 	}
+	crashes := h.Crashes()
 	return crashes >= crashesToGiveUp && (isolated || len(h.Incidents) >= incidentsWithoutIsolation) || early >= crashesWithoutIsolation
 }
 
--- a/core/dispatch/cluster_test.go
+++ b/core/dispatch/cluster_test.go
@@ -42,10 +42,10 @@
 	tokens    map[Token]oleandervalve.JobID
 	cancels   map[Token]oleandervalve.JobID
 	token     Token
-	// deadly holds the tasks that crash each executor that starts them, with the time from
+	// crashing holds the tasks that crash each executor that starts them, with the time from
 	// the start to the crash. crashesUnder counts these crashes, and startsAfterCrashes the
-	// starts after maxDeadlyCrashes of them.
-	deadly             map[oleandervalve.TaskName]time.Duration
+	// starts after maxCrashesUnderTask of them.
+	crashing           map[oleandervalve.TaskName]time.Duration
 	crashesUnder       map[oleandervalve.TaskName]int
 	startsAfterCrashes map[oleandervalve.TaskName]int
 	// failureProbability is the probability that a run fails.
@@ -93,9 +93,9 @@
 const testTakeoverAfter = 7 * time.Second
 
 const (
-	// maxDeadlyCrashes and maxStartsAfterCrashes are the platform's limit of starts of a
+	// maxCrashesUnderTask and maxStartsAfterCrashes are the platform's limit of starts of a
 	// task that crashes executors.
-	maxDeadlyCrashes      = 3
+	maxCrashesUnderTask   = 3
 	maxStartsAfterCrashes = 2
 	// crashDowntime is how long an executor is down after a task has crashed it.
 	crashDowntime = 3 * time.Second
@@ -106,7 +106,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0),
 		rows: map[oleandervalve.JobID]StoredJob{}, agents: map[oleandervalve.AgentID]*fakeAgent{},
 		specs: map[oleandervalve.JobID]work.Spec{}, acknowledged: map[oleandervalve.TaskName]bool{}, succeeded: map[oleandervalve.TaskName]bool{}, failures: map[oleandervalve.TaskName]int{},
-		deadly: map[oleandervalve.TaskName]time.Duration{}, crashesUnder: map[oleandervalve.TaskName]int{}, startsAfterCrashes: map[oleandervalve.TaskName]int{},
+		crashing: map[oleandervalve.TaskName]time.Duration{}, crashesUnder: map[oleandervalve.TaskName]int{}, startsAfterCrashes: map[oleandervalve.TaskName]int{},
 		cancelled: map[oleandervalve.JobID]bool{}, replies: map[Token]Reply{}, tokens: map[Token]oleandervalve.JobID{},
 		cancels: map[Token]oleandervalve.JobID{}, lastState: map[oleandervalve.JobID]work.State{}, failureProbability: 0.05,
 	}
@@ -412,9 +412,9 @@
 	if s.LongRunning {
 		r.ends = c.now.Add(time.Hour)
 	}
-	if after, ok := c.deadly[x.Task]; ok {
+	if after, ok := c.crashing[x.Task]; ok {
 		r.crashes, r.ends = true, c.now.Add(after)
-		if c.crashesUnder[x.Task] >= maxDeadlyCrashes {
+		if c.crashesUnder[x.Task] >= maxCrashesUnderTask {
 			c.startsAfterCrashes[x.Task]++
 			if c.startsAfterCrashes[x.Task] > maxStartsAfterCrashes {
 				c.t.Fatalf("%v: start %d of %v after %d crashes under it", c.now, c.startsAfterCrashes[x.Task], x.Task, c.crashesUnder[x.Task])
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -24,8 +24,9 @@
 	// isolationGrace is how long after its isolation a run may be reported to have outlived
 	// it before its executor counts as lost.
 	isolationGrace = 300 * time.Millisecond
-	// isolationTimeout ends the isolation of a run of which the agent reports nothing.
-	isolationTimeout = crash.MaxIsolation + 2*time.Second
+	// isolationTimeout is the time from the start of an isolated run after which its isolation
+	// ends although the agent has reported nothing.
+	isolationTimeout = 4 * time.Second
 	// maxReportedIncarnations limits agent.reported.
 	maxReportedIncarnations = 8
 )
--- a/core/dispatch/crash_test.go
+++ b/core/dispatch/crash_test.go
@@ -19,9 +19,9 @@
 func TestTaskThatCrashesExecutorsIsGivenUp(t *testing.T) {
 	for _, k := range []struct {
 		name string
-		// crashAfter is the time from the start of a deadly task to the crash.
+		// crashAfter is the time from the start of a crashing task to the crash.
 		crashAfter    time.Duration
-		deadlyJobs    int
+		crashingJobs  int
 		longRunning   bool
 		leaderChanges bool
 	}{
@@ -45,12 +45,12 @@
 				innocent := work.Spec{Steps: []work.Step{{Count: 4, Estimate: time.Second, Demand: oleandervalve.Resources{CPU: 1000}}}}
 				for n := range 60 {
 					c.submit(oleandervalve.JobID(fmt.Sprintf("innocent%02d", n)), queue, innocent)
-					if n >= 10 && n < 10+k.deadlyJobs {
+					if n >= 10 && n < 10+k.crashingJobs {
 						s := innocent
 						s.Steps = []work.Step{innocent.Steps[0]}
 						s.Steps[0].LongRunning = k.longRunning
-						id := oleandervalve.JobID(fmt.Sprintf("deadly%02d", n))
-						c.deadly[oleandervalve.TaskName{Job: id, Index: c.rng.IntN(4)}] = k.crashAfter
+						id := oleandervalve.JobID(fmt.Sprintf("crashing%02d", n))
+						c.crashing[oleandervalve.TaskName{Job: id, Index: c.rng.IntN(4)}] = k.crashAfter
 						c.submit(id, queue, s)
 					}
 					for range 4 {
@@ -70,7 +70,7 @@
 				}
 				for id := range c.rows {
 					want := work.Completed
-					if strings.HasPrefix(string(id), "deadly") {
+					if strings.HasPrefix(string(id), "crashing") {
 						want = work.Failed
 					}
 					if state, _ := c.dispatcher.State(id); state != want {
--- a/io/entry/path_test.go
+++ b/io/entry/path_test.go
@@ -132,10 +132,10 @@
 func TestRequestThatEndpointsNeverAnswerIsNotSentToAll(t *testing.T) {
 	p := newTestbed(t, 2, 0)
 	p.endpoint.SetFault(standin.EndpointFault{DropResponse: true})
-	r := p.call(context.Background(), http.MethodGet, "", "deadly", "20000")
+	r := p.call(context.Background(), http.MethodGet, "", "unanswered", "20000")
 	p.is.NoErr(r.err)
 	p.is.Equal(r.outcome, "unknown")
-	p.is.Equal(p.books.Runs("deadly"), 2)
+	p.is.Equal(p.books.Runs("unanswered"), 2)
 }
 
 // Guards against responses that are mixed up on one connection, and against a
