Show that a lost machine takes uncommitted tasks with it

Tasks that were assigned while the store refused commits, and whose agent was away for longer than the takeover time, stay assigned to a run that exists nowhere.

--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -229,3 +229,41 @@
 	lateShare = 0.5
 	lateTime  = 5500 * time.Millisecond
 )
+
+// lostMachine loses a machine while the store is busy, so that tasks have been assigned to its
+// executor without a commit. Rule: LOST.
+func lostMachine(r *record, trouble bool) ([]string, error) {
+	d, err := start(r, shape{entries: 3, executors: ordinary(7), cpu: largeCPU, memMb: largeMemMb})
+	if err != nil {
+		return nil, err
+	}
+	defer d.close()
+	for i := range 6 {
+		j := &job{
+			id: fmt.Sprintf("%016x", 0xf00+i), spec: taskSpec{RunMs: []int{500}, CPU: 1000, MemMb: 1900},
+			steps: []step{
+				{"count": 14, "cpu": 1000, "memMb": 1900, "estimateMs": 500},
+				{"count": 14, "cpu": 1000, "memMb": 1900, "estimateMs": 500, "after": []int{0}},
+			},
+		}
+		if !d.submit(j) {
+			return nil, errNotAccepted
+		}
+	}
+	if trouble {
+		d.store.setBusy(true)
+		time.Sleep(lossDelay)
+		d.agents[0].remove()
+		d.executors[0].crash()
+		time.Sleep(busyTime - lossDelay)
+		d.store.setBusy(false)
+	}
+	time.Sleep(finish)
+	return d.lost(idleWatch), nil
+}
+
+const (
+	// busyTime is how long the store is busy, and lossDelay the time until the machine is lost.
+	busyTime  = 9 * time.Second
+	lossDelay = 700 * time.Millisecond
+)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -28,6 +28,7 @@
 		"report": largeReport,
 		"stale":  staleLeader,
 		"queued": queuedStarts,
+		"lost":   lostMachine,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
--- a/review/harness/process.go
+++ b/review/harness/process.go
@@ -143,6 +143,15 @@
 	g.signal(syscall.SIGKILL)
 }
 
+// remove ends the process, which is not started again.
+func (g *program) remove() {
+	g.mu.Lock()
+	g.closing = true
+	g.mu.Unlock()
+	g.record.add("event  the machine of %s is lost for good", g.name)
+	g.signal(syscall.SIGKILL)
+}
+
 // close ends the process for good.
 func (g *program) close(ctx context.Context) {
 	g.mu.Lock()
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -29,12 +29,15 @@
 
 	mu  sync.Mutex
 	cut map[string]bool
+	// busy means that the store refuses all calls with 503. becameBusy is closed then.
+	busy       bool
+	becameBusy chan struct{}
 	// committer is the name of the process that last sent a transaction that was applied.
 	committer string
 }
 
 func newStore(t *emulator.Table, r *record) *store {
-	return &store{inner: t.Handler(), record: r, cut: map[string]bool{}}
+	return &store{inner: t.Handler(), record: r, cut: map[string]bool{}, becameBusy: make(chan struct{})}
 }
 
 // setCut cuts the path of a process, on which nothing arrives any more, or heals it.
@@ -51,6 +54,36 @@
 	return s.cut[name]
 }
 
+// setBusy makes the store refuse all calls, or serve them again.
+func (s *store) setBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+	if busy {
+		close(s.becameBusy)
+	} else {
+		s.becameBusy = make(chan struct{})
+	}
+	s.record.add("event  store is busy: %t", busy)
+}
+
+// whileServing returns a context that ends with parent or when the store becomes busy, or
+// false if it is busy.
+func (s *store) whileServing(parent context.Context) (context.Context, context.CancelFunc, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ctx, cancel := context.WithCancel(parent)
+	becameBusy := s.becameBusy
+	go func() {
+		select {
+		case <-becameBusy:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel, !s.busy
+}
+
 // lastCommitter returns the name of the process that wrote last.
 func (s *store) lastCommitter() string {
 	s.mu.Lock()
@@ -69,7 +102,17 @@
 			<-q.Context().Done()
 			return
 		}
-		s.serve(name, w, q)
+		ctx, cancel, serving := s.whileServing(q.Context())
+		defer cancel()
+		if !serving {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		answer := &statusWriter{ResponseWriter: w}
+		s.serve(name, answer, q.WithContext(ctx))
+		if answer.status == 0 && ctx.Err() != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 	})}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() { _ = server.Serve(l) }() // returns when the server is closed
