Give two cases of the review more room in time

On a slower machine the agent of review/2 could be back before the runs had ended, and the machine of review/1 could be lost before the first steps had ended.

The agent stays away for 2.5 s, and the machine is lost 0.9 s after the store becomes busy, with tasks of 0.4 s.

--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -45,7 +45,7 @@
 	}
 	time.Sleep(1200 * time.Millisecond)
 	if trouble {
-		d.agents[0].kill(time.Second)
+		d.agents[0].kill(2500 * time.Millisecond)
 	}
 	d.awaitCompletion(30 * time.Second)
 	return d.history.twice(), nil
@@ -240,10 +240,10 @@
 	defer d.close()
 	for i := range 6 {
 		j := &job{
-			id: fmt.Sprintf("%016x", 0xf00+i), spec: taskSpec{RunMs: []int{500}, CPU: 1000, MemMb: 1900},
+			id: fmt.Sprintf("%016x", 0xf00+i), spec: taskSpec{RunMs: []int{400}, CPU: 1000, MemMb: 1900},
 			steps: []step{
-				{"count": 14, "cpu": 1000, "memMb": 1900, "estimateMs": 500},
-				{"count": 14, "cpu": 1000, "memMb": 1900, "estimateMs": 500, "after": []int{0}},
+				{"count": 14, "cpu": 1000, "memMb": 1900, "estimateMs": 400},
+				{"count": 14, "cpu": 1000, "memMb": 1900, "estimateMs": 400, "after": []int{0}},
 			},
 		}
 		if !d.submit(j) {
@@ -265,5 +265,5 @@
 const (
 	// busyTime is how long the store is busy, and lossDelay the time until the machine is lost.
 	busyTime  = 9 * time.Second
-	lossDelay = 700 * time.Millisecond
+	lossDelay = 900 * time.Millisecond
 )
