Requeue the tasks of an agent that is given up during an outage

Cause: when an executor certainly runs nothing any more, the runs whose start waited for its commit were left out and expected to be handled once the commit had succeeded. By then the agent had been removed, so the start was dropped and the task stayed assigned. The same holds for an agent that comes back before the commit, without its runs.

Change: all runs of such an executor are released at once, and removing an agent releases its runs. A start that waits for its commit is dropped if its run has been released.

Ruled out: a task that is requeued and can't be placed (the record stays assigned, no requeued in the log), and a start that is lost on its way (the agent is gone when the commit succeeds).

Why it works: each assigned task has a run at an agent at every moment, which checkAssignments tests, and each end of a run requeues its task. The dropped start was never told to anybody, and later runs have higher numbers.

--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -128,6 +128,7 @@
 	a := d.agents[s.Agent]
 	k := runKey{s.Task, s.Run}
 	if a == nil || a.runs[k] == nil {
+		// The run was released during the commit, and its task requeued.
 		return
 	}
 	r := a.runs[k]
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -162,7 +162,10 @@
 	return a
 }
 
-func (d *Dispatcher) removeAgent(a *agent) {
+// removeAgent forgets an agent whose executor certainly runs nothing any more, and requeues
+// the tasks assigned to it.
+func (d *Dispatcher) removeAgent(now time.Time, a *agent) {
+	d.releaseAllRuns(now, a)
 	delete(d.agents, a.id)
 	d.contention.RemoveExecutor(a.id)
 	for i, b := range d.sortedAgents {
@@ -334,8 +337,7 @@
 		}
 		if !a.connected && now.Sub(a.grantedAt) > d.options.TakeoverAfter {
 			d.note("executorLost", "", map[string]any{"agent": a.id, "runs": len(a.runs), "silentMs": now.Sub(a.grantedAt).Milliseconds()})
-			d.releaseAllRuns(now, a)
-			d.removeAgent(a)
+			d.removeAgent(now, a)
 		}
 	}
 	stillDelayed := d.delayed[:0]
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -150,13 +150,11 @@
 	d.releaseAllRuns(now, a)
 }
 
-// releaseAllRuns releases the runs of an executor that no longer runs anything. It leaves
-// out the runs whose Start has not been sent; applyEffect decides about them.
+// releaseAllRuns releases the runs of an executor that no longer runs anything. A Start that
+// waits for its commit is not sent any more once its run has been released.
 func (d *Dispatcher) releaseAllRuns(now time.Time, a *agent) {
 	for _, k := range a.sortedRuns() {
-		if a.runs[k].startSent {
-			d.releaseUnstarted(now, a, k, "lost")
-		}
+		d.releaseUnstarted(now, a, k, "lost")
 	}
 }
 
