Wait for all ends before runs that an agent doesn't list are repeated

The first list of a session was taken for all ends, so runs beyond it counted as never started and were requeued.

Change: a poll tells whether further runs may have ended, and so does the inventory. The leader keeps runs that such an inventory leaves out until the agent reports that all ends have been listed. A confirmed stop waits for a complete list in the same way, and ends that can't be queued to the leader end the session instead of being dropped.

Ruled out: ends that the leader was told of and lost (the tasks are requeued as notListed before their ends are reported), and a lease that lapsed (the ends are done).

Why it works: ends are numbered in order, and each poll returns all that are not acknowledged up to the limit; a poll below the limit proves that every run of that time has been listed.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -26,6 +26,9 @@
 	// startSent means that the Start action has been queued for TakeActions, by this
 	// dispatcher or that of a previous leader.
 	startSent bool
+	// unlisted means that the agent has listed the run neither as running nor as ended, and
+	// that its list of ends is incomplete.
+	unlisted bool
 	// stopping means that the run has to end: a Start that has not been sent is dropped,
 	// and otherwise a Stop is sent.
 	stopping bool
--- a/core/dispatch/cluster_test.go
+++ b/core/dispatch/cluster_test.go
@@ -36,6 +36,8 @@
 	succeeded    map[oleandervalve.TaskName]bool
 	acknowledged map[oleandervalve.TaskName]bool
 	failures     map[oleandervalve.TaskName]int
+	// repeated holds the successful runs whose task has been started again since.
+	repeated map[runKey]bool
 	// cancelled holds jobs whose cancellation was confirmed to the caller.
 	cancelled map[oleandervalve.JobID]bool
 	replies   map[Token]Reply
@@ -48,6 +50,8 @@
 	crashing           map[oleandervalve.TaskName]time.Duration
 	crashesUnder       map[oleandervalve.TaskName]int
 	startsAfterCrashes map[oleandervalve.TaskName]int
+	// maxListedEnds is the number of ends that an executor lists at a time; 0 means no limit.
+	maxListedEnds int
 	// failureProbability is the probability that a run fails.
 	failureProbability float64
 	lastState          map[oleandervalve.JobID]work.State
@@ -73,12 +77,16 @@
 }
 
 type fakeAgent struct {
-	id           oleandervalve.AgentID
-	status       oleandervalve.ExecutorStatus
-	connected    bool
-	running      []fakeRun
-	ended        []oleandervalve.EndedTask
-	number       uint64
+	id        oleandervalve.AgentID
+	status    oleandervalve.ExecutorStatus
+	connected bool
+	running   []fakeRun
+	ended     []oleandervalve.EndedTask
+	number    uint64
+	// reportedEnd is the highest number of an end that the session has reported. incomplete
+	// means that the inventory of the session left out ends.
+	reportedEnd  uint64
+	incomplete   bool
 	highestEnded map[oleandervalve.TaskName]oleandervalve.RunNumber
 	// leaseEnd is when the executor's lease expires and all its runs end. expiredUpTo is
 	// the highest number of an end before the last expiry.
@@ -105,7 +113,7 @@
 	c := &cluster{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0),
 		rows: map[oleandervalve.JobID]StoredJob{}, agents: map[oleandervalve.AgentID]*fakeAgent{},
-		specs: map[oleandervalve.JobID]work.Spec{}, acknowledged: map[oleandervalve.TaskName]bool{}, succeeded: map[oleandervalve.TaskName]bool{}, failures: map[oleandervalve.TaskName]int{},
+		specs: map[oleandervalve.JobID]work.Spec{}, acknowledged: map[oleandervalve.TaskName]bool{}, succeeded: map[oleandervalve.TaskName]bool{}, failures: map[oleandervalve.TaskName]int{}, repeated: map[runKey]bool{},
 		crashing: map[oleandervalve.TaskName]time.Duration{}, crashesUnder: map[oleandervalve.TaskName]int{}, startsAfterCrashes: map[oleandervalve.TaskName]int{},
 		cancelled: map[oleandervalve.JobID]bool{}, replies: map[Token]Reply{}, tokens: map[Token]oleandervalve.JobID{},
 		cancels: map[Token]oleandervalve.JobID{}, lastState: map[oleandervalve.JobID]work.State{}, failureProbability: 0.05,
@@ -150,7 +158,12 @@
 	c.event("%s connects", a.id)
 	a.connected = true
 	a.leaseEnd = c.now.Add(6 * time.Second)
-	h := oleandervalve.PollResult{Ended: slices.Clone(a.ended)}
+	h := oleandervalve.PollResult{Ended: slices.Clone(c.listedEnds(a))}
+	h.MoreEnded = c.maxListedEnds > 0 && len(h.Ended) == c.maxListedEnds
+	a.incomplete, a.reportedEnd = h.MoreEnded, 0
+	if n := len(h.Ended); n > 0 {
+		a.reportedEnd = h.Ended[n-1].Number
+	}
 	for _, r := range a.running {
 		h.Running = append(h.Running, oleandervalve.RunningTask{Task: r.key.task, Run: r.key.run})
 	}
@@ -161,6 +174,31 @@
 	c.collect()
 }
 
+// listedEnds returns the ends that an executor lists: the oldest ones.
+func (c *cluster) listedEnds(a *fakeAgent) []oleandervalve.EndedTask {
+	if c.maxListedEnds > 0 && len(a.ended) > c.maxListedEnds {
+		return a.ended[:c.maxListedEnds]
+	}
+	return a.ended
+}
+
+// reportListed reports the listed ends that the session has not reported yet.
+func (c *cluster) reportListed(a *fakeAgent) {
+	listed := slices.Clone(c.listedEnds(a))
+	for _, e := range listed {
+		if a.connected && e.Number > a.reportedEnd {
+			a.reportedEnd = e.Number
+			c.dispatcher.RunEnded(c.now, a.id, a.status.Incarnation, e)
+			c.collect()
+		}
+	}
+	if a.connected && a.incomplete && len(listed) < c.maxListedEnds {
+		a.incomplete = false
+		c.dispatcher.InventoryCompleted(c.now, a.id, a.status.Incarnation)
+		c.collect()
+	}
+}
+
 func agentOf(x Action) oleandervalve.AgentID {
 	switch x := x.(type) {
 	case Start:
@@ -343,6 +381,9 @@
 			a.ended = slices.DeleteFunc(a.ended, func(e oleandervalve.EndedTask) bool {
 				// A task whose end precedes a lease expiry may be run again.
 				if e.Number == x.Number && e.How == oleandervalve.EndDone && e.Number > a.expiredUpTo {
+					if c.repeated[runKey{e.Task, e.Run}] {
+						c.t.Fatalf("%v: run %d of %v is acknowledged as done, and a later run has started since", c.now, e.Run, e.Task)
+					}
 					c.acknowledged[e.Task] = true
 				}
 				if e.Number == x.Number && e.How == oleandervalve.EndFailed && e.Number > a.expiredUpTo {
@@ -350,6 +391,7 @@
 				}
 				return e.Number == x.Number
 			})
+			c.reportListed(a)
 		}
 	}
 }
@@ -379,6 +421,13 @@
 			}
 		}
 	}
+	for _, b := range c.agents {
+		for _, e := range b.ended {
+			if e.Task == x.Task && e.How == oleandervalve.EndDone {
+				c.repeated[runKey{e.Task, e.Run}] = true
+			}
+		}
+	}
 	if c.acknowledged[x.Task] {
 		c.t.Fatalf("%v: %v starts after it is done", c.now, x.Task)
 	}
@@ -453,10 +502,7 @@
 	c.event("%s reports the end of %v run %d: %s", a.id, k.task, k.run, how)
 	e := oleandervalve.EndedTask{Number: a.number, Task: k.task, Run: k.run, How: how}
 	a.ended = append(a.ended, e)
-	if a.connected {
-		c.dispatcher.RunEnded(c.now, a.id, a.status.Incarnation, e)
-		c.collect()
-	}
+	c.reportListed(a)
 }
 
 // advance moves the clock forward and ends the runs that have finished or whose lease has expired.
--- a/core/dispatch/outage_test.go
+++ b/core/dispatch/outage_test.go
@@ -176,6 +176,9 @@
 	for seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			c := newCluster(t, seed, 5)
+			if seed%2 == 1 {
+				c.maxListedEnds = 2
+			}
 			defer func() {
 				if t.Failed() {
 					t.Log(strings.Join(c.events, "\n"))
--- a/core/dispatch/property_test.go
+++ b/core/dispatch/property_test.go
@@ -79,7 +79,7 @@
 // Guards against tasks that run twice, too early, too often, after their end, after the
 // cancellation of their job or beyond an executor's capacity, and against jobs that never
 // end. The faults are disconnections, executor crashes, refused commits and changes of
-// leader.
+// leader. Some executors list only a few ends at a time.
 func TestRandomInterleavingsKeepInvariants(t *testing.T) {
 	seeds := uint64(300)
 	if testing.Short() {
@@ -88,6 +88,9 @@
 	for seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			c := newCluster(t, seed, 5)
+			if seed%4 == 1 {
+				c.maxListedEnds = 2
+			}
 			if seed%3 == 2 {
 				c.permits = work.PermitPolicy{DecisionTime: 50 * time.Millisecond, TimePerExecutor: 5 * time.Millisecond, Validity: 3 * time.Second}
 			}
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -12,7 +12,8 @@
 
 // AgentConnected handles the state of an executor whose agent has connected. The agent no
 // longer carries out Start and Stop actions of earlier sessions, so a run that it doesn't
-// list is not running.
+// list is not running. Unless its list of ends is incomplete, such a run has never started;
+// otherwise that is known once InventoryCompleted is called.
 func (d *Dispatcher) AgentConnected(now time.Time, id oleandervalve.AgentID, status oleandervalve.ExecutorStatus, runs oleandervalve.PollResult) {
 	a := d.agents[id]
 	if a == nil {
@@ -40,7 +41,8 @@
 		if !r.startSent {
 			continue
 		}
-		if !listed[k] {
+		r.unlisted = !listed[k] && runs.MoreEnded && !r.ofEarlierExecutor(k, a)
+		if !listed[k] && !r.unlisted {
 			d.recordUnreported(now, a, k)
 			d.releaseUnstarted(now, a, k, "notListed")
 		}
@@ -48,13 +50,37 @@
 	a.shared = sharedPairs{}
 	d.note("executorJoined", "", map[string]any{
 		"agent": id, "executor": status.Incarnation.ID, "state": status.State,
-		"running": len(runs.Running), "ended": len(runs.Ended), "held": len(a.runs),
+		"running": len(runs.Running), "ended": len(runs.Ended), "held": len(a.runs), "complete": !runs.MoreEnded,
 	})
 	for _, e := range runs.Ended {
 		d.RunEnded(now, id, status.Incarnation, e)
 	}
 }
 
+// ofEarlierExecutor reports whether a run is recorded as assigned to an earlier incarnation of
+// the agent's executor.
+func (r *run) ofEarlierExecutor(k runKey, a *agent) bool {
+	if r.step == nil || r.step.job.rec.State.Terminal() {
+		return false
+	}
+	_, t := r.step.job.task(k.task)
+	return t.State == work.TaskAssigned && t.Run == k.run && r.step.job.rec.Executors[t.ExecutorIndex] != a.executorRef()
+}
+
+// InventoryCompleted handles the report that an agent has listed all runs of its executor that
+// were running or had ended when it connected. The others have never started.
+func (d *Dispatcher) InventoryCompleted(now time.Time, id oleandervalve.AgentID, incarnation oleandervalve.Incarnation) {
+	a := d.agents[id]
+	if a == nil || a.status.Incarnation != incarnation {
+		return
+	}
+	for _, k := range a.sortedRuns() {
+		if r := a.runs[k]; r != nil && r.unlisted {
+			d.releaseUnstarted(now, a, k, "notListed")
+		}
+	}
+}
+
 // adopt matches a run that the agent listed with the records and stops the run if it is not wanted.
 func (d *Dispatcher) adopt(a *agent, k runKey) {
 	j := d.jobs[k.task.Job]
--- a/executor.go
+++ b/executor.go
@@ -154,6 +154,9 @@
 	StartedAt int64
 	Running   []RunningTask
 	Ended     []EndedTask
+	// MoreEnded means that further runs may have ended, which the executor lists once those
+	// in Ended are acknowledged.
+	MoreEnded bool
 }
 
 // ExecutorClient sends orders to executors. It returns *WrongIncarnationError,
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -146,16 +146,21 @@
 	}
 	var neverStarted []runKey
 	for k, at := range s.confirmedStops {
-		if at.Before(sentAt) && !running[k] {
+		// A run that is in neither list may be among the ends that are not listed yet.
+		if at.Before(sentAt) && !running[k] && !result.MoreEnded {
 			delete(s.confirmedStops, k)
 			neverStarted = append(neverStarted, k)
 		}
 	}
 	s.running = running
+	ends.Complete = s.inventoryIncomplete && !result.MoreEnded
+	s.inventoryIncomplete = s.inventoryIncomplete && result.MoreEnded
 	orders := s.updateSpeedLimits(result)
 	s.mu.Unlock()
-	if len(ends.Ends) > 0 {
-		s.conn.TrySend(ends)
+	if len(ends.Ends) > 0 || ends.Complete {
+		if !s.conn.TrySend(ends) {
+			s.end("ends of runs can't be sent to the leader")
+		}
 		for _, e := range ends.Ends {
 			s.log().WithFields(logrus.Fields{"job": e.Task.Job, "task": e.Task.String(), "run": e.Run, "how": e.How, "number": e.Number}).Debug("run ended")
 		}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -66,6 +66,8 @@
 	clockAt time.Time
 	// leaseEnd is when the executor's lease has certainly expired, on the agent's clock.
 	leaseEnd time.Time
+	// inventoryIncomplete means that ended runs are missing from the session's inventory.
+	inventoryIncomplete bool
 	// lastReportedEnd is the highest number of an end that was reported to the leader.
 	lastReportedEnd uint64
 	// acknowledgedEnds holds the numbers above lastAcknowledgedEnd of the ends that the
@@ -237,8 +239,12 @@
 	for _, e := range result.Ended {
 		s.lastReportedEnd = max(s.lastReportedEnd, e.Number)
 	}
+	s.inventoryIncomplete = result.MoreEnded
 	s.mu.Unlock()
-	return s.conn.Send(&peer.ExecutorInventory{Status: s.status, Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports()})
+	if result.MoreEnded {
+		s.log().WithFields(logrus.Fields{"running": len(result.Running), "ended": len(result.Ended)}).Info("inventory is incomplete: further ends follow as the leader acknowledges the listed ones")
+	}
+	return s.conn.Send(&peer.ExecutorInventory{Status: s.status, Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), MoreEnded: result.MoreEnded})
 }
 
 // maxElapsed returns an upper bound of the real time that passes while the executor's
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -179,7 +179,7 @@
 			for _, r := range m.Lost {
 				d.ExecutorLost(now, id, r)
 			}
-			d.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended})
+			d.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended, MoreEnded: m.MoreEnded})
 		case *peer.ExecutorChange:
 			d.StatusChanged(id, m.Status)
 		case *peer.ExecutorTerminated:
@@ -191,6 +191,9 @@
 			for _, e := range m.Ends {
 				d.RunEnded(now, id, m.Incarnation, e)
 			}
+			if m.Complete {
+				d.InventoryCompleted(now, id, m.Incarnation)
+			}
 		case *peer.RunOutlived:
 			d.RunOutlived(id, m.Task, m.Run)
 		case *peer.RunNeverStarted:
--- a/io/peer/dispatch.go
+++ b/io/peer/dispatch.go
@@ -53,6 +53,9 @@
 	// Lost are the reports of earlier incarnations of the executor. The leader may know
 	// them already.
 	Lost []crash.Report `cbor:"4,keyasint,omitempty"`
+	// MoreEnded means that further runs may have ended. RunsEnded messages report them; the
+	// last one has Complete set.
+	MoreEnded bool `cbor:"5,keyasint,omitempty"`
 }
 
 // ExecutorChange reports a new announcement of the executor co-located with an agent.
@@ -72,6 +75,9 @@
 type RunsEnded struct {
 	Incarnation oleandervalve.Incarnation `cbor:"1,keyasint"`
 	Ends        []oleandervalve.EndedTask `cbor:"2,keyasint"`
+	// Complete means that all ends that the inventory of the session left out have been
+	// reported.
+	Complete bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RunOutlived reports that an isolated run has lasted as long as its hints ask for.
