Check start orders again once they have an order slot

Cause: an agent checked a start order and then waited for one of its three order slots, for seconds behind orders without an answer. The order was then sent although its run had been stopped meanwhile, the executor was draining or its capacity had shrunk. The stop of the run waited behind it.

Change: the order is checked again once it has a slot, and a stop ends the wait for the slot. The leader is told at once that the run never starts, and no stop order is sent for it.

--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -36,6 +36,19 @@
 	return b
 }
 
+// acquireStartSlot waits until fewer than maxParallelOrders orders are in flight. It returns
+// false if the run has to end or ctx is done first.
+func (s *session) acquireStartSlot(ctx context.Context, st *pendingStart) bool {
+	select {
+	case s.orderSlots <- struct{}{}:
+		return true
+	case <-st.stopped:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // acquireOrderSlot waits until fewer than maxParallelOrders orders are in flight. It
 // returns false if ctx is done first.
 func (s *session) acquireOrderSlot(ctx context.Context) bool {
@@ -53,7 +66,7 @@
 		s.reportNeverStarted(k, oleandervalve.RefusedOld)
 		return
 	}
-	st := &pendingStart{done: make(chan struct{})}
+	st := &pendingStart{done: make(chan struct{}), stopped: make(chan struct{})}
 	s.mu.Lock()
 	s.pendingStarts[k] = st
 	s.hints[k] = o.Hints
@@ -78,12 +91,18 @@
 			if unanswered {
 				s.sendStop(ctx, k)
 			} else {
+				st.void = true
 				s.reportNeverStarted(k, reason)
 			}
 			return
 		}
-		if !s.acquireOrderSlot(ctx) {
-			return
+		if !s.acquireStartSlot(ctx, st) {
+			continue
+		}
+		if _, abort := s.abortReason(st); abort {
+			// The run was stopped, or its executor changed, during the wait for the slot.
+			<-s.orderSlots
+			continue
 		}
 		s.mu.Lock()
 		until := s.leaseUntil(s.agent.options.now())
@@ -121,6 +140,7 @@
 			if unanswered {
 				s.sendStop(ctx, k)
 			} else {
+				st.void = true
 				s.reportNeverStarted(k, refusal)
 			}
 			return
@@ -163,7 +183,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case st.stopped || ended:
+	case st.isStopped() || ended:
 		return oleandervalve.RefusedOld, true
 	case draining:
 		return oleandervalve.RefusedDraining, true
@@ -189,13 +209,16 @@
 	s.mu.Lock()
 	st := s.pendingStarts[k]
 	if st != nil {
-		st.stopped = true
+		st.stop()
 	}
 	s.mu.Unlock()
 	go func() {
 		if st != nil {
 			select {
 			case <-st.done:
+				if st.void {
+					return
+				}
 			case <-ctx.Done():
 				return
 			}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -103,8 +103,26 @@
 
 // pendingStart is a start order whose outcome is unknown.
 type pendingStart struct {
-	done    chan struct{}
-	stopped bool
+	// done is closed once the outcome is known, and stopped once the run has to end.
+	done, stopped chan struct{}
+	// void means, once done is closed, that the run has been reported as never started.
+	void bool
+}
+
+// stop requests the end of the run. The mutex of the session must be held.
+func (p *pendingStart) stop() {
+	if !p.isStopped() {
+		close(p.stopped)
+	}
+}
+
+func (p *pendingStart) isStopped() bool {
+	select {
+	case <-p.stopped:
+		return true
+	default:
+		return false
+	}
 }
 
 func (s *session) end(reason string) { s.cancel(errors.New(reason)) }
