Repeat the stop of a run when its agent connects again

A run could go on after the cancellation of its job had been acknowledged.

Cause: a run that is to be moved, or whose gang has been aborted, is marked as stopping when the stop is sent. If the stop is lost with the session, the run is adopted by the next one with the mark, and a later cancellation sends no stop because of it.

Change: a run that the agent lists and that is marked gets its stop again, after its hints, which the agent needs to count its room.

Evidence: TestLostStopIsRepeatedWhenAgentConnects fails before (the run is still there after the cancellation) and passes.

--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -111,6 +111,10 @@
 		hints.Isolation = r.isolation
 	}
 	d.enqueueAction(Adopt{Agent: a.id, Task: k.task, Run: k.run, Hints: hints})
+	if a.runs[k].stopping {
+		// The stop may have been lost with an earlier session.
+		d.enqueueAction(Stop{Agent: a.id, Task: k.task, Run: k.run})
+	}
 }
 
 // sortedRuns returns the keys of the runs sorted by task and run number, so that decisions
