Answer submissions that arrive during the first commit of their job

A caller that repeated a submission got no answer before its deadline.

Cause: the commit in flight had already taken the callers that wait for it. Those that came during it were answered with the next commit of the job, which can be an hour away for a job with a release time.

Change: a successful commit also answers them, as it has stored the job.

Evidence: TestSubmissionDuringCommitIsAnswered fails before and passes.

--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -104,7 +104,10 @@
 		case c.state == work.Completed:
 			c.job.specVersion = 0
 		}
-		for _, t := range append(c.submitters, c.cancellers...) {
+		// Submissions that were repeated during the commit need no other one.
+		submitters := slices.Concat(c.submitters, c.job.submitters)
+		c.job.submitters = nil
+		for _, t := range slices.Concat(submitters, c.cancellers) {
 			d.enqueueAction(Reply{Token: t, Verdict: Accepted})
 		}
 		for _, x := range c.effects {
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -154,6 +154,23 @@
 	is.Equal(len(c.outbox), 2)
 }
 
+// Guards against a caller that gets no answer to a repeated submission because it arrived
+// during the commit of the first one, and nothing else of the job is committed for long.
+func TestSubmissionDuringCommitIsAnswered(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	spec := work.Spec{Repeat: 1, StartAt: c.now.Add(time.Hour), Steps: []work.Step{{Count: 1, Demand: oleandervalve.Resources{CPU: 1000}}}}
+	queue := work.Queue{Name: "q", Service: "press", MaxAttempts: 3}
+	c.submit("a", queue, spec)
+	c.advanceCommit(true)
+	c.submit("a", queue, spec)
+	c.advanceCommit(true)
+	is.Equal(c.replies[1].Verdict, Accepted)
+	second, ok := c.replies[2]
+	is.True(ok)
+	is.Equal(second.Verdict, Accepted)
+}
+
 // newInterferenceCluster returns a cluster of two executors. The best-effort image "press"
 // interferes with the image "board" on the first one, but not with the image "watch" on
 // the second one.
