Take the success of a run although its task was assigned again

Cause: the end of a run was only used if it was the newest one or the task waited. If the task had been assigned again, the success was acknowledged and discarded, and the newer run went on or was even started after that.

Change: the task is done. A start of the newer run that waits for its commit is dropped, and otherwise the run is stopped. Gangs are left out, as their members share one end.

--- a/core/dispatch/reconnect_test.go
+++ b/core/dispatch/reconnect_test.go
@@ -41,3 +41,51 @@
 	}
 	is.Equal(len(a.running), 0)
 }
+
+// Guards against a task whose success is discarded, because it is reported after the task was
+// assigned again: the task would be done twice.
+func TestSuccessOfEarlierRunEndsLaterOne(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// started means that the later run has started; otherwise its start waits for a commit.
+		started bool
+	}{{"later run has started", true}, {"later run is not committed", false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 1, 2)
+			c.failureProbability = 0
+			lost, other := c.agents[c.order[0]], c.agents[c.order[1]]
+			other.connected = false
+			c.dispatcher.AgentDisconnected(c.now, other.id)
+			c.submit("j", work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{{Count: 1, Demand: oleandervalve.Resources{CPU: 1000}}}})
+			c.advanceCommit(true)
+			c.advanceCommit(true)
+			c.deliverNextOrder()
+			is.Equal(len(lost.running), 1)
+			c.connect(other)
+			lost.connected = false
+			c.dispatcher.AgentDisconnected(c.now, lost.id)
+			c.advance(2 * time.Second)
+			is.Equal(lost.ended[0].How, oleandervalve.EndDone)
+			c.advance(testTakeoverAfter)
+			c.advanceCommit(true)
+			if tt.started {
+				c.advanceCommit(true)
+				c.deliverNextOrder()
+				is.Equal(len(other.running), 1)
+				other.running[0].ends = c.now.Add(time.Hour)
+			}
+			c.connect(lost)
+			for range 4 {
+				c.advanceCommit(true)
+				for len(c.outbox) > 0 {
+					c.deliverNextOrder()
+				}
+			}
+			state, _ := c.dispatcher.State("j")
+			is.Equal(state, work.Completed)
+			is.Equal(len(other.running), 0)
+			is.Equal(len(c.dispatcher.agents[other.id].runs), 0)
+		})
+	}
+}
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -249,14 +249,7 @@
 		return
 	}
 	s, t := j.task(e.Task)
-	if t != nil && !j.rec.State.Terminal() && t.State == work.TaskWaiting && e.How == oleandervalve.EndDone && !s.spec.LongRunning {
-		// The task was requeued because an earlier run of it was considered ended, but
-		// that run has succeeded.
-		s.waiting = slices.DeleteFunc(s.waiting, func(i int) bool { return i == e.Task.Index })
-		if len(s.waiting) == 0 {
-			s.ready = false
-			delete(d.ready, s)
-		}
+	if t != nil && !j.rec.State.Terminal() && d.withdraw(s, t, e) {
 		d.note("lateSuccess", j.id, map[string]any{"task": e.Task.String(), "run": e.Run, "newest": t.Run, "agent": id})
 		j.effects = append(j.effects, ack)
 		d.markDirty(j)
@@ -303,6 +296,42 @@
 	d.requeue(now, s, e.Task.Index)
 }
 
+// withdraw takes a task back that was requeued because a run of it was considered ended, if
+// that run has succeeded. It reports false if the task was not requeued since that run.
+func (d *Dispatcher) withdraw(s *step, t *work.TaskRecord, e oleandervalve.EndedTask) bool {
+	if e.How != oleandervalve.EndDone || s.spec.LongRunning {
+		return false
+	}
+	switch {
+	case t.State == work.TaskWaiting:
+		s.waiting = slices.DeleteFunc(s.waiting, func(i int) bool { return i == e.Task.Index })
+		if len(s.waiting) == 0 {
+			s.ready = false
+			delete(d.ready, s)
+		}
+		return true
+	case t.State == work.TaskAssigned && t.Run > e.Run && !s.spec.Gang:
+		d.cancelRun(s.job.rec.Executors[t.ExecutorIndex].Agent, runKey{e.Task, t.Run})
+		return true
+	}
+	return false
+}
+
+// cancelRun ends a run that is not needed any more: it drops a Start that has not been sent,
+// and otherwise sends a Stop.
+func (d *Dispatcher) cancelRun(id oleandervalve.AgentID, k runKey) {
+	a := d.agents[id]
+	if a == nil || a.runs[k] == nil || a.runs[k].stopping {
+		return
+	}
+	if !a.runs[k].startSent {
+		a.release(k)
+		return
+	}
+	a.runs[k].stopping = true
+	d.enqueueAction(Stop{Agent: id, Task: k.task, Run: k.run})
+}
+
 // acknowledge sends an acknowledgement once the consequences in the job's record are durable.
 func (d *Dispatcher) acknowledge(j *job, ack Acknowledge) {
 	if j.dirty || j.inFlight {
