Ask an executor whether an announcement is its own

Here one readable announcement of another writer was enough: with another id or a later start it replaced the executor, ended the session, reported its runs as lost in a crash, and the executor's own announcements, which looked older, were ignored for good; with a sequence too large, later ones of the same executor were, so that a drain was missed.

Cause: the newest start and the highest sequence won, without a look at the executor that the agent is beside.

Change: an announcement of another incarnation is followed only if the executor doesn't answer as a different one (Identify, an order with the lowest token, which has no effect); if it confirms it, the time of day of its start no longer matters. Sequences must be possible in the time since the last one or since the executor's start. Others are counted, logged and answered with 400. The decision is core/announcement. If the executor gives no answer, the rule is the one from before.

Cost: one call on the same instance for each incarnation.

Evidence: all ten cases of TestAnnouncementOfAnotherWriter fail before, and pass; with its check of the answer left out they fail before with the wrong executor in the inventory, a false report of a crash, or a drain that the leader isn't told of.

--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -6,10 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
+	"oleandervalve/core/announcement"
 	"oleandervalve/core/pacing"
 	"oleandervalve/io/peer"
 )
@@ -51,9 +53,11 @@
 	// meter counts the bytes of messages to and from entries.
 	meter *peer.Meter
 
-	mu           sync.Mutex
-	status       oleandervalve.ExecutorStatus
-	statusKnown  bool
+	mu          sync.Mutex
+	status      oleandervalve.ExecutorStatus
+	statusKnown bool
+	// statusAt is when status was announced.
+	statusAt     time.Time
 	deregistered bool
 	session      *session
 	// statusReceived wakes Run after an announcement.
@@ -77,23 +81,26 @@
 	return &Agent{options: o, meter: peer.NewMeter(o.Scope), leaseDuration: min(o.MaxLease, agentMaxLease), statusReceived: make(chan struct{}, 1), crashes: newCrashLog(o.Clock)}
 }
 
-// StatusAnnounced handles a status announced by the executor. Announcements that
-// are older than the current status are ignored.
+// StatusAnnounced handles an announced status of the executor. It ignores announcements that
+// are older than the current status, and rejects those that are not of this executor.
 func (a *Agent) StatusAnnounced(s oleandervalve.ExecutorStatus) error {
+	answer := a.identify(s.Incarnation)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.statusKnown {
-		previous := a.status
-		// The time of day that dates the start may have jumped back, so a start that the
-		// executor itself has named counts also if it is earlier.
-		if s.Incarnation.StartedAt < previous.Incarnation.StartedAt && s.Incarnation.StartedAt != a.polledStartedAt ||
-			s.Incarnation == previous.Incarnation && s.Sequence < previous.Sequence {
-			a.options.Log.WithFields(logrus.Fields{"executor": s.Incarnation.ID, "sequence": s.Sequence, "newest": previous.Sequence}).Info("outdated announcement ignored")
+	current := announcement.Current{Status: a.status, At: a.statusAt, PolledStart: a.polledStartedAt}
+	if v := announcement.Decide(a.options.Clock.Now(), current, s, answer); v != announcement.Followed {
+		a.options.Scope.Tagged(map[string]string{"verdict": string(v)}).Counter("announcements_ignored").Inc(1)
+		a.options.Log.WithFields(logrus.Fields{
+			"executor": s.Incarnation.ID, "born": s.Incarnation.StartedAt, "sequence": s.Sequence, "verdict": v,
+			"current": a.status.Incarnation.ID, "newest": a.status.Sequence,
+		}).Info("announcement ignored")
+		if v == announcement.Outdated {
 			return nil
 		}
-		if s.Incarnation == previous.Incarnation && previous.State == oleandervalve.ExecutorDraining && s.State == oleandervalve.ExecutorReady {
-			s.State = oleandervalve.ExecutorDraining
-		}
+		return &oleandervalve.InvalidError{Field: "announcement", Value: string(s.Incarnation.ID), Remedy: "announce only the executor beside this agent"}
+	}
+	if s.Incarnation == a.status.Incarnation && a.status.State == oleandervalve.ExecutorDraining && s.State == oleandervalve.ExecutorReady {
+		s.State = oleandervalve.ExecutorDraining
 	}
 	newIncarnation := !a.statusKnown || a.status.Incarnation != s.Incarnation
 	changed := newIncarnation || changesPlacement(a.status, s)
@@ -102,7 +109,7 @@
 	if newIncarnation || back {
 		a.executorReplaced(s.Incarnation, a.deregistered || a.status.State == oleandervalve.ExecutorDraining)
 	}
-	a.status, a.statusKnown = s, true
+	a.status, a.statusKnown, a.statusAt = s, true, a.options.Clock.Now()
 	if newIncarnation {
 		a.deregistered = false
 		a.drainingSince = time.Time{}
@@ -124,6 +131,37 @@
 	return nil
 }
 
+// identify asks the executor whether it is an announced incarnation, unless that is the
+// current one.
+func (a *Agent) identify(announced oleandervalve.Incarnation) announcement.Answer {
+	a.mu.Lock()
+	known := a.statusKnown && a.status.Incarnation == announced
+	a.mu.Unlock()
+	if known {
+		return announcement.Answer{}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
+	defer cancel()
+	clock, startedAt, err := a.options.Executor.Identify(ctx, announced.ID)
+	var replaced *oleandervalve.WrongIncarnationError
+	switch {
+	case errors.As(err, &replaced):
+		return announcement.Answer{Identity: announcement.Refuted}
+	case err != nil:
+		a.options.Log.WithField("executor", announced.ID).WithError(err).Info("executor does not confirm its announcement")
+		return announcement.Answer{}
+	case startedAt == 0:
+		return announcement.Answer{Uptime: time.Duration(clock)}
+	case startedAt != announced.StartedAt:
+		return announcement.Answer{Identity: announcement.Refuted}
+	}
+	return announcement.Answer{Identity: announcement.Confirmed, Uptime: time.Duration(clock)}
+}
+
+// identifyTimeout is the timeout for asking an executor which incarnation it is. Executors wait
+// a second for the answer to an announcement.
+const identifyTimeout = 300 * time.Millisecond
+
 // changesPlacement reports whether the difference between two statuses of an executor
 // matters for the choice of its runs.
 func changesPlacement(before, after oleandervalve.ExecutorStatus) bool {
--- a/io/executor/agent_test.go
+++ b/io/executor/agent_test.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -51,13 +52,20 @@
 	}
 }
 
+// unreachableExecutor does not say which incarnation it is.
+type unreachableExecutor struct{ oleandervalve.ExecutorClient }
+
+func (unreachableExecutor) Identify(context.Context, oleandervalve.ExecutorID) (oleandervalve.ExecutorTime, int64, error) {
+	return 0, 0, &oleandervalve.UnavailableError{Service: "executor"}
+}
+
 // Guards against an executor that starts again after its time of day has jumped back and
 // then gets no work for good, because its announcements look older than those of its
 // earlier life. Also guards against late announcements of an earlier life that are taken
 // for the present one.
 func TestExecutorRestartsWithEarlierTimeOfDay(t *testing.T) {
 	is := is.New(t)
-	a := newAgent(Options{Clock: clockwork.NewFakeClock(), MaxLease: 10 * time.Second})
+	a := newAgent(Options{Clock: clockwork.NewFakeClock(), MaxLease: 10 * time.Second, Executor: unreachableExecutor{}})
 	announce := func(startedAt int64, sequence uint64) int64 {
 		is.NoErr(a.StatusAnnounced(oleandervalve.ExecutorStatus{
 			Incarnation: oleandervalve.Incarnation{ID: "i-1", StartedAt: startedAt}, State: oleandervalve.ExecutorReady, Sequence: sequence,
--- a/io/executor/capacity_test.go
+++ b/io/executor/capacity_test.go
@@ -40,6 +40,13 @@
 	return 0, "", x.start(o)
 }
 
+func (x *fakeExecutor) Identify(_ context.Context, e oleandervalve.ExecutorID) (oleandervalve.ExecutorTime, int64, error) {
+	if e != "x-1" {
+		return 0, 0, &oleandervalve.WrongIncarnationError{ID: e}
+	}
+	return oleandervalve.ExecutorTime(time.Second), 1, nil
+}
+
 func (x *fakeExecutor) Stop(context.Context, oleandervalve.ExecutorID, oleandervalve.TaskName, oleandervalve.RunNumber, oleandervalve.FencingToken) error {
 	return nil
 }
--- /dev/null
+++ b/io/executor/foreign_test.go
@@ -0,0 +1,84 @@
+package executor
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"oleandervalve"
+	"oleandervalve/io/peer"
+)
+
+// Guards against an agent that leaves its executor for good, ends its session, counts its
+// runs as lost or misses that it drains, because of one announcement of another writer.
+func TestAnnouncementOfAnotherWriter(t *testing.T) {
+	foreign := func(change func(*oleandervalve.ExecutorStatus)) oleandervalve.ExecutorStatus {
+		s := statusWith(16, 2)
+		change(&s)
+		return s
+	}
+	for _, tt := range []struct {
+		name string
+		odd  oleandervalve.ExecutorStatus
+	}{
+		{"other executor", foreign(func(s *oleandervalve.ExecutorStatus) { s.Incarnation.ID = "odd" })},
+		{"other executor, start in the far future", foreign(func(s *oleandervalve.ExecutorStatus) {
+			s.Incarnation = oleandervalve.Incarnation{ID: "odd", StartedAt: math.MaxInt64}
+		})},
+		{"same executor, start in the far future", foreign(func(s *oleandervalve.ExecutorStatus) { s.Incarnation.StartedAt = math.MaxInt64 })},
+		{"same executor, sequence too large", foreign(func(s *oleandervalve.ExecutorStatus) { s.Sequence = math.MaxUint64 })},
+		{"draining executor", foreign(func(s *oleandervalve.ExecutorStatus) {
+			s.Incarnation, s.State = oleandervalve.Incarnation{ID: "odd", StartedAt: 5}, oleandervalve.ExecutorDraining
+		})},
+	} {
+		for _, first := range []bool{false, true} {
+			name := tt.name
+			if first {
+				name += ", before the executor's own"
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				x := &fakeExecutor{}
+				a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second})
+				inventories, changes := make(chan *peer.ExecutorInventory, 10), make(chan oleandervalve.ExecutorStatus, 10)
+				leadAgent(t, a, func(_ *peer.Conn, m peer.Message) {
+					switch m := m.(type) {
+					case *peer.ExecutorInventory:
+						inventories <- m
+					case *peer.ExecutorChange:
+						changes <- m.Status
+					}
+				})
+				announceOdd := func() {
+					var invalid *oleandervalve.InvalidError
+					is.True(errors.As(a.StatusAnnounced(tt.odd), &invalid))
+				}
+				if first {
+					announceOdd()
+				}
+				is.NoErr(a.StatusAnnounced(statusWith(16, 3)))
+				m := <-inventories
+				is.Equal(m.Status.Incarnation, statusWith(16, 3).Incarnation)
+				is.Equal(len(m.Lost), 0)
+				before := a.awaitSession()
+				if !first {
+					announceOdd()
+				}
+				draining := statusWith(16, 4)
+				draining.State = oleandervalve.ExecutorDraining
+				is.NoErr(a.StatusAnnounced(draining))
+				select {
+				case s := <-changes:
+					is.Equal(s.State, oleandervalve.ExecutorDraining)
+				case <-time.After(5 * time.Second):
+					t.Fatal("the leader is not told that the executor drains")
+				}
+				is.True(a.awaitSession() == before) // the session has not ended
+			})
+		}
+	}
+}
