Leave odd entries of an executor's lists out instead of all entries

One entry in the lists of an executor that could not be read made each poll fail: the executor counted as unreachable, its runs as lost after their lease, and it got no work for as long as the entry stayed.

Cause: a list was decoded as a whole, or not at all, and the numbers of a run's progress and load, which nothing depends on, could fail it.

Other entries are left out, counted and logged. An odd entry that stays doesn't make the agent poll without a pause.

--- a/core/dispatch/cluster_test.go
+++ b/core/dispatch/cluster_test.go
@@ -159,8 +159,8 @@
 	a.connected = true
 	a.leaseEnd = c.now.Add(6 * time.Second)
 	h := oleandervalve.PollResult{Ended: slices.Clone(c.listedEnds(a))}
-	h.MoreEnded = c.maxListedEnds > 0 && len(h.Ended) == c.maxListedEnds
-	a.incomplete, a.reportedEnd = h.MoreEnded, 0
+	h.Incomplete = c.maxListedEnds > 0 && len(h.Ended) == c.maxListedEnds
+	a.incomplete, a.reportedEnd = h.Incomplete, 0
 	if n := len(h.Ended); n > 0 {
 		a.reportedEnd = h.Ended[n-1].Number
 	}
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -41,7 +41,7 @@
 		if !r.startSent {
 			continue
 		}
-		r.unlisted = !listed[k] && runs.MoreEnded && !r.ofEarlierExecutor(k, a)
+		r.unlisted = !listed[k] && runs.Incomplete && !r.ofEarlierExecutor(k, a)
 		if !listed[k] && !r.unlisted {
 			d.recordUnreported(now, a, k)
 			d.releaseUnstarted(now, a, k, "notListed")
@@ -50,7 +50,7 @@
 	a.shared = sharedPairs{}
 	d.note("executorJoined", "", map[string]any{
 		"agent": id, "executor": status.Incarnation.ID, "state": status.State,
-		"running": len(runs.Running), "ended": len(runs.Ended), "held": len(a.runs), "complete": !runs.MoreEnded,
+		"running": len(runs.Running), "ended": len(runs.Ended), "held": len(a.runs), "complete": !runs.Incomplete,
 	})
 	for _, e := range runs.Ended {
 		d.RunEnded(now, id, status.Incarnation, e)
--- a/executor.go
+++ b/executor.go
@@ -154,9 +154,11 @@
 	StartedAt int64
 	Running   []RunningTask
 	Ended     []EndedTask
-	// MoreEnded means that further runs may have ended, which the executor lists once those
-	// in Ended are acknowledged.
-	MoreEnded bool
+	// Incomplete means that runs may be missing from the lists. Further ends are listed once
+	// those in Ended are acknowledged.
+	Incomplete bool
+	// Unreadable is the number of list entries that could not be read and were left out.
+	Unreadable int
 }
 
 // ExecutorClient sends orders to executors. It returns *WrongIncarnationError,
--- a/io/executor/inventory_test.go
+++ b/io/executor/inventory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -44,7 +45,7 @@
 		x.ends = x.ends[1:]
 	}
 	page := x.ends[:min(len(x.ends), x.pageSize)]
-	return oleandervalve.PollResult{Clock: oleandervalve.ExecutorTime(time.Second), Ended: append([]oleandervalve.EndedTask(nil), page...), MoreEnded: len(page) == x.pageSize}, nil
+	return oleandervalve.PollResult{Clock: oleandervalve.ExecutorTime(time.Second), Ended: append([]oleandervalve.EndedTask(nil), page...), Incomplete: len(page) == x.pageSize}, nil
 }
 
 func (x *pagingExecutor) Stop(context.Context, oleandervalve.ExecutorID, oleandervalve.TaskName, oleandervalve.RunNumber, oleandervalve.FencingToken) error {
@@ -83,7 +84,7 @@
 				switch m := m.(type) {
 				case *peer.ExecutorInventory:
 					reported += len(m.Ended)
-					inventories <- m.MoreEnded
+					inventories <- m.Incomplete
 					acknowledge(c, m.Status.Incarnation, m.Ended)
 				case *peer.RunsEnded:
 					reported += len(m.Ends)
@@ -147,3 +148,78 @@
 	}
 	is.Equal(len(voids), 0)
 }
+
+// oddExecutor lists the ends 1 and 3, and an entry that can't be read as the second or last one.
+type oddExecutor struct {
+	fakeExecutor
+	last  bool
+	mu    sync.Mutex
+	acked uint64
+	polls []time.Time
+}
+
+func (x *oddExecutor) Poll(_ context.Context, _ oleandervalve.ExecutorID, p oleandervalve.PollRequest) (oleandervalve.PollResult, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.acked = max(x.acked, p.AcknowledgedEnd)
+	x.polls = append(x.polls, time.Now())
+	result := oleandervalve.PollResult{Clock: oleandervalve.ExecutorTime(time.Second)}
+	numbers := []uint64{1, 3}
+	if x.last {
+		numbers = []uint64{1, 2}
+	}
+	for _, n := range numbers {
+		if n > x.acked {
+			result.Ended = append(result.Ended, oleandervalve.EndedTask{Number: n, Task: oleandervalve.TaskName{Job: "j", Index: int(n)}, Run: 1, How: oleandervalve.EndDone})
+		}
+	}
+	if x.last || x.acked < 2 {
+		result.Unreadable = 1
+	}
+	return result, nil
+}
+
+// Guards against ends that are never acknowledged because one before them can't be read, so that
+// the executor lists them for good, and against an agent that polls without a pause because
+// such an entry stays.
+func TestUnreadableEnd(t *testing.T) {
+	for _, last := range []bool{false, true} {
+		t.Run(fmt.Sprintf("last=%t", last), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := &oddExecutor{last: last}
+			a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second})
+			is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+			leadAgent(t, a, func(c *peer.Conn, m peer.Message) {
+				switch m := m.(type) {
+				case *peer.ExecutorInventory:
+					acknowledge(c, m.Status.Incarnation, m.Ended)
+				case *peer.RunsEnded:
+					acknowledge(c, m.Incarnation, m.Ends)
+				}
+			})
+			want := uint64(3)
+			if last {
+				want = 2
+			}
+			polls := 0
+			for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+				x.mu.Lock()
+				acked := x.acked
+				polls = len(x.polls)
+				x.mu.Unlock()
+				if acked == want && (!last || polls > 10) {
+					break
+				}
+				if time.Now().After(deadline) {
+					t.Fatalf("ends up to %d are acknowledged instead of %d", acked, want)
+				}
+			}
+			if last {
+				x.mu.Lock()
+				defer x.mu.Unlock()
+				is.True(x.polls[polls-1].Sub(x.polls[polls-2]) >= unacknowledgedPollDelay)
+			}
+		})
+	}
+}
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -32,7 +32,7 @@
 // pollLoop polls the executor until the session ends. Each poll extends the lease,
 // reports ended runs and updates the speed limits of best-effort tasks.
 func (s *session) pollLoop(ctx context.Context) {
-	failing, refusals := false, 0
+	failing, refusals, unreadable := false, 0, 0
 	for ctx.Err() == nil {
 		now := s.agent.options.Clock.Now()
 		s.mu.Lock()
@@ -83,8 +83,13 @@
 			return
 		}
 		s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Answered(now, s.status.Incarnation, result) })
+		if result.Unreadable != unreadable {
+			unreadable = result.Unreadable
+			s.log().WithField("entries", unreadable).Warn("entries of the executor's lists can't be read and are left out")
+			s.agent.options.Scope.Counter("unreadable_entries").Inc(int64(unreadable))
+		}
 		s.applyPollResult(ctx, now, result)
-		if len(result.Ended) > 0 {
+		if len(result.Ended) > 0 || result.Unreadable > 0 {
 			// The executor answers at once while its list of ends is not empty; the
 			// delay prevents a busy loop.
 			select {
@@ -147,14 +152,14 @@
 	var neverStarted []runKey
 	for k, at := range s.confirmedStops {
 		// A run that is in neither list may be among the ends that are not listed yet.
-		if at.Before(sentAt) && !running[k] && !result.MoreEnded {
+		if at.Before(sentAt) && !running[k] && !result.Incomplete {
 			delete(s.confirmedStops, k)
 			neverStarted = append(neverStarted, k)
 		}
 	}
 	s.running = running
-	ends.Complete = s.inventoryIncomplete && !result.MoreEnded
-	s.inventoryIncomplete = s.inventoryIncomplete && result.MoreEnded
+	ends.Complete = s.inventoryIncomplete && !result.Incomplete
+	s.inventoryIncomplete = s.inventoryIncomplete && result.Incomplete
 	orders := s.updateSpeedLimits(result)
 	s.mu.Unlock()
 	if len(ends.Ends) > 0 || ends.Complete {
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -257,12 +257,12 @@
 	for _, e := range result.Ended {
 		s.lastReportedEnd = max(s.lastReportedEnd, e.Number)
 	}
-	s.inventoryIncomplete = result.MoreEnded
+	s.inventoryIncomplete = result.Incomplete
 	s.mu.Unlock()
-	if result.MoreEnded {
+	if result.Incomplete {
 		s.log().WithFields(logrus.Fields{"running": len(result.Running), "ended": len(result.Ended)}).Info("inventory is incomplete: further ends follow as the leader acknowledges the listed ones")
 	}
-	return s.conn.Send(&peer.ExecutorInventory{Status: s.status, Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), MoreEnded: result.MoreEnded})
+	return s.conn.Send(&peer.ExecutorInventory{Status: s.status, Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), Incomplete: result.Incomplete})
 }
 
 // maxElapsed returns an upper bound of the real time that passes while the executor's
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -179,7 +179,7 @@
 			for _, r := range m.Lost {
 				d.ExecutorLost(now, id, r)
 			}
-			d.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended, MoreEnded: m.MoreEnded})
+			d.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended, Incomplete: m.Incomplete})
 		case *peer.ExecutorChange:
 			d.StatusChanged(id, m.Status)
 		case *peer.ExecutorTerminated:
--- a/io/peer/dispatch.go
+++ b/io/peer/dispatch.go
@@ -53,9 +53,9 @@
 	// Lost are the reports of earlier incarnations of the executor. The leader may know
 	// them already.
 	Lost []crash.Report `cbor:"4,keyasint,omitempty"`
-	// MoreEnded means that further runs may have ended. RunsEnded messages report them; the
+	// Incomplete means that further runs may have ended. RunsEnded messages report them; the
 	// last one has Complete set.
-	MoreEnded bool `cbor:"5,keyasint,omitempty"`
+	Incomplete bool `cbor:"5,keyasint,omitempty"`
 }
 
 // ExecutorChange reports a new announcement of the executor co-located with an agent.
