Don't end the leader for a run with an odd occurrence

Seen by callers: nothing yet; from the report of another operator (odd entry: a number too large; machines ended again and again). An executor that listed a run of a stored job with a very large occurrence in its name ended the leader, and each next leader that its agent connected to.

Cause: the index of a step was the occurrence times the number of steps, which overflowed to a negative number and passed the check of its range.

Change: the occurrence is checked against the job's occurrences first.

Evidence: TestOddRunsInInventory fails before (index out of range [-2]) and passes.

--- a/core/dispatch/inventory_test.go
+++ b/core/dispatch/inventory_test.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"oleandervalve"
+	"oleandervalve/core/crash"
 	"oleandervalve/core/work"
 )
 
@@ -61,3 +63,36 @@
 	is.Equal(state, work.Completed)
 	is.Equal(a.number, uint64(10))
 }
+
+// Guards against leaders that end one after the other because an executor lists a run with an
+// odd name or number of a job that is stored.
+func TestOddRunsInInventory(t *testing.T) {
+	names := []oleandervalve.TaskName{
+		{Job: "j", Occurrence: math.MaxInt, Step: 0}, {Job: "j", Occurrence: math.MaxInt/2 + 1, Step: 1}, {Job: "j", Step: math.MaxInt},
+		{Job: "j", Index: math.MaxInt}, {Job: "j", Occurrence: -1}, {Job: "j", Step: -1}, {Job: "j", Index: -1}, {Job: "unknown"}, {},
+	}
+	for _, n := range names {
+		t.Run(n.String(), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 1, 1)
+			a := c.agents[c.order[0]]
+			step := work.Step{Count: 2, Demand: oleandervalve.Resources{CPU: 1000}}
+			c.submit("j", work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{step, step}})
+			for range 2 {
+				c.advanceCommit(true)
+			}
+			run := oleandervalve.RunNumber(math.MaxUint64)
+			c.dispatcher.AgentConnected(c.now, a.id, a.status, oleandervalve.PollResult{Running: []oleandervalve.RunningTask{{Task: n, Run: run}}})
+			c.dispatcher.RunEnded(c.now, a.id, a.status.Incarnation, oleandervalve.EndedTask{Number: math.MaxUint64, Task: n, Run: run, How: "odd"})
+			c.dispatcher.RunNeverStarted(c.now, a.id, NeverStarted{Task: n, Run: run, Reason: "odd"})
+			c.dispatcher.RunOutlived(a.id, n, run)
+			c.dispatcher.ExecutorLost(c.now, a.id, crash.Report{Executor: a.status.Incarnation, Crashed: true, Runs: []crash.Run{{Task: n, Run: run, Started: true}}})
+			c.dispatcher.RunsCheckpointed(c.now, a.id, []RunCheckpoint{{Task: n, Run: run, Checkpoint: "c"}})
+			c.collect()
+			c.connect(a)
+			c.runUntilIdle()
+			state, _ := c.dispatcher.State("j")
+			is.Equal(state, work.Completed)
+		})
+	}
+}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -105,12 +105,12 @@
 	return j
 }
 
+// step returns an occurrence of a step, or nil if the job has no such step.
 func (j *job) step(occurrence, index int) *step {
-	n := occurrence*len(j.spec.Steps) + index
-	if occurrence < 0 || index < 0 || index >= len(j.spec.Steps) || n >= len(j.steps) {
+	if occurrence < 0 || occurrence >= j.spec.Occurrences() || index < 0 || index >= len(j.spec.Steps) {
 		return nil
 	}
-	return j.steps[n]
+	return j.steps[occurrence*len(j.spec.Steps)+index]
 }
 
 // task returns the step and the record of a task, or nil if the job has no such task.
