Skip stored jobs whose record doesn't fit their specification

Seen by callers: nothing yet; from the report of another operator, at the end of the path from an executor to the table. A row that can be decoded but names an executor, a state or a task that doesn't exist ended the leader that loaded it, and each next one.

Cause: rows that can't be decoded were skipped, but a decoded record was trusted.

Change: Record.Validate checks the indexes and states of a record against the specification; the leader skips the job with a log line, as it does with a row that can't be decoded.

Evidence: TestOddRowsAreSkipped fails before from its fifth case on (a panic in the load; later cases were not reached), and passes.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -78,12 +78,8 @@
 
 func newJob(id oleandervalve.JobID, spec work.Spec, rec work.Record) *job {
 	j := &job{id: id, spec: spec, rec: rec}
-	tasksPerOccurrence := 0
-	for _, s := range spec.Steps {
-		tasksPerOccurrence += s.Count
-	}
 	if j.rec.Tasks == nil && !rec.State.Terminal() {
-		j.rec.Tasks = make([]work.TaskRecord, tasksPerOccurrence*spec.Occurrences())
+		j.rec.Tasks = make([]work.TaskRecord, spec.TaskCount())
 	}
 	j.objective = rec.Queue.Objective(spec)
 	j.dependents = make([][]int, len(spec.Steps))
--- a/core/work/record.go
+++ b/core/work/record.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -78,6 +79,38 @@
 	Crashes map[int]crash.History `cbor:"8,keyasint,omitempty"`
 }
 
+// Validate checks that the record is one of a job with the given valid specification, which is
+// not needed if the job is completed. It returns an *oleandervalve.InvalidError.
+func (r Record) Validate(s Spec) error {
+	if r.State < Pending || r.State > Cancelled {
+		return invalidRecord("state", int(r.State))
+	}
+	if r.State == Completed {
+		return nil
+	}
+	if n := len(r.Tasks); n != 0 && n != s.TaskCount() {
+		return invalidRecord("number of tasks", n)
+	}
+	for _, t := range r.Tasks {
+		if t.State < TaskWaiting || t.State > TaskDone {
+			return invalidRecord("state of a task", int(t.State))
+		}
+		if t.State == TaskAssigned && (t.ExecutorIndex < 0 || t.ExecutorIndex >= len(r.Executors)) {
+			return invalidRecord("executor of a task", t.ExecutorIndex)
+		}
+	}
+	for i := range r.Crashes {
+		if i < 0 || i >= len(r.Tasks) {
+			return invalidRecord("task with crashes", i)
+		}
+	}
+	return nil
+}
+
+func invalidRecord(field string, value int) error {
+	return &oleandervalve.InvalidError{Field: "record: " + field, Value: strconv.Itoa(value), Remedy: "remove the row"}
+}
+
 const (
 	// RecordPrefix is the key prefix of job records.
 	RecordPrefix oleandervalve.Key = "jobs/main/"
--- a/core/work/spec.go
+++ b/core/work/spec.go
@@ -86,6 +86,15 @@
 // Occurrences returns the number of occurrences, which is at least 1.
 func (s Spec) Occurrences() int { return max(1, s.Repeat) }
 
+// TaskCount returns the number of tasks of all occurrences.
+func (s Spec) TaskCount() int {
+	n := 0
+	for _, st := range s.Steps {
+		n += st.Count
+	}
+	return n * s.Occurrences()
+}
+
 // ReleaseTime returns the earliest start of an occurrence; the zero time means immediately.
 func (s Spec) ReleaseTime(occurrence int) time.Time {
 	if s.Repeat == 0 {
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -326,6 +326,9 @@
 				err = s.Spec.Validate()
 			}
 		}
+		if err == nil {
+			err = s.Record.Validate(s.Spec)
+		}
 		if err != nil {
 			l.options.Log.WithField("job", s.Job).WithError(err).Error("stored job can't be decoded and is skipped")
 			return
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
+	"oleandervalve/core/crash"
 	"oleandervalve/core/dispatch"
 	"oleandervalve/core/work"
 	"oleandervalve/io/peer"
@@ -228,6 +230,51 @@
 	is.Equal(submit(l).Verdict, dispatch.Accepted)
 }
 
+// Guards against leaders that end one after the other because of an odd row among those of the
+// jobs, or of the learned model.
+func TestOddRowsAreSkipped(t *testing.T) {
+	spec := work.Encode(work.Spec{Steps: []work.Step{{Count: 2}}})
+	record := func(change func(*work.Record)) []byte {
+		r := work.Record{Queue: work.Queue{Name: "q"}, Tasks: make([]work.TaskRecord, 2)}
+		change(&r)
+		return work.Encode(r)
+	}
+	nested := append(bytes.Repeat([]byte{0x81}, 10_000), 0)
+	for _, tt := range []struct {
+		name         string
+		spec, record []byte
+	}{
+		{"record is empty", spec, nil},
+		{"record is nested", spec, nested},
+		{"specification is nested", nested, record(func(*work.Record) {})},
+		{"no specification", nil, record(func(*work.Record) {})},
+		{"executor out of range", spec, record(func(r *work.Record) { r.Tasks[0] = work.TaskRecord{State: work.TaskAssigned, Run: 1, ExecutorIndex: 5} })},
+		{"negative executor", spec, record(func(r *work.Record) { r.Tasks[0] = work.TaskRecord{State: work.TaskAssigned, Run: 1, ExecutorIndex: -1} })},
+		{"state out of range", spec, record(func(r *work.Record) { r.State = 99 })},
+		{"negative state", spec, record(func(r *work.Record) { r.State = -1 })},
+		{"state of a task out of range", spec, record(func(r *work.Record) { r.Tasks[1].State = 7 })},
+		{"too few tasks", spec, record(func(r *work.Record) { r.Tasks = r.Tasks[:1] })},
+		{"too many tasks", spec, record(func(r *work.Record) { r.Tasks = make([]work.TaskRecord, 3) })},
+		{"crash of no task", spec, record(func(r *work.Record) { r.Crashes = map[int]crash.History{9: {}} })},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			x := newFakeTable()
+			x.version = 1
+			for key, value := range map[oleandervalve.Key][]byte{work.SpecKey("odd"): tt.spec, work.RecordKey("odd"): tt.record, dispatch.LearnedKey: nested} {
+				if value != nil || key == work.RecordKey("odd") {
+					x.rows[key] = oleandervalve.Row{Key: key, Value: value, Version: 1}
+				}
+			}
+			l, _ := startLeader(t, x)
+			is.Equal(submit(l).Verdict, dispatch.Accepted)
+			answer := make(chan peer.JobReply, 1)
+			l.Call(peer.JobCall{ID: 9, Kind: peer.CallStatus, Job: "odd"}, func(r peer.JobReply) { answer <- r })
+			is.Equal((<-answer).Verdict, dispatch.JobNotFound)
+		})
+	}
+}
+
 // Guards against a busy leader whose row looks abandoned: it was renewed only if no other
 // commit had proved the leadership for a while, so an entry that had lost its connection
 // took leadership from a healthy leader.
