--- a/core/dispatch/inventory_test.go
+++ b/core/dispatch/inventory_test.go
@@ -68,8 +68,15 @@
 // odd name or number of a job that is stored.
 func TestOddRunsInInventory(t *testing.T) {
 	names := []oleandervalve.TaskName{
-		{Job: "j", Occurrence: math.MaxInt, Step: 0}, {Job: "j", Occurrence: math.MaxInt/2 + 1, Step: 1}, {Job: "j", Step: math.MaxInt},
-		{Job: "j", Index: math.MaxInt}, {Job: "j", Occurrence: -1}, {Job: "j", Step: -1}, {Job: "j", Index: -1}, {Job: "unknown"}, {},
+		{Job: "j", Occurrence: math.MaxInt, Step: 0},
+		{Job: "j", Occurrence: math.MaxInt/2 + 1, Step: 1},
+		{Job: "j", Step: math.MaxInt},
+		{Job: "j", Index: math.MaxInt},
+		{Job: "j", Occurrence: -1},
+		{Job: "j", Step: -1},
+		{Job: "j", Index: -1},
+		{Job: "unknown"},
+		{},
 	}
 	for _, n := range names {
 		t.Run(n.String(), func(t *testing.T) {
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -249,7 +249,9 @@
 		{"specification is nested", nested, record(func(*work.Record) {})},
 		{"no specification", nil, record(func(*work.Record) {})},
 		{"executor out of range", spec, record(func(r *work.Record) { r.Tasks[0] = work.TaskRecord{State: work.TaskAssigned, Run: 1, ExecutorIndex: 5} })},
-		{"negative executor", spec, record(func(r *work.Record) { r.Tasks[0] = work.TaskRecord{State: work.TaskAssigned, Run: 1, ExecutorIndex: -1} })},
+		{"negative executor", spec, record(func(r *work.Record) {
+			r.Tasks[0] = work.TaskRecord{State: work.TaskAssigned, Run: 1, ExecutorIndex: -1}
+		})},
 		{"state out of range", spec, record(func(r *work.Record) { r.State = 99 })},
 		{"negative state", spec, record(func(r *work.Record) { r.State = -1 })},
 		{"state of a task out of range", spec, record(func(r *work.Record) { r.Tasks[1].State = 7 })},
