Keep a job whose record outgrows a row from stopping all commits

Cause: the record of a job grows while it lives, by crash histories and checkpoints, and nothing compared it with the size of a row. The table's 400 counted as an unknown outcome, so that the same transaction was repeated by each leader, and all jobs share it.

Change: a record that is too large is stored without what a new leader can do without, in four steps. 400 and 413 are definite: the jobs of such a commit are committed one by one, a job that is rejected alone is refused if it is new, and otherwise waits 5 s beside the others. The size of a row comes from the platform's settings.

Ruled out: a job beyond the limits (it is within them), and the histories as the only cause (checkpoints of 100 bytes suffice).

--- a/cmd/oleandervalve/platform.go
+++ b/cmd/oleandervalve/platform.go
@@ -93,7 +93,7 @@
 		ID:      oleandervalve.EntryID(s.Name), Process: uuid.NewString(), Address: s.PeerAddress, Seeds: s.PeerSeeds, CPUShare: s.CPUShare,
 		Table: platform.NewTableClient(s.TableAddress), Clock: oleandervalve.SystemClock(), Uptime: oleandervalve.SystemUptime, Log: p.Log(), Scope: p.Scope(),
 		ConfigurationKey: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
-		Retention: s.Retention, EarlyStart: s.EarlyStart,
+		Retention: s.Retention, EarlyStart: s.EarlyStart, MaxRow: s.MaxRow,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -44,6 +44,9 @@
 	return len(b.Transaction.Conditions) + len(b.Transaction.Puts) + len(b.Transaction.Deletes)
 }
 
+// Empty reports whether the batch changes no job.
+func (b *Batch) Empty() bool { return len(b.changes) == 0 }
+
 // Pending reports whether there are changes to commit or tasks to place.
 func (d *Dispatcher) Pending() bool { return len(d.dirtyJobs) > 0 || d.placementNeeded }
 
@@ -56,7 +59,7 @@
 	b := &Batch{}
 	size, n := 0, 0
 	for _, j := range d.dirtyJobs {
-		if b.operationCount()+maxOperationsPerJob > maxBatchOperations || size > maxBatchBytes {
+		if b.operationCount()+maxOperationsPerJob > maxBatchOperations || size > maxBatchBytes || n > 0 && (j.alone || d.dirtyJobs[0].alone) {
 			break
 		}
 		n++
@@ -68,7 +71,10 @@
 		} else {
 			d.sequence++
 			j.rec.Sequence = d.sequence
-			value := work.Encode(j.rec.Compact())
+			value, left := j.rec.Compact().EncodeWithin(int(d.options.MaxRow))
+			if len(left) > 0 {
+				d.note("recordReduced", j.id, map[string]any{"bytes": len(value), "leftOut": left, "tasks": len(j.rec.Tasks)})
+			}
 			b.Transaction.Puts = append(b.Transaction.Puts, oleandervalve.Put{Key: key, Value: value})
 			size += len(value)
 		}
@@ -94,7 +100,7 @@
 // that depended on the commit.
 func (d *Dispatcher) CommitApplied(now time.Time, b *Batch, version oleandervalve.Version) {
 	for _, c := range b.changes {
-		c.job.version, c.job.committedState, c.job.inFlight = version, c.state, false
+		c.job.version, c.job.committedState, c.job.inFlight, c.job.alone = version, c.state, false, false
 		if c.expired {
 			delete(d.jobs, c.job.id)
 		}
@@ -152,26 +158,87 @@
 // CommitRefused handles a commit that the table has not applied and will never apply. New
 // jobs are refused to their callers; all other changes are retried with the next commit.
 func (d *Dispatcher) CommitRefused(now time.Time, b *Batch) {
+	for _, c := range b.changes {
+		c.job.inFlight = false
+		if c.job.version == 0 {
+			d.refuseJob(c, reasonTableUnavailable)
+			continue
+		}
+		d.restoreChange(c)
+	}
+}
+
+// CommitRejected handles a commit that the table will never accept, because of a row or of its
+// size. Its jobs are committed one by one; a job that is rejected alone is refused to its
+// caller if it is new, and otherwise tried again after a while, so that it holds up no other.
+func (d *Dispatcher) CommitRejected(now time.Time, b *Batch) {
 	for _, c := range b.changes {
 		j := c.job
 		j.inFlight = false
-		if j.version == 0 {
-			d.discardJob(j)
-			for _, t := range append(c.submitters, j.submitters...) {
-				d.enqueueAction(Reply{Token: t, Verdict: NotRun, Reason: reasonTableUnavailable, RetryAfter: unavailableRetryAfter})
-			}
-			for _, t := range append(c.cancellers, j.cancellers...) {
-				d.enqueueAction(Reply{Token: t, Verdict: JobNotFound})
-			}
-			d.note("refused", j.id, map[string]any{"reason": reasonTableUnavailable})
+		rejectedAlone := len(b.changes) == 1
+		if rejectedAlone {
+			d.note("rejected", j.id, map[string]any{"bytes": b.valueBytes(), "tasks": len(j.rec.Tasks), "stored": j.version > 0})
+		}
+		if rejectedAlone && j.version == 0 {
+			d.refuseJob(c, reasonRowRejected)
 			continue
 		}
-		j.effects = append(c.effects, j.effects...)
-		j.cancellers = append(c.cancellers, j.cancellers...)
-		d.markDirty(j)
+		j.alone = true
+		d.restoreChange(c)
+		if rejectedAlone {
+			j.retryAt = now.Add(rejectedRetryDelay)
+			d.dirtyJobs = slices.DeleteFunc(d.dirtyJobs, func(x *job) bool { return x == j })
+			d.rejectedJobs = append(d.rejectedJobs, j)
+		}
 	}
 }
 
+// rejectedRetryDelay is the delay before a job whose row was rejected is committed again.
+const rejectedRetryDelay = 5 * time.Second
+
+// retryRejectedJobs returns rejected jobs to the next commit once their delay has passed.
+func (d *Dispatcher) retryRejectedJobs(now time.Time) {
+	d.rejectedJobs = slices.DeleteFunc(d.rejectedJobs, func(j *job) bool {
+		if j.retryAt.After(now) {
+			return false
+		}
+		d.dirtyJobs = append(d.dirtyJobs, j)
+		return true
+	})
+}
+
+// valueBytes returns the total size of the values of the batch.
+func (b *Batch) valueBytes() int {
+	n := 0
+	for _, p := range b.Transaction.Puts {
+		n += len(p.Value)
+	}
+	return n
+}
+
+// refuseJob discards a job that was never stored and tells its callers.
+func (d *Dispatcher) refuseJob(c jobChange, reason oleandervalve.Reason) {
+	j := c.job
+	submitters, cancellers := slices.Concat(c.submitters, j.submitters), slices.Concat(c.cancellers, j.cancellers)
+	d.discardJob(j)
+	for _, t := range submitters {
+		d.enqueueAction(Reply{Token: t, Verdict: NotRun, Reason: reason, RetryAfter: unavailableRetryAfter})
+	}
+	for _, t := range cancellers {
+		d.enqueueAction(Reply{Token: t, Verdict: JobNotFound})
+	}
+	d.note("refused", j.id, map[string]any{"reason": reason})
+}
+
+// restoreChange returns a change that was not applied to its job, for the next commit.
+func (d *Dispatcher) restoreChange(c jobChange) {
+	j := c.job
+	j.effects = append(c.effects, j.effects...)
+	j.submitters = append(c.submitters, j.submitters...)
+	j.cancellers = append(c.cancellers, j.cancellers...)
+	d.markDirty(j)
+}
+
 // RefuseUnsent refuses the new jobs that no commit has carried yet, for a time in which the
 // outcome of the commit in flight stays unknown: they have certainly not been stored, and
 // their callers would otherwise wait for that outcome.
@@ -192,8 +259,12 @@
 	}
 }
 
-// reasonTableUnavailable is the reason of refusals while the table can't be written to.
-const reasonTableUnavailable oleandervalve.Reason = "tableUnavailable"
+const (
+	// reasonTableUnavailable is the reason of refusals while the table can't be written to.
+	reasonTableUnavailable oleandervalve.Reason = "tableUnavailable"
+	// reasonRowRejected is the reason of the refusal of a job whose rows the table rejects.
+	reasonRowRejected oleandervalve.Reason = "rowRejected"
+)
 
 // discardJob removes a job that was never stored. No Start of the job has been sent.
 func (d *Dispatcher) discardJob(j *job) {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -20,6 +20,8 @@
 	EarlyStart time.Duration
 	// MaxActive limits the jobs that have not ended; 0 means no limit.
 	MaxActive int
+	// MaxRow is the size of the largest row that the table accepts; 0 means 64 KiB.
+	MaxRow oleandervalve.Bytes
 }
 
 // Dispatcher assigns tasks to executors on the leading entry.
@@ -35,7 +37,9 @@
 	delayed []*step
 	// dirtyJobs holds the jobs whose changed records are to be committed.
 	dirtyJobs []*job
-	actions   []Action
+	// rejectedJobs holds the changed jobs whose rows the table has rejected.
+	rejectedJobs []*job
+	actions      []Action
 	// contention is the learned model of the interference with latency-critical tasks.
 	contention *contention.Model
 	// beImages holds the images of the best-effort steps of all jobs so far.
@@ -75,11 +79,17 @@
 
 // New returns a Dispatcher without jobs or agents.
 func New(o Options) *Dispatcher {
+	if o.MaxRow == 0 {
+		o.MaxRow = defaultMaxRow
+	}
 	d := &Dispatcher{options: o, serviceUtilisation: map[oleandervalve.ServiceName]float64{}, placementFailures: map[beGroup]placementFailure{}, jobs: map[oleandervalve.JobID]*job{}, agents: map[oleandervalve.AgentID]*agent{}, ready: map[*step]bool{}, contention: contention.New(), runTimeModels: map[work.QueueName]*runTimeModel{}, beImages: map[oleandervalve.KindName]bool{}}
 	d.sortSteps = d.defaultOrder
 	return d
 }
 
+// defaultMaxRow is the size of the largest row that tables accept.
+const defaultMaxRow oleandervalve.Bytes = 64 << 10
+
 // StoredJob is a job as read from its record row and its specification row.
 type StoredJob struct {
 	Job         oleandervalve.JobID
@@ -350,6 +360,7 @@
 		d.activate(now, s)
 	}
 	d.delayed = stillDelayed
+	d.retryRejectedJobs(now)
 	d.deleteExpiredJobs(now)
 	d.shareContention(now)
 	d.logContention(now)
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -24,6 +24,10 @@
 	dirty bool
 	// inFlight means that a commit with the job is in flight.
 	inFlight bool
+	// alone means that the table has rejected a commit with the job, so that it is committed
+	// without others, and retryAt when the next attempt is due if it was rejected alone.
+	alone   bool
+	retryAt time.Time
 	// committedState is the durable state, which is the one reported to callers.
 	committedState work.State
 	// objective is the target time to completion, based on declared run times.
--- a/core/work/record.go
+++ b/core/work/record.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -119,7 +120,7 @@
 )
 
 // Compact returns the record without what no reader needs: the executors and checkpoints of
-// tasks that are done. The records of large jobs are written after each burst of ends, so
+// tasks that are done, and the checkpoints and crash histories of a job that has ended. The records of large jobs are written after each burst of ends, so
 // their size counts.
 func (r Record) Compact() Record {
 	index := make(map[int]int, len(r.Executors))
@@ -143,6 +144,58 @@
 		tasks[i] = t
 	}
 	r.Tasks, r.Executors = tasks, executors
+	if r.State.Terminal() {
+		r.Crashes = nil
+		r = r.withoutCheckpoints()
+	}
+	return r
+}
+
+// EncodeWithin returns the stored form of the record. If it is larger than limit bytes, it
+// leaves out what a new leader can do without, as far as needed: crash histories that make no
+// task suspect, those with a single incident, checkpoints, and the other histories. left tells
+// what is missing; nothing is changed in r.
+func (r Record) EncodeWithin(limit int) (value []byte, left []string) {
+	value = Encode(r)
+	for _, reduce := range []struct {
+		what  string
+		apply func(Record) Record
+	}{
+		{"unsuspected", func(r Record) Record {
+			return r.withHistories(func(h crash.History) bool { return h.Suspect() })
+		}},
+		{"singleIncidents", func(r Record) Record {
+			return r.withHistories(func(h crash.History) bool { return len(h.Incidents) > 1 })
+		}},
+		{"checkpoints", Record.withoutCheckpoints},
+		{"crashes", func(r Record) Record { return r.withHistories(func(crash.History) bool { return false }) }},
+	} {
+		if len(value) <= limit {
+			return value, left
+		}
+		r = reduce.apply(r)
+		value, left = Encode(r), append(left, reduce.what)
+	}
+	return value, left
+}
+
+// withHistories returns the record with those crash histories that keep selects.
+func (r Record) withHistories(keep func(crash.History) bool) Record {
+	kept := map[int]crash.History{}
+	for i, h := range r.Crashes {
+		if keep(h) {
+			kept[i] = h
+		}
+	}
+	r.Crashes = kept
+	return r
+}
+
+func (r Record) withoutCheckpoints() Record {
+	r.Tasks = slices.Clone(r.Tasks)
+	for i := range r.Tasks {
+		r.Tasks[i].Checkpoint = ""
+	}
 	return r
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -47,6 +47,8 @@
 	Permits    oleandervalve.PermitService
 	Retention  time.Duration
 	EarlyStart time.Duration
+	// MaxRow is the size of the largest row that the table accepts; 0 means 64 KiB.
+	MaxRow oleandervalve.Bytes
 }
 
 // Gateway is one entry process.
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -102,6 +102,13 @@
 			l.options.Log.WithFields(logrus.Fields{"row": conflict.Key, "expected": conflict.Expected, "found": conflict.Current.Version}).Warn("commit conflicts with that of another leader")
 			return 0, ErrFenced
 		}
+		var invalid *oleandervalve.InvalidError
+		if errors.As(err, &invalid) && !b.Empty() {
+			l.options.Log.WithField("rows", len(t.Puts)).WithError(err).Error("table has rejected a commit; its jobs are committed one by one")
+			l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.CommitRejected(now, b) })
+			l.requestCommit()
+			return averageTime, nil
+		}
 		var unavailable *oleandervalve.UnavailableError
 		if !errors.As(err, &unavailable) {
 			mayApply = true
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -71,6 +71,8 @@
 	Scope      tally.Scope
 	Retention  time.Duration
 	EarlyStart time.Duration
+	// MaxRow is the size of the largest row that the table accepts; 0 means 64 KiB.
+	MaxRow oleandervalve.Bytes
 	// Permits decides which executors may run a step. It may be nil if no queue
 	// requires permits.
 	Permits oleandervalve.PermitService
@@ -145,7 +147,7 @@
 	return &Leader{
 		options: o, row: own, version: version,
 		dispatcher: dispatch.New(dispatch.Options{
-			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs,
+			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{},
 		followers: map[oleandervalve.EntryID]*follower{}, lastProofAt: started, renewedAt: started, termStartedAt: started,
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -33,6 +33,8 @@
 	lostAnswers int
 	// commitError, if set, is returned by Commit, which then applies nothing.
 	commitError error
+	// rejectedKey, if set, is the key of a row that Commit rejects for good.
+	rejectedKey oleandervalve.Key
 	commitCount int
 }
 
@@ -75,6 +77,11 @@
 			return oleandervalve.Committed{}, &oleandervalve.ConflictError{Key: c.Key, Expected: c.Version, Current: r}
 		}
 	}
+	for _, p := range x.Puts {
+		if p.Key == t.rejectedKey {
+			return oleandervalve.Committed{}, &oleandervalve.InvalidError{Field: "transaction", Remedy: "write smaller rows"}
+		}
+	}
 	t.version++
 	var out oleandervalve.Committed
 	for _, p := range x.Puts {
@@ -277,6 +284,28 @@
 	}
 }
 
+// Guards against a leader that repeats a commit without end which the table will never accept,
+// and commits nothing of the other jobs.
+func TestCommitThatIsNeverAccepted(t *testing.T) {
+	is := is.New(t)
+	x := newFakeTable()
+	x.rejectedKey = work.RecordKey("large")
+	l, _ := startLeader(t, x)
+	call := func(id oleandervalve.JobID) chan peer.JobReply {
+		answer := make(chan peer.JobReply, 1)
+		l.Call(peer.JobCall{
+			ID: 1, Kind: peer.CallSubmit, Job: id, Queue: work.Queue{Name: "q", Service: "s"},
+			Spec: work.Spec{Steps: []work.Step{{Count: 1}}},
+		}, func(r peer.JobReply) { answer <- r })
+		return answer
+	}
+	before, large, after := call("before"), call("large"), call("after")
+	is.Equal((<-before).Verdict, dispatch.Accepted)
+	is.Equal((<-after).Verdict, dispatch.Accepted)
+	is.Equal((<-large).Verdict, dispatch.NotRun)
+	is.Equal(submit(l).Verdict, dispatch.Accepted)
+}
+
 // Guards against a busy leader whose row looks abandoned: it was renewed only if no other
 // commit had proved the leadership for a while, so an entry that had lost its connection
 // took leadership from a healthy leader.
