Keep messages about runs within the size of a frame

Cause: the receiver limits frames to 64 KiB, the sender did not keep to it, and messages that list runs grow with the runs of an executor.

--- a/core/crash/log.go
+++ b/core/crash/log.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -36,6 +37,11 @@
 	reportRetention = 2 * time.Minute
 )
 
+// maxReportedRuns limits the runs of one report, and of all reports that a leader is told at a
+// time, so that they fit into a message. The youngest runs are reported, as they are the most
+// suspect.
+const maxReportedRuns = 400
+
 type runKey struct {
 	task oleandervalve.TaskName
 	run  oleandervalve.RunNumber
@@ -103,7 +109,7 @@
 // Lost returns the report of the present incarnation, which gives no answers.
 func (l *Log) Lost(now time.Time) Report { return Report{Executor: l.executor, Runs: l.lostRuns(now)} }
 
-// lostRuns returns the runs of the executor that count as lost, sorted by task and run.
+// lostRuns returns the youngest runs of the executor that count as lost, sorted by task and run.
 func (l *Log) lostRuns(now time.Time) []Run {
 	end := now
 	if !l.silentSince.IsZero() {
@@ -119,23 +125,44 @@
 			out = append(out, x)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].Task != out[j].Task {
-			return out[i].Task.String() < out[j].Task.String()
+	return youngest(out, maxReportedRuns)
+}
+
+// youngest returns the n youngest runs, sorted by task and run.
+func youngest(runs []Run, n int) []Run {
+	before := func(a, b Run) bool {
+		if a.Task != b.Task {
+			return a.Task.String() < b.Task.String()
 		}
-		return out[i].Run < out[j].Run
-	})
-	return out
+		return a.Run < b.Run
+	}
+	if len(runs) > n {
+		sort.Slice(runs, func(i, j int) bool {
+			if runs[i].MaxAge != runs[j].MaxAge {
+				return runs[i].MaxAge < runs[j].MaxAge
+			}
+			return before(runs[i], runs[j])
+		})
+		runs = runs[:n]
+	}
+	sort.Slice(runs, func(i, j int) bool { return before(runs[i], runs[j]) })
+	return runs
 }
 
-// Reports returns the reports that are not too old to be of use to a leader.
+// Reports returns the reports that are not too old to be of use to a leader. If they have too
+// many runs, those of the older ones are left out.
 func (l *Log) Reports(now time.Time) []Report {
 	var out []Report
-	for _, r := range l.reports {
+	left := maxReportedRuns
+	for _, r := range slices.Backward(l.reports) {
 		if now.Sub(r.at) < reportRetention {
-			out = append(out, r.Report)
+			report := r.Report
+			report.Runs = youngest(slices.Clone(report.Runs), left)
+			left -= len(report.Runs)
+			out = append(out, report)
 		}
 	}
+	slices.Reverse(out)
 	return out
 }
 
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -163,9 +163,7 @@
 	orders := s.updateSpeedLimits(result)
 	s.mu.Unlock()
 	if len(ends.Ends) > 0 || ends.Complete {
-		if !s.conn.TrySend(ends) {
-			s.end("ends of runs can't be sent to the leader")
-		}
+		s.sendEnds(*ends)
 		for _, e := range ends.Ends {
 			s.log().WithFields(logrus.Fields{"job": e.Task.Job, "task": e.Task.String(), "run": e.Run, "how": e.How, "number": e.Number}).Debug("run ended")
 		}
@@ -178,6 +176,27 @@
 	}
 }
 
+// sendEnds sends ended runs to the leader, in as many messages as needed. If that isn't possible,
+// the session ends: the next one reports them again.
+func (s *session) sendEnds(m peer.RunsEnded) {
+	for {
+		part := m
+		n := peer.EndsThatFit(m.Ends)
+		part.Ends, m.Ends = m.Ends[:n], m.Ends[n:]
+		part.Complete = m.Complete && len(m.Ends) == 0
+		if !s.conn.TrySend(&part) {
+			s.end("ends of runs can't be sent to the leader")
+			return
+		}
+		if len(m.Ends) == 0 {
+			return
+		}
+	}
+}
+
+// maxSampled limits the runs and the jobs in a sample, so that it fits into a message.
+const maxSampled = 200
+
 // speedLimitOrder sets the speed limit of a run.
 type speedLimitOrder struct {
 	key     runKey
@@ -229,6 +248,8 @@
 		sample.BestEffort = append(sample.BestEffort, contention.BestEffortUsage{Image: image, Used: u, SpeedLimit: s.controllers[image].SpeedLimit()})
 	}
 	s.measureSpeed(now, result, &sample)
+	sample.LatencyCritical = sample.LatencyCritical[:min(len(sample.LatencyCritical), maxSampled)]
+	sample.JobSpeeds = sample.JobSpeeds[:min(len(sample.JobSpeeds), maxSampled)]
 	s.sample = sample
 	for image, p := range s.controllers {
 		if len(bestEffort[image]) == 0 {
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -262,7 +262,13 @@
 	if result.Incomplete {
 		s.log().WithFields(logrus.Fields{"running": len(result.Running), "ended": len(result.Ended)}).Info("inventory is incomplete: further ends follow as the leader acknowledges the listed ones")
 	}
-	return s.conn.Send(&peer.ExecutorInventory{Status: s.status, Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), Incomplete: result.Incomplete})
+	inventory := peer.ExecutorInventory{Status: s.status, Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), Incomplete: result.Incomplete}
+	for _, m := range peer.SplitInventory(inventory) {
+		if err := s.conn.Send(m); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // maxElapsed returns an upper bound of the real time that passes while the executor's
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -26,6 +26,8 @@
 type session struct {
 	conn  *peer.Conn
 	token oleandervalve.FencingToken
+	// parts are the parts of the agent's inventory that have arrived before the rest of it.
+	parts []*peer.InventoryPart
 	// payloads mirrors the agent's cache of payloads; nil if it has none.
 	payloads *peer.PayloadCache
 }
@@ -175,7 +177,11 @@
 			return
 		}
 		switch m := m.(type) {
+		case *peer.InventoryPart:
+			s.parts = append(s.parts, m)
 		case *peer.ExecutorInventory:
+			m.Append(s.parts...)
+			s.parts = nil
 			for _, r := range m.Lost {
 				d.ExecutorLost(now, id, r)
 			}
--- a/io/peer/dispatch.go
+++ b/io/peer/dispatch.go
@@ -249,6 +249,8 @@
 		return &Redirect{}
 	case typeExecutorInventory:
 		return &ExecutorInventory{}
+	case typeInventoryPart:
+		return &InventoryPart{}
 	case typeExecutorChange:
 		return &ExecutorChange{}
 	case typeExecutorTerminated:
