Refuse jobs with names or dependencies that outgrow a message

Seen by callers: nothing yet; found while listing messages that grow. A job with a label, rack or image of some 60 KB, or a step that names its dependencies thousands of times, was accepted by an entry and ended its connection to the leader, with the calls of all other callers there, and again with each repetition.

Cause: the limits of a job left out its texts and the entries of after.

--- a/core/work/spec.go
+++ b/core/work/spec.go
@@ -16,6 +16,8 @@
 	MaxSteps = 64
 	// MaxTasks limits the tasks of a job so that its record fits into a table row.
 	MaxTasks = 2000
+	// MaxName is the maximum length of a label, rack or image in bytes.
+	MaxName = 200
 	// maxDuration limits the times of a step, and the time from the first occurrence of a
 	// job to the last, so that sums of them don't overflow.
 	maxDuration = 20 * 365 * 24 * time.Hour
@@ -147,6 +149,14 @@
 		if st.Estimate < 0 || st.TargetLatency < 0 || st.MaxPerExecutor < 0 || st.MaxUnavailable < 0 {
 			return invalid(name, "negative", "use values that are not negative")
 		}
+		for _, n := range []string{st.Label, string(st.DataRack), string(st.Image)} {
+			if len(n) > MaxName {
+				return invalid(name, strconv.Itoa(len(n))+" bytes", fmt.Sprintf("use labels, racks and images of at most %d bytes", MaxName))
+			}
+		}
+		if len(st.After) > MaxSteps {
+			return invalid(name+".after", strconv.Itoa(len(st.After))+" steps", fmt.Sprintf("name at most %d steps", MaxSteps))
+		}
 		for _, a := range st.After {
 			if a < 0 || a >= i {
 				return invalid(name+".after", strconv.Itoa(a), "name earlier steps only")
--- a/core/work/spec_test.go
+++ b/core/work/spec_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"oleandervalve"
@@ -49,3 +51,45 @@
 	s.Repeat++
 	is.Equal(fmt.Sprint(s.Validate() != nil), "true") // more than MaxTasks
 }
+
+// Guards against jobs beyond a limit that are accepted, which may be too large for a row or a
+// message, against jobs at a limit that are refused, and against errors that don't name it.
+func TestLimitsOfJobs(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		spec  func(n int) Spec
+		limit int
+		want  string
+	}{
+		{"payload", func(n int) Spec { return Spec{Payload: strings.Repeat("p", n), Steps: []Step{{Count: 1}}} }, MaxPayload, "at most 4000 bytes"},
+		{"steps", func(n int) Spec {
+			s := Spec{Steps: make([]Step, n)}
+			for i := range s.Steps {
+				s.Steps[i].Count = 1
+			}
+			return s
+		}, MaxSteps, "1 to 64 steps"},
+		{"tasks of a step", func(n int) Spec { return Spec{Steps: []Step{{Count: n}}} }, MaxTasks, "at most 2000 tasks"},
+		{"tasks of all steps", func(n int) Spec { return Spec{Steps: []Step{{Count: 1}, {Count: n - 1}}} }, MaxTasks, "at most 2000 tasks"},
+		{"occurrences", func(n int) Spec { return Spec{Steps: []Step{{Count: 1}}, Repeat: n} }, MaxTasks, "fewer occurrences"},
+		{"label", func(n int) Spec { return Spec{Steps: []Step{{Count: 1, Label: strings.Repeat("l", n)}}} }, MaxName, "at most 200 bytes"},
+		{"rack", func(n int) Spec {
+			return Spec{Steps: []Step{{Count: 1, DataRack: oleandervalve.RackID(strings.Repeat("r", n))}}}
+		}, MaxName, "at most 200 bytes"},
+		{"image", func(n int) Spec {
+			return Spec{Steps: []Step{{Count: 1, Image: oleandervalve.KindName(strings.Repeat("i", n))}}}
+		}, MaxName, "at most 200 bytes"},
+		{"dependencies", func(n int) Spec {
+			return Spec{Steps: []Step{{Count: 1}, {Count: 1, After: make([]int, n)}}}
+		}, MaxSteps, "at most 64 steps"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.NoErr(tt.spec(tt.limit).Validate())
+			err := tt.spec(tt.limit + 1).Validate()
+			var invalid *oleandervalve.InvalidError
+			is.True(errors.As(err, &invalid))
+			is.True(strings.Contains(invalid.Remedy, tt.want))
+		})
+	}
+}
