Count the dependencies of a job over all its steps

The limit is now 4,096 entries in all steps, with which the largest job still fits into a message and a row (TestLargestJobFitsAFrame).

--- a/core/work/spec.go
+++ b/core/work/spec.go
@@ -18,6 +18,8 @@
 	MaxTasks = 2000
 	// MaxName is the maximum length of a label, rack or image in bytes.
 	MaxName = 200
+	// MaxDependencies limits the entries of Step.After of all steps of a job.
+	MaxDependencies = 4096
 	// maxDuration limits the times of a step, and the time from the first occurrence of a
 	// job to the last, so that sums of them don't overflow.
 	maxDuration = 20 * 365 * 24 * time.Hour
@@ -127,7 +129,7 @@
 	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
 		return invalid("steps", strconv.Itoa(len(s.Steps)), fmt.Sprintf("send 1 to %d steps", MaxSteps))
 	}
-	total := 0
+	total, dependencies := 0, 0
 	for i, st := range s.Steps {
 		name := "steps[" + strconv.Itoa(i) + "]"
 		if st.Count < 1 {
@@ -154,8 +156,9 @@
 				return invalid(name, strconv.Itoa(len(n))+" bytes", fmt.Sprintf("use labels, racks and images of at most %d bytes", MaxName))
 			}
 		}
-		if len(st.After) > MaxSteps {
-			return invalid(name+".after", strconv.Itoa(len(st.After))+" steps", fmt.Sprintf("name at most %d steps", MaxSteps))
+		dependencies += len(st.After)
+		if dependencies > MaxDependencies {
+			return invalid(name+".after", strconv.Itoa(dependencies)+" entries", fmt.Sprintf("send at most %d entries in all steps", MaxDependencies))
 		}
 		for _, a := range st.After {
 			if a < 0 || a >= i {
--- a/io/peer/limits_test.go
+++ b/io/peer/limits_test.go
@@ -26,6 +26,10 @@
 		})
 		after = append(after, i)
 	}
+	last := &s.Steps[work.MaxSteps-1]
+	for range work.MaxDependencies - work.MaxSteps*(work.MaxSteps-1)/2 {
+		last.After = append(last.After[:len(last.After):len(last.After)], 0)
+	}
 	is.NoErr(s.Validate())
 	_, err := EncodeFrame(&JobCall{ID: 1, Kind: CallSubmit, Job: "5c0e7a21d94b36f8", Queue: work.Queue{Name: work.QueueName(name), Service: oleandervalve.ServiceName(name)}, Spec: s})
 	is.NoErr(err)
