Confirm that a job is absent before a leader says so

Cause: a leader knows that it leads up to its last commit, but said "no such job" from its memory without regard to the age of that proof.

Change: the job's row is read first. If it exists or can't be read, the answer is 503 with Retry-After at once. 16 reads at most are in flight; beyond them only a status is answered from memory, with a proof younger than a second. Cancellations of a job that the leader refuses get 503.

Ruled out: resigning earlier when commits fail, which leaves nobody while the other entries are away, and holding the request until the cut ends.

--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -221,12 +221,10 @@
 	j := c.job
 	submitters, cancellers := slices.Concat(c.submitters, j.submitters), slices.Concat(c.cancellers, j.cancellers)
 	d.discardJob(j)
-	for _, t := range submitters {
+	// Another leader may have accepted the job, so cancellations are refused too.
+	for _, t := range slices.Concat(submitters, cancellers) {
 		d.enqueueAction(Reply{Token: t, Verdict: NotRun, Reason: reason, RetryAfter: unavailableRetryAfter})
 	}
-	for _, t := range cancellers {
-		d.enqueueAction(Reply{Token: t, Verdict: JobNotFound})
-	}
 	d.note("refused", j.id, map[string]any{"reason": reason})
 }
 
@@ -249,12 +247,9 @@
 		}
 		submitters, cancellers := j.submitters, j.cancellers
 		d.discardJob(j)
-		for _, t := range submitters {
+		for _, t := range slices.Concat(submitters, cancellers) {
 			d.enqueueAction(Reply{Token: t, Verdict: NotRun, Reason: reasonTableUnavailable, RetryAfter: retryAfter})
 		}
-		for _, t := range cancellers {
-			d.enqueueAction(Reply{Token: t, Verdict: JobNotFound})
-		}
 		d.note("refused", j.id, map[string]any{"reason": reasonTableUnavailable, "retryAfterMs": retryAfter.Milliseconds()})
 	}
 }
--- a/io/leader/calls.go
+++ b/io/leader/calls.go
@@ -1,11 +1,14 @@
 package leader
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"oleandervalve"
 	"oleandervalve/core/dispatch"
+	"oleandervalve/core/work"
 	"oleandervalve/io/peer"
 )
 
@@ -31,14 +34,21 @@
 			}
 			d.Submit(now, dispatch.Submission{Token: l.registerReply(m.ID, answer), Job: m.Job, Queue: m.Queue, Spec: m.Spec})
 		case peer.CallCancel:
+			if !d.HasJob(m.Job) {
+				l.answerAbsent(m, answer)
+				return
+			}
 			d.Cancel(now, m.Job, l.registerReply(m.ID, answer))
 		case peer.CallStatus:
 			st, ok := d.State(m.Job)
-			r := peer.JobReply{ID: m.ID, State: st}
-			if !ok {
-				r.Verdict = dispatch.JobNotFound
+			switch {
+			case ok:
+				answer(peer.JobReply{ID: m.ID, State: st})
+			case d.HasJob(m.Job):
+				answer(peer.JobReply{ID: m.ID, Verdict: dispatch.JobNotFound}) // not stored yet
+			default:
+				l.answerAbsent(m, answer)
 			}
-			answer(r)
 		case peer.CallCountWaiting:
 			answer(peer.JobReply{ID: m.ID, Count: d.Waiting(m.Queue.Name)})
 		}
@@ -48,6 +58,52 @@
 	}
 }
 
+const (
+	// maxAbsenceReads limits the reads in flight that confirm that a job is not stored.
+	maxAbsenceReads = 16
+	// maxAbsenceProofAge is the age of the last proof of leadership up to which, beyond that
+	// limit, a leader says from memory that a job is unknown. Another leader may have accepted
+	// it since; callers are promised to see it after 3 s.
+	maxAbsenceProofAge = time.Second
+	// absenceTimeout is the timeout of the read that confirms that a job is not stored.
+	absenceTimeout = time.Second
+)
+
+// answerAbsent answers a request for a job that the leader doesn't have. The lock must be held.
+func (l *Leader) answerAbsent(m peer.JobCall, answer func(peer.JobReply)) {
+	select {
+	case l.absenceReads <- struct{}{}:
+		go func() {
+			defer func() { <-l.absenceReads }()
+			l.confirmAbsent(m, answer)
+		}()
+	default:
+		if m.Kind == peer.CallStatus && l.options.now().Sub(l.lastProofAt) < maxAbsenceProofAge {
+			answer(peer.JobReply{ID: m.ID, Verdict: dispatch.JobNotFound})
+			return
+		}
+		answer(peer.JobReply{ID: m.ID, Verdict: dispatch.NotRun, Reason: "busy", RetryAfter: minRetryAfter})
+	}
+}
+
+// confirmAbsent answers a request for a job that the leader doesn't have: another leader may have
+// taken over and accepted it, so the table is asked.
+func (l *Leader) confirmAbsent(m peer.JobCall, answer func(peer.JobReply)) {
+	ctx, cancel := context.WithTimeout(context.Background(), absenceTimeout)
+	defer cancel()
+	rows, err := l.options.Table.Get(ctx, work.RecordKey(m.Job))
+	if err == nil && rows[0].Version == 0 {
+		answer(peer.JobReply{ID: m.ID, Verdict: dispatch.JobNotFound})
+		return
+	}
+	reason := oleandervalve.Reason("jobNotLoaded")
+	if err != nil {
+		reason = "tableUnavailable"
+	}
+	l.options.Log.WithFields(logrus.Fields{"job": m.Job, "reason": reason}).WithError(err).Warn("request refused: the leader doesn't have the job, and it may be stored")
+	answer(peer.JobReply{ID: m.ID, Verdict: dispatch.NotRun, Reason: reason, RetryAfter: minRetryAfter})
+}
+
 // registerReply stores the function that answers request id and returns the token
 // under which the dispatcher replies. The lock must be held.
 func (l *Leader) registerReply(id uint64, answer func(peer.JobReply)) dispatch.Token {
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -99,6 +99,8 @@
 	agents       map[oleandervalve.AgentID]*session
 	followers    map[oleandervalve.EntryID]*follower
 	lastProofAt  oleandervalve.Instant
+	// absenceReads limits the reads in flight that confirm that a job is not stored.
+	absenceReads chan struct{}
 	// renewedAt is when the last commit that renewed the leader's row was sent. Entries
 	// without a connection judge the leader by that row alone.
 	renewedAt     oleandervalve.Instant
@@ -150,7 +152,7 @@
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{},
-		followers: map[oleandervalve.EntryID]*follower{}, lastProofAt: started, renewedAt: started, termStartedAt: started,
+		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, termStartedAt: started,
 		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}),
 	}, nil
 }
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -33,6 +33,8 @@
 	lostAnswers int
 	// commitError, if set, is returned by Commit, which then applies nothing.
 	commitError error
+	// getError, if set, is returned by Get.
+	getError error
 	// rejectedKey, if set, is the key of a row that Commit rejects for good.
 	rejectedKey oleandervalve.Key
 	commitCount int
@@ -43,6 +45,9 @@
 func (t *fakeTable) Get(_ context.Context, keys ...oleandervalve.Key) ([]oleandervalve.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.getError != nil {
+		return nil, t.getError
+	}
 	var out []oleandervalve.Row
 	for _, k := range keys {
 		r := t.rows[k]
@@ -279,7 +284,7 @@
 			is.Equal(submit(l).Verdict, dispatch.Accepted)
 			answer := make(chan peer.JobReply, 1)
 			l.Call(peer.JobCall{ID: 9, Kind: peer.CallStatus, Job: "odd"}, func(r peer.JobReply) { answer <- r })
-			is.Equal((<-answer).Verdict, dispatch.JobNotFound)
+			is.Equal((<-answer).Verdict, dispatch.NotRun) // its row exists
 		})
 	}
 }
