Count jobs as waiting again whose starts were refused or lost

Cause: a job counted as begun once a task was assigned. A start that was refused or lost did not change that.

Change: the number of waiting jobs includes running ones of which no task is assigned or done and none is known to have started. The state shown stays as it is.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -250,11 +250,12 @@
 	return j.committedState, true
 }
 
-// Waiting returns the number of stored jobs of a queue that are pending.
+// Waiting returns the number of stored jobs of a queue of which no task has started, as far as
+// that is known.
 func (d *Dispatcher) Waiting(q work.QueueName) int {
 	n := 0
 	for _, j := range d.jobs {
-		if j.rec.Queue.Name == q && j.version > 0 && j.committedState == work.Pending {
+		if j.rec.Queue.Name == q && j.version > 0 && (j.committedState == work.Pending || j.committedState == work.Running && !j.hasBegun()) {
 			n++
 		}
 	}
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -106,6 +106,7 @@
 		d.enqueueAction(Stop{Agent: a.id, Task: k.task, Run: k.run})
 		return
 	}
+	j.began = true
 	hints := s.hints()
 	if r := a.runs[k]; r.isolated {
 		hints.Isolation = r.isolation
@@ -249,6 +250,7 @@
 		return
 	}
 	s, t := j.task(e.Task)
+	j.began = j.began || t != nil
 	if t != nil && !j.rec.State.Terminal() && d.withdraw(s, t, e) {
 		d.note("lateSuccess", j.id, map[string]any{"task": e.Task.String(), "run": e.Run, "newest": t.Run, "agent": id})
 		j.effects = append(j.effects, ack)
