End a session whose reports can't be sent to the leader

An agent that could not queue the report that a run had never started, or that its executor had ended, dropped it and had forgotten the run: the leader kept the task as assigned for as long as the session lasted.

Cause: the result of TrySend was ignored for these reports.

Change: reports that the leader must not miss end the session if they can't be queued, as a new status and ends already did; the next session begins with the executor's status and lists.

--- a/io/executor/crashes.go
+++ b/io/executor/crashes.go
@@ -92,9 +92,7 @@
 		})
 	}
 	s.log().WithField("planned", planned).Info("executor has ended: nothing listens at its address")
-	if !s.conn.TrySend(m) {
-		s.end("the end of the executor can't be reported to the leader")
-	}
+	s.report(m)
 	return true
 }
 
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -264,7 +264,7 @@
 	s.mu.Unlock()
 	s.agent.crashes.update(func(l *crash.Log, _ time.Time) { l.Forget(s.status.Incarnation, k.task, k.run) })
 	s.log().WithFields(logrus.Fields{"job": k.task.Job, "task": k.task.String(), "run": k.run, "reason": reason}).Info("run is void")
-	s.conn.TrySend(&peer.RunNeverStarted{NeverStarted: dispatch.NeverStarted{Task: k.task, Run: k.run, Reason: reason}})
+	s.report(&peer.RunNeverStarted{NeverStarted: dispatch.NeverStarted{Task: k.task, Run: k.run, Reason: reason}})
 }
 
 // pollSoon ends the delay before the next poll of the executor.
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -176,18 +176,14 @@
 	}
 }
 
-// sendEnds sends ended runs to the leader, in as many messages as needed. If that isn't possible,
-// the session ends: the next one reports them again.
+// sendEnds sends ended runs to the leader, in as many messages as needed.
 func (s *session) sendEnds(m peer.RunsEnded) {
 	for {
 		part := m
 		n := peer.EndsThatFit(m.Ends)
 		part.Ends, m.Ends = m.Ends[:n], m.Ends[n:]
 		part.Complete = m.Complete && len(m.Ends) == 0
-		if !s.conn.TrySend(&part) {
-			s.end("ends of runs can't be sent to the leader")
-			return
-		}
+		s.report(&part)
 		if len(m.Ends) == 0 {
 			return
 		}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -131,16 +131,21 @@
 	return s.agent.options.Log.WithFields(logrus.Fields{"executor": s.status.Incarnation.ID, "token": s.token})
 }
 
-// reportStatus reports a new status of the executor. If that isn't possible, the session
-// ends: the next one begins with the status.
-func (s *session) reportStatus(st oleandervalve.ExecutorStatus) {
-	if !s.conn.TrySend(&peer.ExecutorChange{Status: st}) {
-		s.end("a new status of the executor can't be sent to the leader")
+// report sends a message that the leader must not miss. If that isn't possible, the session
+// ends: the next one begins with the executor's status and lists.
+func (s *session) report(m peer.Message) {
+	if !s.conn.TrySend(m) {
+		s.end("a message of type " + string(m.Type()) + " can't be sent to the leader")
 	}
 }
 
+// reportStatus reports a new status of the executor.
+func (s *session) reportStatus(st oleandervalve.ExecutorStatus) {
+	s.report(&peer.ExecutorChange{Status: st})
+}
+
 func (s *session) reportTerminated() {
-	s.conn.TrySend(&peer.ExecutorTerminated{Incarnation: s.status.Incarnation})
+	s.report(&peer.ExecutorTerminated{Incarnation: s.status.Incarnation})
 }
 
 // reportLost reports that the executor has given no answer until its lease expired, so
@@ -148,7 +153,7 @@
 func (s *session) reportLost() {
 	m := &peer.ExecutorTerminated{Incarnation: s.status.Incarnation}
 	s.agent.crashes.update(func(l *crash.Log, now time.Time) { m.Lost = l.Lost(now) })
-	s.conn.TrySend(m)
+	s.report(m)
 }
 
 // runSession runs a session with the entry at the given address. It returns the
