Log a reduced record only when what it lacks changes

Found in the reading of the change: a large job logged recordReduced with each commit. The comment of Compact is wrapped again.

--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -72,7 +72,8 @@
 			d.sequence++
 			j.rec.Sequence = d.sequence
 			value, left := j.rec.Compact().EncodeWithin(int(d.options.MaxRow))
-			if len(left) > 0 {
+			if len(left) != j.leftOut {
+				j.leftOut = len(left)
 				d.note("recordReduced", j.id, map[string]any{"bytes": len(value), "leftOut": left, "tasks": len(j.rec.Tasks)})
 			}
 			b.Transaction.Puts = append(b.Transaction.Puts, oleandervalve.Put{Key: key, Value: value})
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -39,6 +39,8 @@
 	cancellers []Token
 	// effects are applied once the current state is durable.
 	effects []Action
+	// leftOut is the number of kinds of data that the stored record lacks because of its size.
+	leftOut int
 	// began means that a task has certainly started.
 	began bool
 	// retainUntil is when the record of an ended job may be deleted.
--- a/core/work/record.go
+++ b/core/work/record.go
@@ -120,8 +120,8 @@
 )
 
 // Compact returns the record without what no reader needs: the executors and checkpoints of
-// tasks that are done, and the checkpoints and crash histories of a job that has ended. The records of large jobs are written after each burst of ends, so
-// their size counts.
+// tasks that are done, and the checkpoints and crash histories of a job that has ended. The
+// records of large jobs are written after each burst of ends, so their size counts.
 func (r Record) Compact() Record {
 	index := make(map[int]int, len(r.Executors))
 	tasks := make([]TaskRecord, len(r.Tasks))
