--- a/cmd/oleandervalve/soak.go
+++ b/cmd/oleandervalve/soak.go
@@ -19,6 +19,7 @@
 	Duration time.Duration `long:"duration" default:"20s" description:"how long faults are injected for each seed"`
 	Entries  int           `long:"entries" default:"3" description:"entry processes"`
 	Agents   int           `long:"agents" default:"6" description:"agent processes"`
+	Large    bool          `long:"large-jobs" description:"add jobs of the largest accepted size"`
 	Logs     string        `long:"logs" value-name:"DIRECTORY" default:"soak-logs" description:"where logs of seeds with problems are kept"`
 }
 
@@ -37,7 +38,7 @@
 			return errors.Wrap(err, "create the log directory")
 		}
 		r, err := soak.Run(context.Background(), soak.Options{
-			Binary: binary, Directory: directory, Seed: seed, Duration: c.Duration, Entries: c.Entries, Agents: c.Agents,
+			Binary: binary, Directory: directory, Seed: seed, Duration: c.Duration, Entries: c.Entries, Agents: c.Agents, LargeJobs: c.Large,
 		})
 		if err != nil {
 			return err
