Log who answers a cancellation, and start orders that are sent late

The logs can't tell the hypotheses in docs/incidents/cancelled-jobs-start.md apart: the line `cancellation` names neither the reason nor the leader, a leader doesn't say whether it had the job and how old its proof of leadership was, and an agent doesn't say how long a start order has waited.

Change: `cancellation requested` at the leader, reason, leader and time taken in `cancellation`, and `start order is sent late` at the agent for orders that wait a second or more. No decision changes.

--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -17,6 +17,9 @@
 // announced. The platform allows such starts for longer.
 const drainStartGrace = 500 * time.Millisecond
 
+// loggedOrderAge is the age from which on a start order is logged when it is sent.
+const loggedOrderAge = time.Second
+
 // leaseUntil returns the end, on the executor's clock, of the lease that may be
 // requested now, or zero if the proof of leadership is missing or too old. It updates
 // leaseEnd. s.mu must be held.
@@ -82,6 +85,7 @@
 		s.mu.Unlock()
 		close(st.done)
 	}()
+	receivedAt := s.agent.options.now()
 	// unanswered means that an earlier attempt had no answer and may still take effect.
 	unanswered := false
 	timeout := initialOrderTimeout
@@ -105,8 +109,15 @@
 			continue
 		}
 		s.mu.Lock()
-		until := s.leaseUntil(s.agent.options.now())
+		now := s.agent.options.now()
+		until := s.leaseUntil(now)
+		proofAge := now.Sub(s.proofAt)
 		s.mu.Unlock()
+		if waited := now.Sub(receivedAt); waited >= loggedOrderAge {
+			s.log().WithFields(logrus.Fields{
+				"job": o.Task.Job, "task": o.Task.String(), "run": o.Run, "waitedMs": waited.Milliseconds(), "proofAgeMs": proofAge.Milliseconds(), "unanswered": unanswered,
+			}).Info("start order is sent late")
+		}
 		call, cancel := context.WithTimeout(ctx, timeout)
 		refusal := oleandervalve.StartRefusal("")
 		err := error(&oleandervalve.UnavailableError{Service: "leading entry", Remedy: "wait for a proof of leadership"})
--- a/io/gateway/service.go
+++ b/io/gateway/service.go
@@ -173,8 +173,14 @@
 
 // Cancel cancels a job.
 func (g *Gateway) Cancel(ctx context.Context, j oleandervalve.JobID) error {
+	started := g.options.Clock.Now()
 	r, sent, answered := g.call(ctx, peer.JobCall{Kind: peer.CallCancel, Job: j})
-	g.options.Log.WithFields(logrus.Fields{"job": j, "answered": answered, "verdict": r.Verdict}).Info("cancellation")
+	g.mu.Lock()
+	address := g.leaderAddress
+	g.mu.Unlock()
+	g.options.Log.WithFields(logrus.Fields{
+		"job": j, "answered": answered, "verdict": r.Verdict, "reason": r.Reason, "leader": address, "tookMs": g.options.Clock.Since(started).Milliseconds(),
+	}).Info("cancellation")
 	switch {
 	case !answered:
 		return unansweredError(sent)
--- a/io/leader/calls.go
+++ b/io/leader/calls.go
@@ -34,7 +34,11 @@
 			}
 			d.Submit(now, dispatch.Submission{Token: l.registerReply(m.ID, answer), Job: m.Job, Queue: m.Queue, Spec: m.Spec})
 		case peer.CallCancel:
-			if !d.HasJob(m.Job) {
+			known := d.HasJob(m.Job)
+			l.options.Log.WithFields(logrus.Fields{
+				"job": m.Job, "known": known, "term": l.row.Term, "proofAgeMs": l.options.now().Sub(l.lastProofAt).Milliseconds(),
+			}).Info("cancellation requested")
+			if !known {
 				l.answerAbsent(m, answer)
 				return
 			}
