--- a/cmd/oleandervalve/soak.go
+++ b/cmd/oleandervalve/soak.go
@@ -20,15 +20,19 @@
 	Entries  int           `long:"entries" default:"3" description:"entry processes"`
 	Agents   int           `long:"agents" default:"6" description:"agent processes"`
 	Large    bool          `long:"large-jobs" description:"add jobs of the largest accepted size"`
+	Binary   string        `long:"binary" value-name:"PATH" description:"binary of the processes, if it is not this one"`
 	Logs     string        `long:"logs" value-name:"DIRECTORY" default:"soak-logs" description:"where logs of seeds with problems are kept"`
 }
 
 // Execute runs a soak test for each seed and prints its result as a line of JSON.
 // It removes the logs of seeds without problems.
 func (c *soakCommand) Execute([]string) error {
-	binary, err := os.Executable()
-	if err != nil {
-		return errors.Wrap(err, "locate the executable")
+	binary := c.Binary
+	if binary == "" {
+		var err error
+		if binary, err = os.Executable(); err != nil {
+			return errors.Wrap(err, "locate the executable")
+		}
 	}
 	failed := 0
 	for i := range c.Seeds {
