--- a/cmd/oleandervalve/soak.go
+++ b/cmd/oleandervalve/soak.go
@@ -20,6 +20,7 @@
 	Entries  int           `long:"entries" default:"3" description:"entry processes"`
 	Agents   int           `long:"agents" default:"6" description:"agent processes"`
 	Large    bool          `long:"large-jobs" description:"add jobs of the largest accepted size"`
+	Accepted bool          `long:"accepted-only" description:"cancel no job before its submission is answered"`
 	Binary   string        `long:"binary" value-name:"PATH" description:"binary of the processes, if it is not this one"`
 	Logs     string        `long:"logs" value-name:"DIRECTORY" default:"soak-logs" description:"where logs of seeds with problems are kept"`
 }
@@ -42,7 +43,7 @@
 			return errors.Wrap(err, "create the log directory")
 		}
 		r, err := soak.Run(context.Background(), soak.Options{
-			Binary: binary, Directory: directory, Seed: seed, Duration: c.Duration, Entries: c.Entries, Agents: c.Agents, LargeJobs: c.Large,
+			Binary: binary, Directory: directory, Seed: seed, Duration: c.Duration, Entries: c.Entries, Agents: c.Agents, LargeJobs: c.Large, AcceptedOnly: c.Accepted,
 		})
 		if err != nil {
 			return err
