Keep an accepted job whose commit also deleted a row and got no answer

What callers saw: a job that was answered with 200 is unknown to the leader: its state is 410, and a cancellation is refused with 503.

Cause: a commit without an answer is repeated, and the conflict with what it has written itself shows that it was applied. The version of its rows is taken from the row in conflict. If that is a job that the commit deletes, the version is 0, so all jobs of the commit count as never stored: a later commit that the table refuses discards them, runs and all. The leader's own row, which would conflict first, is in the commit only when it is due.

Evidence: TestLostAnswerToCommitThatDeletesAJob failed before ("1 != 0": the cancellation of the accepted job is answered by a refusal of the job).

Fix: a commit that deletes rows always contains the leader's row.

--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -69,7 +69,9 @@
 	next.Renewal++
 	next.RenewedAt = l.estimateTableTime()
 	var renewal []byte
-	if len(t.Puts) == 0 || l.options.now().Sub(l.renewedAt) >= RenewInterval {
+	// With the leader's row in it, a conflict with a commit that was applied tells its version;
+	// a deleted row has none.
+	if len(t.Puts) == 0 || len(t.Deletes) > 0 || l.options.now().Sub(l.renewedAt) >= RenewInterval {
 		renewal = work.Encode(next)
 		t.Puts = append([]oleandervalve.Put{{Key: Key, Value: renewal}}, t.Puts...)
 	}
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -169,6 +169,44 @@
 	is.Equal(rec.State, work.Pending)
 }
 
+// Guards against an accepted job that the leader takes for one that was never stored, because
+// the answer to the commit that stored it is lost and the commit also deletes an old job.
+func TestLostAnswerToCommitThatDeletesAJob(t *testing.T) {
+	is := is.New(t)
+	x := newFakeTable()
+	x.version = 1
+	x.rows[work.RecordKey("old")] = oleandervalve.Row{Key: work.RecordKey("old"), Value: work.Encode(work.Record{State: work.Completed}), Version: 1}
+	options := testOptions(x)
+	options.Retention = 0
+	l, err := Acquire(context.Background(), options, oleandervalve.Row{Key: Key}, Row{Entry: "e-1", Process: "p"})
+	is.NoErr(err)
+	is.NoErr(l.load(context.Background()))
+	call := func(m peer.JobCall) chan peer.JobReply {
+		answer := make(chan peer.JobReply, 1)
+		l.Call(m, func(r peer.JobReply) { answer <- r })
+		return answer
+	}
+	l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.Tick(now.Add(time.Millisecond)) })
+	submitted := call(peer.JobCall{ID: 1, Kind: peer.CallSubmit, Job: "new", Spec: work.Spec{Steps: []work.Step{{Count: 1}}}})
+	x.lostAnswers = 1
+	_, err = l.commit(context.Background(), l.dispatcher.Batch(), time.Millisecond)
+	is.NoErr(err)
+	is.Equal((<-submitted).Verdict, dispatch.Accepted)
+	_, kept := x.rows[work.RecordKey("old")]
+	is.True(!kept)
+	// The cancellation's commit is refused for now, which must not discard the stored job.
+	cancelled := call(peer.JobCall{ID: 2, Kind: peer.CallCancel, Job: "new"})
+	x.commitError = &oleandervalve.UnavailableError{Service: "table"}
+	_, err = l.commit(context.Background(), l.dispatcher.Batch(), time.Millisecond)
+	is.NoErr(err)
+	is.Equal(len(cancelled), 0)
+	x.commitError = nil
+	_, err = l.commit(context.Background(), l.dispatcher.Batch(), time.Millisecond)
+	is.NoErr(err)
+	is.Equal((<-cancelled).Verdict, dispatch.Accepted)
+	is.Equal((<-call(peer.JobCall{ID: 3, Kind: peer.CallStatus, Job: "new"})).State, work.Cancelled)
+}
+
 // Guards against a submission that gets no answer while the table refuses writes,
 // and against one that is refused although it may have been stored.
 func TestSubmissionWhileTheTableRefuses(t *testing.T) {
