Keep leading if a new job has the id of a row that was skipped

A submission under the id of a row that no leader can decode ends the leader's term, and the repeated submission that of the next one.

Cause: any conflict other than with the leader's own commit counted as the work of another leader. The leader's row is the first condition, so a conflict with another row shows that this entry still leads.

Evidence: TestSubmissionOfJobWithOddRow failed before (the submission got verdict 2, unknown, and the term ended).

Fix: a conflict with a row that was skipped when the jobs were loaded is handled like a row that the table rejects: the jobs of the commit are committed one by one, and the one whose row exists is refused. A conflict with any other row still ends the term, since the jobs have to be loaded again.

--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -101,14 +101,16 @@
 				l.commitSucceeded(b, t, conflict.Current.Version, renewal != nil, next, started)
 				return took, nil
 			}
+			if l.skippedRows[conflict.Key] {
+				l.rejectBatch(b, len(t.Puts), err)
+				return averageTime, nil
+			}
 			l.options.Log.WithFields(logrus.Fields{"row": conflict.Key, "expected": conflict.Expected, "found": conflict.Current.Version}).Warn("commit conflicts with that of another leader")
 			return 0, ErrFenced
 		}
 		var invalid *oleandervalve.InvalidError
 		if errors.As(err, &invalid) && !b.Empty() {
-			l.options.Log.WithField("rows", len(t.Puts)).WithError(err).Error("table has rejected a commit; its jobs are committed one by one")
-			l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.CommitRejected(now, b) })
-			l.requestCommit()
+			l.rejectBatch(b, len(t.Puts), err)
 			return averageTime, nil
 		}
 		var unavailable *oleandervalve.UnavailableError
@@ -131,6 +133,13 @@
 	}
 }
 
+// rejectBatch returns a batch that the table will never accept to the dispatcher.
+func (l *Leader) rejectBatch(b *dispatch.Batch, rows int, err error) {
+	l.options.Log.WithField("rows", rows).WithError(err).Error("table has rejected a commit; its jobs are committed one by one")
+	l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.CommitRejected(now, b) })
+	l.requestCommit()
+}
+
 // refuseUnsent refuses the new jobs that wait for the commit in flight, once commits have
 // failed for as long as new submissions are refused at once.
 func (l *Leader) refuseUnsent() {
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -116,7 +116,9 @@
 	failingSince time.Time
 	loaded       bool
 	stopped      bool
-	successor    string
+	// skippedRows holds the keys of the job records that were skipped when the jobs were loaded.
+	skippedRows map[oleandervalve.Key]bool
+	successor   string
 
 	// permitRequests queues requests to the permit service.
 	permitRequests chan dispatch.RequestPermits
@@ -151,7 +153,7 @@
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
-		replies: map[dispatch.Token]func(dispatch.Reply){}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{},
+		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{},
 		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, termStartedAt: started,
 		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}),
 	}, nil
@@ -335,6 +337,7 @@
 		}
 		if err != nil {
 			l.options.Log.WithField("job", s.Job).WithError(err).Error("stored job can't be decoded and is skipped")
+			l.skippedRows[r.Key] = true
 			return
 		}
 		stored = append(stored, s)
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -327,6 +327,31 @@
 	}
 }
 
+// Guards against a leader that ends its term whenever a job is submitted whose row is in the
+// table, but odd, and so was skipped when the jobs were loaded.
+func TestSubmissionOfJobWithOddRow(t *testing.T) {
+	is := is.New(t)
+	x := newFakeTable()
+	x.version = 1
+	x.rows[work.RecordKey("a")] = oleandervalve.Row{Key: work.RecordKey("a"), Version: 1}
+	l, ended := startLeader(t, x)
+	call := func(id oleandervalve.JobID) chan peer.JobReply {
+		answer := make(chan peer.JobReply, 1)
+		l.Call(peer.JobCall{
+			ID: 1, Kind: peer.CallSubmit, Job: id, Queue: work.Queue{Name: "q", Service: "s"},
+			Spec: work.Spec{Steps: []work.Step{{Count: 1}}},
+		}, func(r peer.JobReply) { answer <- r })
+		return answer
+	}
+	x.mu.Lock() // the submissions share a commit
+	before, odd, after := call("before"), call("a"), call("after")
+	x.mu.Unlock()
+	is.Equal((<-odd).Verdict, dispatch.NotRun)
+	is.Equal((<-before).Verdict, dispatch.Accepted)
+	is.Equal((<-after).Verdict, dispatch.Accepted)
+	is.Equal(len(ended), 0)
+}
+
 // Guards against a leader that repeats a commit without end which the table will never accept,
 // and commits nothing of the other jobs.
 func TestCommitThatIsNeverAccepted(t *testing.T) {
