Store the cancellation of an unknown job before it is acknowledged

Cause: "no such job" was a statement about the moment of a read, and nothing kept a later submission from creating the job. The same holds for a read that is answered after a suspension, or beside a submission at the same leader.

Fix: the dispatcher stores the cancellation of an unknown job as the record of a cancelled job without a submission, and answers 410 once that is committed. The commit is bound to the leader's row and to the absence of the job's row, so it also proves that no other leader has the job; the read before it is gone, and a cancellation costs its share of a commit instead of a call of its own. GET answers 410 as before. A later submission is answered with 200 and shown as cancelled, as if it had arrived first.

Considered: cancelled ids in memory, which are lost with the leader while the submission is on its way to the next one; 503 while a submission may be under way, which the leader can't know.

--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -29,6 +29,7 @@
 type jobChange struct {
 	job        *job
 	state      work.State
+	hidden     bool
 	expired    bool
 	wroteSpec  bool
 	submitters []Token
@@ -63,7 +64,7 @@
 			break
 		}
 		n++
-		c := jobChange{job: j, state: j.rec.State, expired: j.expired, submitters: j.submitters, cancellers: j.cancellers, effects: j.effects}
+		c := jobChange{job: j, state: j.rec.State, hidden: j.rec.Unsubmitted, expired: j.expired, submitters: j.submitters, cancellers: j.cancellers, effects: j.effects}
 		key := work.RecordKey(j.id)
 		b.Transaction.Conditions = append(b.Transaction.Conditions, oleandervalve.Condition{Key: key, Version: j.version})
 		if j.expired {
@@ -101,9 +102,9 @@
 // that depended on the commit.
 func (d *Dispatcher) CommitApplied(now time.Time, b *Batch, version oleandervalve.Version) {
 	for _, c := range b.changes {
-		c.job.version, c.job.committedState, c.job.inFlight, c.job.alone = version, c.state, false, false
+		c.job.version, c.job.committedState, c.job.hidden, c.job.inFlight, c.job.alone = version, c.state, c.hidden, false, false
 		if c.expired {
-			delete(d.jobs, c.job.id)
+			d.forget(c.job)
 		}
 		switch {
 		case c.wroteSpec:
@@ -111,12 +112,18 @@
 		case c.state == work.Completed:
 			c.job.specVersion = 0
 		}
-		// Submissions that were repeated during the commit need no other one.
-		submitters := slices.Concat(c.submitters, c.job.submitters)
-		c.job.submitters = nil
-		for _, t := range slices.Concat(submitters, c.cancellers) {
+		submitters := c.submitters
+		if !c.hidden {
+			// Submissions that were repeated during the commit need no other one.
+			submitters = slices.Concat(submitters, c.job.submitters)
+			c.job.submitters = nil
+		}
+		for _, t := range submitters {
 			d.enqueueAction(Reply{Token: t, Verdict: Accepted})
 		}
+		for _, t := range c.cancellers {
+			d.enqueueAction(Reply{Token: t, Verdict: c.job.cancelVerdict()})
+		}
 		for _, x := range c.effects {
 			d.applyEffect(now, x)
 		}
@@ -264,7 +271,7 @@
 
 // discardJob removes a job that was never stored. No Start of the job has been sent.
 func (d *Dispatcher) discardJob(j *job) {
-	delete(d.jobs, j.id)
+	d.forget(j)
 	if !j.rec.State.Terminal() {
 		d.activeJobs--
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -61,8 +61,10 @@
 	lastSubmissionAt time.Time
 	// nextExpiryScan is when to search for expired jobs next.
 	nextExpiryScan time.Time
-	// activeJobs is the number of jobs that have not ended.
-	activeJobs int
+	// activeJobs is the number of jobs that have not ended, and unsubmittedJobs that of
+	// cancelled jobs without a submission.
+	activeJobs      int
+	unsubmittedJobs int
 	// pausedExecutors is the number of executors that are paused or probed because of
 	// failures, or paused because of low speed.
 	pausedExecutors int
@@ -105,7 +107,10 @@
 	sort.Slice(stored, func(i, j int) bool { return stored[i].Job < stored[j].Job })
 	for _, s := range stored {
 		j := newJob(s.Job, s.Spec, s.Record)
-		j.version, j.specVersion, j.committedState = s.Version, s.SpecVersion, s.Record.State
+		j.version, j.specVersion, j.committedState, j.hidden = s.Version, s.SpecVersion, s.Record.State, s.Record.Unsubmitted
+		if j.rec.Unsubmitted {
+			d.unsubmittedJobs++
+		}
 		d.jobs[j.id] = j
 		if j.rec.State.Terminal() {
 			j.retainUntil = now.Add(d.options.Retention)
@@ -190,7 +195,11 @@
 // repeated submission gets the same reply as the first.
 func (d *Dispatcher) Submit(now time.Time, s Submission) {
 	if j := d.jobs[s.Job]; j != nil {
-		if j.version > 0 {
+		if j.rec.Unsubmitted {
+			d.submitCancelled(now, j, s)
+			return
+		}
+		if j.version > 0 && !j.hidden {
 			d.enqueueAction(Reply{Token: s.Token, Verdict: Accepted})
 			return
 		}
@@ -228,9 +237,14 @@
 	j := d.jobs[id]
 	switch {
 	case j == nil:
-		d.enqueueAction(Reply{Token: t, Verdict: JobNotFound})
+		d.cancelUnsubmitted(now, id, t)
+	case j.rec.Unsubmitted && j.expired:
+		d.enqueueAction(Reply{Token: t, Verdict: NotRun, Reason: reasonExpiring, RetryAfter: unavailableRetryAfter})
 	case j.committedState.Terminal() && j.version > 0:
-		d.enqueueAction(Reply{Token: t, Verdict: Accepted})
+		if j.rec.Unsubmitted {
+			j.retainUntil = now.Add(d.options.Retention)
+		}
+		d.enqueueAction(Reply{Token: t, Verdict: j.cancelVerdict()})
 	default:
 		j.cancellers = append(j.cancellers, t)
 		if !j.rec.State.Terminal() {
@@ -244,7 +258,7 @@
 // State returns the committed state of a job, or false if the job is not stored.
 func (d *Dispatcher) State(id oleandervalve.JobID) (work.State, bool) {
 	j := d.jobs[id]
-	if j == nil || j.version == 0 {
+	if j == nil || j.version == 0 || j.hidden {
 		return 0, false
 	}
 	return j.committedState, true
--- a/core/work/record.go
+++ b/core/work/record.go
@@ -78,6 +78,8 @@
 	Sequence uint64 `cbor:"7,keyasint"`
 	// Crashes holds what is known of the crashes under tasks, by index in Tasks.
 	Crashes map[int]crash.History `cbor:"8,keyasint,omitempty"`
+	// Unsubmitted is set if the job was cancelled before its submission has arrived.
+	Unsubmitted bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Validate checks that the record is one of a job with the given valid specification, which is
--- a/io/leader/calls.go
+++ b/io/leader/calls.go
@@ -25,11 +25,7 @@
 				l.options.Log.WithField("job", m.Job).WithError(err).Warn("submission refused: the job is invalid")
 				return
 			}
-			if !l.failingSince.IsZero() && now.Sub(l.failingSince) > refuseSubmissionsAfter && !d.HasJob(m.Job) {
-				failing := now.Sub(l.failingSince)
-				retryAfter := retryAfterOutage(failing)
-				answer(peer.JobReply{ID: m.ID, Verdict: dispatch.NotRun, Reason: "tableUnavailable", RetryAfter: retryAfter})
-				l.options.Log.WithFields(logrus.Fields{"job": m.Job, "failingMs": failing.Milliseconds(), "retryAfterMs": retryAfter.Milliseconds()}).Info("submission refused: table is out of reach")
+			if !d.HasJob(m.Job) && l.refuseInOutage(m, now, answer) {
 				return
 			}
 			d.Submit(now, dispatch.Submission{Token: l.registerReply(m.ID, answer), Job: m.Job, Queue: m.Queue, Spec: m.Spec})
@@ -38,8 +34,7 @@
 			l.options.Log.WithFields(logrus.Fields{
 				"job": m.Job, "known": known, "term": l.row.Term, "proofAgeMs": l.options.now().Sub(l.lastProofAt).Milliseconds(),
 			}).Info("cancellation requested")
-			if !known {
-				l.answerAbsent(m, answer)
+			if !known && l.refuseInOutage(m, now, answer) {
 				return
 			}
 			d.Cancel(now, m.Job, l.registerReply(m.ID, answer))
@@ -62,6 +57,23 @@
 	}
 }
 
+// refuseInOutage refuses a request that needs a new row if commits have failed for a while, and
+// reports whether it did. The lock must be held.
+func (l *Leader) refuseInOutage(m peer.JobCall, now time.Time, answer func(peer.JobReply)) bool {
+	failing := now.Sub(l.failingSince)
+	if l.failingSince.IsZero() || failing <= refuseSubmissionsAfter {
+		return false
+	}
+	retryAfter := retryAfterOutage(failing)
+	answer(peer.JobReply{ID: m.ID, Verdict: dispatch.NotRun, Reason: "tableUnavailable", RetryAfter: retryAfter})
+	request := "submission"
+	if m.Kind == peer.CallCancel {
+		request = "cancellation"
+	}
+	l.options.Log.WithFields(logrus.Fields{"job": m.Job, "failingMs": failing.Milliseconds(), "retryAfterMs": retryAfter.Milliseconds()}).Info(request + " refused: table is out of reach")
+	return true
+}
+
 const (
 	// maxAbsenceReads limits the reads in flight that confirm that a job is not stored.
 	maxAbsenceReads = 16
@@ -73,7 +85,8 @@
 	absenceTimeout = time.Second
 )
 
-// answerAbsent answers a request for a job that the leader doesn't have. The lock must be held.
+// answerAbsent answers a request for the state of a job that the leader doesn't have. The lock
+// must be held.
 func (l *Leader) answerAbsent(m peer.JobCall, answer func(peer.JobReply)) {
 	select {
 	case l.absenceReads <- struct{}{}:
@@ -82,7 +95,7 @@
 			l.confirmAbsent(m, answer)
 		}()
 	default:
-		if m.Kind == peer.CallStatus && l.options.now().Sub(l.lastProofAt) < maxAbsenceProofAge {
+		if l.options.now().Sub(l.lastProofAt) < maxAbsenceProofAge {
 			answer(peer.JobReply{ID: m.ID, Verdict: dispatch.JobNotFound})
 			return
 		}
@@ -90,8 +103,8 @@
 	}
 }
 
-// confirmAbsent answers a request for a job that the leader doesn't have: another leader may have
-// taken over and accepted it, so the table is asked.
+// confirmAbsent answers a request for the state of a job that the leader doesn't have: another
+// leader may have taken over and accepted it, so the table is asked.
 func (l *Leader) confirmAbsent(m peer.JobCall, answer func(peer.JobReply)) {
 	ctx, cancel := context.WithTimeout(context.Background(), absenceTimeout)
 	defer cancel()
