Don't report a submission as not run after its leader was lost

A submission reaches the leader, whose connection ends before the reply, and the entry asks "the next leader". If the table is out of reach, that is whoever answers at a known address, and may be a leader that was replaced without knowing it: it refuses what it doesn't have, and the caller gets 503, "never runs", for a job that runs (rule REFUSED).

Cause: the last reply decided, although a refusal speaks only for the leader that gives it.

Evidence: TestRefusalAfterLostLeaderIsUnknown failed before (the submission was reported as not run).

Fix: a refusal after a leader was lost with the request is an unknown outcome, 504, and the caller repeats the request. This also holds for the refusals of the true next leader, which an entry can't tell apart.

--- a/io/gateway/service.go
+++ b/io/gateway/service.go
@@ -76,7 +76,9 @@
 		if u != nil {
 			r, answered = callOnce(ctx, u, m)
 			if answered && r.Reason != reasonNoLeader {
-				return r, true, true
+				// A refusal doesn't cover what a leader that was lost may have stored: the one
+				// that refuses may have been replaced by it without knowing.
+				return r, true, !sent || m.Kind != peer.CallSubmit || r.Verdict != dispatch.NotRun
 			}
 			sent = sent || !answered
 		}
--- a/io/gateway/service_test.go
+++ b/io/gateway/service_test.go
@@ -95,3 +95,17 @@
 	is.True(leaderLease >= 2*leader.RenewInterval)
 	is.True(leader.EntryHeartbeatTimeout >= 2*pingInterval)
 }
+
+// Guards against a submission that is reported as not run although the leader that was lost has
+// accepted it: the leader that refuses it may be one that was replaced without knowing it.
+func TestRefusalAfterLostLeaderIsUnknown(t *testing.T) {
+	is := is.New(t)
+	g := newGateway()
+	replaced := &fakeLeader{reply: peer.JobReply{Verdict: dispatch.NotRun, Reason: "tableUnavailable", RetryAfter: time.Second}}
+	g.replaceUpstream(&fakeLeader{reply: peer.JobReply{Verdict: dispatch.Unknown}, afterReply: func() { g.replaceUpstream(nil); g.replaceUpstream(replaced) }})
+	var unknown *oleandervalve.UnknownOutcomeError
+	is.True(errors.As(g.Submit(context.Background(), work.Queue{Name: "q"}, "a", work.Spec{}), &unknown))
+	is.Equal(replaced.calls, 1)
+	var refused *oleandervalve.NotRunError
+	is.True(errors.As(g.Submit(context.Background(), work.Queue{Name: "q"}, "b", work.Spec{}), &refused)) // not lost before
+}
