Take a verdict that this release doesn't know for an unknown outcome

What callers saw: nothing is recorded; no release sends such a verdict. A reply with any verdict but "refused" and "no such job" acknowledged a cancellation and a submission, so that a verdict that a later release adds would be reported as success by entries that haven't been updated.

Evidence: TestUnknownVerdictIsNoSuccess failed before (verdict 99 acknowledges a cancellation).

Fix: only "accepted" is success.

--- a/io/gateway/service.go
+++ b/io/gateway/service.go
@@ -136,6 +136,9 @@
 	case r.Verdict == dispatch.NotRun:
 		outcome = "notRun"
 		err = &oleandervalve.NotRunError{Reason: r.Reason, Remedy: "retry later", RetryAfter: r.RetryAfter}
+	case r.Verdict != dispatch.Accepted:
+		outcome = "unknown"
+		err = unansweredError(true)
 	}
 	g.options.Scope.Tagged(map[string]string{"outcome": outcome}).Counter("submissions").Inc(1)
 	g.options.Scope.Histogram("submission_time", submissionBuckets).RecordDuration(g.options.Clock.Since(started))
@@ -169,6 +172,8 @@
 		return 0, unansweredError(false)
 	case r.Verdict == dispatch.JobNotFound:
 		return 0, jobNotFoundError(j)
+	case r.Verdict != dispatch.Accepted:
+		return 0, unansweredError(true)
 	}
 	return r.State, nil
 }
@@ -190,6 +195,8 @@
 		return unansweredError(false)
 	case r.Verdict == dispatch.JobNotFound:
 		return jobNotFoundError(j)
+	case r.Verdict != dispatch.Accepted:
+		return unansweredError(true)
 	}
 	return nil
 }
@@ -197,9 +204,9 @@
 // Waiting returns the number of jobs of a queue of which no task has been assigned
 // yet.
 func (g *Gateway) Waiting(ctx context.Context, q work.QueueName) (int, error) {
-	r, sent, answered := g.call(ctx, peer.JobCall{Kind: peer.CallCountWaiting, Queue: work.Queue{Name: q}})
-	if !answered || r.Verdict == dispatch.NotRun {
-		return 0, unansweredError(sent && answered)
+	r, _, answered := g.call(ctx, peer.JobCall{Kind: peer.CallCountWaiting, Queue: work.Queue{Name: q}})
+	if !answered || r.Verdict != dispatch.Accepted {
+		return 0, unansweredError(answered && r.Verdict != dispatch.NotRun)
 	}
 	return r.Count, nil
 }
--- a/io/gateway/service_test.go
+++ b/io/gateway/service_test.go
@@ -109,3 +109,21 @@
 	var refused *oleandervalve.NotRunError
 	is.True(errors.As(g.Submit(context.Background(), work.Queue{Name: "q"}, "b", work.Spec{}), &refused)) // not lost before
 }
+
+// Guards against a reply that this release doesn't know and that counts as success: a
+// cancellation was acknowledged that way.
+func TestUnknownVerdictIsNoSuccess(t *testing.T) {
+	is := is.New(t)
+	g := newGateway()
+	g.replaceUpstream(&fakeLeader{reply: peer.JobReply{Verdict: 99}})
+	ctx := context.Background()
+	var unknown *oleandervalve.UnknownOutcomeError
+	is.True(errors.As(g.Cancel(ctx, "a"), &unknown))
+	is.True(errors.As(g.Submit(ctx, work.Queue{Name: "q"}, "a", work.Spec{}), &unknown))
+	_, err := g.Status(ctx, "a")
+	is.True(errors.As(err, &unknown))
+	_, err = g.Waiting(ctx, "q")
+	is.True(errors.As(err, &unknown))
+	g.replaceUpstream(&fakeLeader{reply: peer.JobReply{Verdict: dispatch.JobNotFound}})
+	is.True(errors.As(g.Submit(ctx, work.Queue{Name: "q"}, "a", work.Spec{}), &unknown))
+}
