Refuse requests for a job whose record is being deleted

What callers saw: nothing is recorded. A submission that arrives while the record of an ended job with the same id is being deleted, after its retention, is answered with 200; nothing of it is stored, and its state is 410. A cancellation is acknowledged, and a submission right after it runs.

Cause: until the deletion is committed the job counts as stored.

Fix: both are refused with 503 and a time to return; after the deletion the id is unknown.

--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -267,6 +267,8 @@
 	reasonTableUnavailable oleandervalve.Reason = "tableUnavailable"
 	// reasonRowRejected is the reason of the refusal of a job whose rows the table rejects.
 	reasonRowRejected oleandervalve.Reason = "rowRejected"
+	// reasonExpiring is the reason of refusals while the record of an ended job is being deleted.
+	reasonExpiring oleandervalve.Reason = "expiring"
 )
 
 // discardJob removes a job that was never stored. No Start of the job has been sent.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -195,6 +195,10 @@
 // repeated submission gets the same reply as the first.
 func (d *Dispatcher) Submit(now time.Time, s Submission) {
 	if j := d.jobs[s.Job]; j != nil {
+		if j.expired {
+			d.enqueueAction(Reply{Token: s.Token, Verdict: NotRun, Reason: reasonExpiring, RetryAfter: unavailableRetryAfter})
+			return
+		}
 		if j.rec.Unsubmitted {
 			d.submitCancelled(now, j, s)
 			return
@@ -238,7 +242,7 @@
 	switch {
 	case j == nil:
 		d.cancelUnsubmitted(now, id, t)
-	case j.rec.Unsubmitted && j.expired:
+	case j.expired:
 		d.enqueueAction(Reply{Token: t, Verdict: NotRun, Reason: reasonExpiring, RetryAfter: unavailableRetryAfter})
 	case j.committedState.Terminal() && j.version > 0:
 		if j.rec.Unsubmitted {
--- a/core/dispatch/unsubmitted.go
+++ b/core/dispatch/unsubmitted.go
@@ -11,12 +11,8 @@
 // create by cancelling unknown jobs.
 const maxUnsubmittedJobs = 1000
 
-const (
-	// reasonUnsubmitted is the reason of the refusal of a cancellation because of that limit.
-	reasonUnsubmitted oleandervalve.Reason = "tooManyUnknownJobs"
-	// reasonExpiring is the reason of refusals while the record of a job is being deleted.
-	reasonExpiring oleandervalve.Reason = "expiring"
-)
+// reasonUnsubmitted is the reason of the refusal of a cancellation because of that limit.
+const reasonUnsubmitted oleandervalve.Reason = "tooManyUnknownJobs"
 
 // unsubmittedSpec is stored with the record of a job without a submission. Earlier releases
 // take such a job for a cancelled one, whose specification they need.
@@ -43,10 +39,6 @@
 // submitCancelled handles the first submission of a job that has been cancelled. The job is
 // accepted and shown as cancelled, as if the submission had arrived first.
 func (d *Dispatcher) submitCancelled(now time.Time, j *job, s Submission) {
-	if j.expired {
-		d.enqueueAction(Reply{Token: s.Token, Verdict: NotRun, Reason: reasonExpiring, RetryAfter: unavailableRetryAfter})
-		return
-	}
 	j.rec.Unsubmitted, j.rec.Queue = false, s.Queue
 	d.unsubmittedJobs--
 	j.retainUntil = now.Add(d.options.Retention)
--- a/core/dispatch/unsubmitted_test.go
+++ b/core/dispatch/unsubmitted_test.go
@@ -80,6 +80,29 @@
 	is.Equal(c.dispatcher.unsubmittedJobs, 0)
 }
 
+// Guards against a submission that is accepted, and a cancellation that is acknowledged, while the
+// record of an ended job with the same id is being deleted: nothing of either is stored then.
+func TestRequestsWhileEndedJobIsDeleted(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	queue, spec := work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{{Count: 1, Estimate: time.Second}}}
+	c.submit("a", queue, spec)
+	c.runUntilIdle()
+	c.advance(2 * time.Hour)
+	is.Equal(len(c.dispatcher.dirtyJobs), 1)
+	for _, inFlight := range []bool{false, true} {
+		if inFlight {
+			c.advanceCommit(true)
+		}
+		c.submit("a", queue, spec)
+		is.Equal(c.verdict(c.token), NotRun)
+		c.cancel("a")
+		is.Equal(c.verdict(c.token), NotRun)
+	}
+	c.advanceCommit(true)
+	is.True(!c.dispatcher.HasJob("a"))
+}
+
 // Guards against a job that stays cancelled because of a cancellation that was refused.
 func TestRefusedCancellationOfUnknownJobLeavesNoTrace(t *testing.T) {
 	is := is.New(t)
