Send start orders only with a recent proof of leadership

Cause: an agent held back start orders behind orders without an answer, and sent them as long as it could extend the executor's lease, which needs a proof of leadership younger than 7 s. A leader that is cut off from the table and from the other entries, but not from the agents, answers their pings, so they keep their sessions with it. The next leader takes over after 1.7 s, acknowledges the cancellation, and can't reach these agents with the stop.

A cancellation that was acknowledged before the proof has reached the agent: the same leader queues the stop before the pong that carries the proof, and a later leader can't acknowledge anything before the last proof of the one before. The age of the order itself need not be known. Orders without such a proof wait and are not given back: the leader couldn't assign them anew without the table. The agent pings the leader at once for a newer proof, so an order that finds its proof too old because of pings every 0.7 s waits for a round trip only. The lease is extended as before.

The decision, with those on stops, draining and capacity that were in io/executor, is in core/startorder.

--- /dev/null
+++ b/core/startorder/decide.go
@@ -0,0 +1,59 @@
+package startorder
+
+import (
+	"time"
+
+	"oleandervalve"
+)
+
+// Limits bound how long after a change start orders from before it may be sent.
+type Limits struct {
+	// MaxProofAge is the age from which on a proof of leadership doesn't allow starts. A later
+	// leader may have acknowledged a cancellation since the proof, and the present one may have
+	// sent a stop that has not arrived.
+	MaxProofAge time.Duration
+	// DrainGrace is how long orders are sent after the executor has begun to drain.
+	DrainGrace time.Duration
+}
+
+// Circumstances are what the agent knows of an order, its executor and its leader.
+type Circumstances struct {
+	// Stopped means that the leader has stopped the run.
+	Stopped bool
+	// Ended means that the executor has ended.
+	Ended bool
+	// DrainingSince is when the executor began to drain; zero if it isn't draining.
+	DrainingSince time.Time
+	// Reserved is what the known runs reserve, that of the order included.
+	Reserved oleandervalve.Resources
+	Capacity oleandervalve.Resources
+	// ProofAt is the latest time at which the leader is known to have led; zero if there is none.
+	ProofAt oleandervalve.Instant
+}
+
+// Verdict says what to do with an order.
+type Verdict int
+
+const (
+	// Send means that the order may be sent.
+	Send Verdict = iota
+	// AwaitProof means that the order must wait for a newer proof of leadership.
+	AwaitProof
+	// Abandon means that the order must not be sent any more.
+	Abandon
+)
+
+// Decide returns what to do with an order now, and why if it is abandoned.
+func Decide(now oleandervalve.Instant, l Limits, c Circumstances) (Verdict, oleandervalve.StartRefusal) {
+	switch {
+	case c.Stopped || c.Ended:
+		return Abandon, oleandervalve.RefusedOld
+	case !c.DrainingSince.IsZero() && now.Time.Sub(c.DrainingSince) > l.DrainGrace:
+		return Abandon, oleandervalve.RefusedDraining
+	case !c.Reserved.Fits(c.Capacity):
+		return Abandon, oleandervalve.RefusedRoom
+	case c.ProofAt.IsZero() || now.Sub(c.ProofAt) >= l.MaxProofAge:
+		return AwaitProof, ""
+	}
+	return Send, ""
+}
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -13,6 +13,7 @@
 	"oleandervalve"
 	"oleandervalve/core/announcement"
 	"oleandervalve/core/pacing"
+	"oleandervalve/core/startorder"
 	"oleandervalve/io/peer"
 )
 
@@ -36,6 +37,9 @@
 	// ProofLifetime is how long the agent may extend the executor's lease after the
 	// leader has proved its leadership.
 	ProofLifetime time.Duration
+	// CancelDelay is how long after the acknowledgement of a cancellation tasks of the job may
+	// still start.
+	CancelDelay time.Duration
 }
 
 // now reads the clocks.
@@ -50,6 +54,7 @@
 type Agent struct {
 	options       Options
 	leaseDuration time.Duration
+	startLimits   startorder.Limits
 	// meter counts the bytes of messages to and from entries.
 	meter *peer.Meter
 
@@ -80,7 +85,7 @@
 
 // New returns an agent. Run must be called to connect it to the leader.
 func New(o Options) *Agent {
-	return &Agent{options: o, meter: peer.NewMeter(o.Scope), leaseDuration: min(o.MaxLease, agentMaxLease), statusReceived: make(chan struct{}, 1), crashes: newCrashLog(o.Clock)}
+	return &Agent{options: o, meter: peer.NewMeter(o.Scope), leaseDuration: min(o.MaxLease, agentMaxLease), startLimits: newStartLimits(o), statusReceived: make(chan struct{}, 1), crashes: newCrashLog(o.Clock)}
 }
 
 // StatusAnnounced handles an announced status of the executor. It ignores announcements that
--- a/io/executor/agent_test.go
+++ b/io/executor/agent_test.go
@@ -18,6 +18,9 @@
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
 	o.Log, o.Scope = logrus.NewEntry(log), tally.NoopScope
+	if o.CancelDelay == 0 {
+		o.CancelDelay = 3 * time.Second
+	}
 	return New(o)
 }
 
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -10,6 +10,7 @@
 	"oleandervalve"
 	"oleandervalve/core/crash"
 	"oleandervalve/core/dispatch"
+	"oleandervalve/core/startorder"
 	"oleandervalve/io/peer"
 )
 
@@ -17,6 +18,15 @@
 // announced. The platform allows such starts for longer.
 const drainStartGrace = 500 * time.Millisecond
 
+// newStartLimits returns the limits of start orders. An attempt at an order may reach the
+// executor until its timeout.
+func newStartLimits(o Options) startorder.Limits {
+	return startorder.Limits{MaxProofAge: min(max(o.CancelDelay-maxOrderTimeout, minProofAge), o.ProofLifetime), DrainGrace: drainStartGrace}
+}
+
+// minProofAge is the least age of proofs that allow starts, whatever the cancellation delay is.
+const minProofAge = 500 * time.Millisecond
+
 // loggedOrderAge is the age from which on a start order is logged when it is sent.
 const loggedOrderAge = time.Second
 
@@ -89,9 +99,11 @@
 	// unanswered means that an earlier attempt had no answer and may still take effect.
 	unanswered := false
 	timeout := initialOrderTimeout
+	waited := false
 	for ctx.Err() == nil {
-		reason, abort := s.abortReason(st)
-		if abort {
+		verdict, reason, _ := s.decideStart(st)
+		switch verdict {
+		case startorder.Abandon:
 			if unanswered {
 				s.sendStop(ctx, k)
 			} else {
@@ -99,34 +111,29 @@
 				s.reportNeverStarted(k, reason)
 			}
 			return
+		case startorder.AwaitProof:
+			if !waited {
+				waited = true
+				s.logWaitingStart(o, unanswered)
+			}
+			s.waitForProof(ctx, st)
+			continue
 		}
 		if !s.acquireStartSlot(ctx, st) {
 			continue
 		}
-		if _, abort := s.abortReason(st); abort {
-			// The run was stopped, or its executor changed, during the wait for the slot.
+		// The circumstances may have changed during the wait for the slot.
+		verdict, _, until := s.decideStart(st)
+		if verdict != startorder.Send {
 			<-s.orderSlots
 			continue
 		}
-		s.mu.Lock()
-		now := s.agent.options.now()
-		until := s.leaseUntil(now)
-		proofAge := now.Sub(s.proofAt)
-		s.mu.Unlock()
-		if waited := now.Sub(receivedAt); waited >= loggedOrderAge {
-			s.log().WithFields(logrus.Fields{
-				"job": o.Task.Job, "task": o.Task.String(), "run": o.Run, "waitedMs": waited.Milliseconds(), "proofAgeMs": proofAge.Milliseconds(), "unanswered": unanswered,
-			}).Info("start order is sent late")
-		}
+		s.logLateStart(o, receivedAt, unanswered)
 		call, cancel := context.WithTimeout(ctx, timeout)
-		refusal := oleandervalve.StartRefusal("")
-		err := error(&oleandervalve.UnavailableError{Service: "leading entry", Remedy: "wait for a proof of leadership"})
-		if until > 0 {
-			s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.StartOrdered(now, s.status.Incarnation, o.Task, o.Run) })
-			_, refusal, err = s.agent.options.Executor.Start(call, s.status.Incarnation.ID, oleandervalve.StartOrder{
-				Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: until, Token: s.token, Checkpoint: o.Checkpoint, PermitToken: o.PermitToken,
-			})
-		}
+		s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.StartOrdered(now, s.status.Incarnation, o.Task, o.Run) })
+		_, refusal, err := s.agent.options.Executor.Start(call, s.status.Incarnation.ID, oleandervalve.StartOrder{
+			Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: until, Token: s.token, Checkpoint: o.Checkpoint, PermitToken: o.PermitToken,
+		})
 		cancel()
 		<-s.orderSlots
 		if err == nil && refusal == "" {
@@ -183,25 +190,68 @@
 	return false
 }
 
-// abortReason reports whether a start order must be abandoned, and why. The executor may
-// start whatever it is told, so its capacity is checked before each attempt.
-func (s *session) abortReason(st *pendingStart) (oleandervalve.StartRefusal, bool) {
+// decideStart decides whether a start order may be sent now. If so, it returns the end of the
+// lease to request with it. The executor may start whatever it is told, so that is decided
+// before each attempt.
+func (s *session) decideStart(st *pendingStart) (startorder.Verdict, oleandervalve.StartRefusal, oleandervalve.ExecutorTime) {
 	a := s.agent
 	a.mu.Lock()
-	draining := !a.drainingSince.IsZero() && a.options.Clock.Since(a.drainingSince) > drainStartGrace
-	capacity, ended := a.status.Capacity, a.ended
+	c := startorder.Circumstances{Ended: a.ended, DrainingSince: a.drainingSince, Capacity: a.status.Capacity}
 	a.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case st.isStopped() || ended:
-		return oleandervalve.RefusedOld, true
-	case draining:
-		return oleandervalve.RefusedDraining, true
-	case !s.reserved().Fits(capacity):
-		return oleandervalve.RefusedRoom, true
+	c.Stopped, c.Reserved, c.ProofAt = st.isStopped(), s.reserved(), s.proofAt
+	now := a.options.now()
+	verdict, reason := startorder.Decide(now, a.startLimits, c)
+	if verdict != startorder.Send {
+		return verdict, reason, 0
+	}
+	return verdict, reason, s.leaseUntil(now)
+}
+
+// waitForProof asks the leader for a newer proof of leadership, and waits until there is one,
+// the run has to end, or the order has to be decided again.
+func (s *session) waitForProof(ctx context.Context, st *pendingStart) {
+	s.mu.Lock()
+	renewed := s.proofRenewed
+	s.mu.Unlock()
+	select {
+	case s.wakePing <- struct{}{}:
+	default:
 	}
-	return "", false
+	select {
+	case <-renewed:
+	case <-st.stopped:
+	case <-ctx.Done():
+	case <-s.agent.options.Clock.After(retryDelay):
+	}
+}
+
+func (s *session) logWaitingStart(o dispatch.Start, unanswered bool) {
+	s.mu.Lock()
+	proofAt := s.proofAt
+	s.mu.Unlock()
+	if proofAt.IsZero() {
+		return
+	}
+	s.log().WithFields(logrus.Fields{
+		"job": o.Task.Job, "task": o.Task.String(), "run": o.Run, "proofAgeMs": s.agent.options.now().Sub(proofAt).Milliseconds(), "unanswered": unanswered,
+	}).Info("start order waits for a proof of leadership")
+}
+
+// logLateStart logs an order that is sent long after it was received at receivedAt.
+func (s *session) logLateStart(o dispatch.Start, receivedAt oleandervalve.Instant, unanswered bool) {
+	now := s.agent.options.now()
+	waited := now.Sub(receivedAt)
+	if waited < loggedOrderAge {
+		return
+	}
+	s.mu.Lock()
+	proofAge := now.Sub(s.proofAt)
+	s.mu.Unlock()
+	s.log().WithFields(logrus.Fields{
+		"job": o.Task.Job, "task": o.Task.String(), "run": o.Run, "waitedMs": waited.Milliseconds(), "proofAgeMs": proofAge.Milliseconds(), "unanswered": unanswered,
+	}).Info("start order is sent late")
 }
 
 // reserved returns what the known runs reserve, those that are being started or stopped
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -25,6 +25,8 @@
 	inventoryTimeout = 700 * time.Millisecond
 	// pingInterval is the time between pings. Their answers carry the proofs of leadership.
 	pingInterval = 700 * time.Millisecond
+	// minPingInterval is the minimum time between a ping and one that asks for a newer proof.
+	minPingInterval = 100 * time.Millisecond
 	// maxParallelOrders limits the orders in flight to the executor.
 	maxParallelOrders = 3
 	// initialOrderTimeout is the timeout of the first attempt at an order. It doubles
@@ -60,7 +62,9 @@
 	mu sync.Mutex
 	// proofAt is the latest time at which the leader is known to have led.
 	proofAt oleandervalve.Instant
-	pings   []sentPing
+	// proofRenewed is closed and replaced when proofAt advances.
+	proofRenewed chan struct{}
+	pings        []sentPing
 	// clock is the executor's time as of clockAt on the agent's clock.
 	clock   oleandervalve.ExecutorTime
 	clockAt time.Time
@@ -97,8 +101,9 @@
 	// speedLimits holds the speed limit, in percent, that the executor applies to each
 	// run, or unknownSpeedLimit. A run missing from the map is unthrottled.
 	speedLimits map[runKey]int
-	// wakePoll ends the delay before the next poll of the executor.
-	wakePoll chan struct{}
+	// wakePoll ends the delay before the next poll of the executor, and wakePing that before
+	// the next ping.
+	wakePoll, wakePing chan struct{}
 }
 
 // pendingStart is a start order whose outcome is unknown.
@@ -186,7 +191,7 @@
 		agent: a, conn: c, token: admit.Token, cancel: cancel, orderSlots: make(chan struct{}, maxParallelOrders),
 		acknowledgedEnds: map[uint64]bool{}, hints: map[runKey]dispatch.RunHints{}, running: map[runKey]bool{},
 		pendingStarts: map[runKey]*pendingStart{}, confirmedStops: map[runKey]time.Time{}, listedEnds: map[runKey]bool{},
-		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*runProgress{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1),
+		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*runProgress{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1), wakePing: make(chan struct{}, 1), proofRenewed: make(chan struct{}),
 	}
 	a.mu.Lock()
 	s.status, a.token = a.status, max(a.token, admit.Token)
@@ -285,7 +290,8 @@
 	defer t.Stop()
 	for n := uint64(1); ; n++ {
 		s.mu.Lock()
-		s.pings = append(s.pings, sentPing{n, s.agent.options.now()})
+		sentAt := s.agent.options.now()
+		s.pings = append(s.pings, sentPing{n, sentAt})
 		sample := s.sample
 		s.sample = contention.Sample{}
 		checkpoints := s.takeUnsentCheckpoints()
@@ -295,10 +301,24 @@
 		case <-ctx.Done():
 			return
 		case <-t.Chan():
+		case <-s.wakePing:
+			if !s.waitUntil(ctx, sentAt.Time.Add(minPingInterval)) {
+				return
+			}
 		}
 	}
 }
 
+// waitUntil waits until a time on the agent's clock. It returns false if ctx is done first.
+func (s *session) waitUntil(ctx context.Context, at time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.agent.options.Clock.After(at.Sub(s.agent.options.Clock.Now())):
+		return true
+	}
+}
+
 func (s *session) handlePong(p *peer.Pong) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -311,6 +331,8 @@
 		if first.sequence == p.Sequence {
 			if at := first.at.Add(-p.ProofAge); at.After(s.proofAt) {
 				s.proofAt = at
+				close(s.proofRenewed)
+				s.proofRenewed = make(chan struct{})
 			}
 		}
 	}
