Send stop orders beside unanswered start orders

What callers saw: tasks of a cancelled job ran on for seconds while start orders got no answer, and kept the capacity of their executor.

Cause: starts and stops shared three slots, in the order in which they arrived. A start without an answer keeps its slot for 0.3 to 1.2 s.

Fix: stops have three slots of their own. They free capacity and can't be wrong, so nothing is gained by holding them back.

--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -49,7 +49,7 @@
 	return b
 }
 
-// acquireStartSlot waits until fewer than maxParallelOrders orders are in flight. It returns
+// acquireStartSlot waits until fewer than maxParallelOrders start orders are in flight. It returns
 // false if the run has to end or ctx is done first.
 func (s *session) acquireStartSlot(ctx context.Context, st *pendingStart) bool {
 	select {
@@ -62,11 +62,11 @@
 	}
 }
 
-// acquireOrderSlot waits until fewer than maxParallelOrders orders are in flight. It
+// acquireStopSlot waits until fewer than maxParallelStops stop orders are in flight. It
 // returns false if ctx is done first.
-func (s *session) acquireOrderSlot(ctx context.Context) bool {
+func (s *session) acquireStopSlot(ctx context.Context) bool {
 	select {
-	case s.orderSlots <- struct{}{}:
+	case s.stopSlots <- struct{}{}:
 		return true
 	case <-ctx.Done():
 		return false
@@ -293,13 +293,13 @@
 func (s *session) sendStop(ctx context.Context, k runKey) {
 	timeout := initialOrderTimeout
 	for ctx.Err() == nil {
-		if !s.acquireOrderSlot(ctx) {
+		if !s.acquireStopSlot(ctx) {
 			return
 		}
 		call, cancel := context.WithTimeout(ctx, timeout)
 		err := s.agent.options.Executor.Stop(call, s.status.Incarnation.ID, k.task, k.run, s.token)
 		cancel()
-		<-s.orderSlots
+		<-s.stopSlots
 		if err == nil {
 			s.mu.Lock()
 			if !s.listedEnds[k] {
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -27,8 +27,10 @@
 	pingInterval = 700 * time.Millisecond
 	// minPingInterval is the minimum time between a ping and one that asks for a newer proof.
 	minPingInterval = 100 * time.Millisecond
-	// maxParallelOrders limits the orders in flight to the executor.
+	// maxParallelOrders limits the start orders in flight to the executor, and
+	// maxParallelStops the stop orders, which must not wait behind starts.
 	maxParallelOrders = 3
+	maxParallelStops  = 3
 	// initialOrderTimeout is the timeout of the first attempt at an order. It doubles
 	// with every attempt, up to maxOrderTimeout.
 	initialOrderTimeout = 300 * time.Millisecond
@@ -52,12 +54,13 @@
 // connection is closed, when the executor gets a new incarnation, or when a newer
 // session fences it off.
 type session struct {
-	agent      *Agent
-	conn       *peer.Conn
-	status     oleandervalve.ExecutorStatus
-	token      oleandervalve.FencingToken
-	cancel     context.CancelCauseFunc
-	orderSlots chan struct{}
+	agent  *Agent
+	conn   *peer.Conn
+	status oleandervalve.ExecutorStatus
+	token  oleandervalve.FencingToken
+	cancel context.CancelCauseFunc
+	// orderSlots and stopSlots hold a value for each start or stop order in flight.
+	orderSlots, stopSlots chan struct{}
 
 	mu sync.Mutex
 	// proofAt is the latest time at which the leader is known to have led.
@@ -188,7 +191,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &session{
-		agent: a, conn: c, token: admit.Token, cancel: cancel, orderSlots: make(chan struct{}, maxParallelOrders),
+		agent: a, conn: c, token: admit.Token, cancel: cancel, orderSlots: make(chan struct{}, maxParallelOrders), stopSlots: make(chan struct{}, maxParallelStops),
 		acknowledgedEnds: map[uint64]bool{}, hints: map[runKey]dispatch.RunHints{}, running: map[runKey]bool{},
 		pendingStarts: map[runKey]*pendingStart{}, confirmedStops: map[runKey]time.Time{}, listedEnds: map[runKey]bool{},
 		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*runProgress{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1), wakePing: make(chan struct{}, 1), proofRenewed: make(chan struct{}),
