Date the executor's clock by when its first answer arrived

Cause: a lease is requested as a time on the executor's clock. A session estimates that clock from its last answer. For the first poll it dated the answer by when the poll was sent, so that the time that the poll was on its way (up to 0.7 s) was added to the lease of all that is ordered before the next poll is answered. Later polls are dated by when their answer arrived, which can only make leases shorter.

Evidence: TestSlowFirstPollDoesNotExtendLease delays the first poll by 0.3 s. The margin between the end of a lease and the takeover of its runs is 0.5 s on an executor with an exact clock; a poll that is on its way for longer, followed by the loss of the agent, would have been needed for an overlap.

Fix: the first answer is dated like the others.

--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -254,7 +254,7 @@
 	}
 	s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Answered(now, s.status.Incarnation, result) })
 	s.mu.Lock()
-	s.clock, s.clockAt = result.Clock, sent
+	s.clock, s.clockAt = result.Clock, s.agent.options.Clock.Now()
 	// An earlier session may have extended the lease until just before this poll.
 	s.leaseEnd = sent.Add(s.maxElapsed(s.agent.leaseDuration))
 	for _, r := range result.Running {
