Set a speed limit again if its order had no answer

What callers could see: a best-effort run that stays suspended, or one that disturbs latency-critical tasks although it counts as suspended.

Cause: the agent took a speed limit for the executor's only when its order was answered, and sent none if the next limit was the last answered one. An order without an answer may have been carried out, also that of a session which ended before the answer; the limit of the executor then differed from the one that the agent knew until the controller chose a third one.

Evidence: TestUnansweredSpeedLimitIsSetAgain loses the answer to a limit of 10% and then asks for the limits of an unthrottled run: no order before this commit.

Fix: the limit counts as unknown while its order has no answer, so the next poll sends it again, in the next session too.

--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -282,6 +282,10 @@
 }
 
 func (s *session) sendSpeedLimit(ctx context.Context, o speedLimitOrder) {
+	s.mu.Lock()
+	// The executor may carry the order out without an answer.
+	s.speedLimits[o.key] = unknownSpeedLimit
+	s.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, initialOrderTimeout)
 	defer cancel()
 	err := s.agent.options.Executor.SetSpeedLimit(call, s.status.Incarnation.ID, o.key.task, o.key.run, o.percent, s.token)
@@ -291,6 +295,8 @@
 		return
 	}
 	s.mu.Lock()
-	s.speedLimits[o.key] = o.percent
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	if _, ok := s.speedLimits[o.key]; ok {
+		s.speedLimits[o.key] = o.percent
+	}
 }
--- a/io/executor/throttlestate.go
+++ b/io/executor/throttlestate.go
@@ -9,8 +9,8 @@
 	"oleandervalve/core/pacing"
 )
 
-// unknownSpeedLimit marks a run that an earlier agent process started. The executor may
-// apply any limit to it, so the next poll sets the limit again.
+// unknownSpeedLimit marks a run that an earlier agent process started, or whose last order had
+// no answer. The executor may apply any limit to it, so the next poll sets the limit again.
 const unknownSpeedLimit = -1
 
 // throttleState is the part of a session's state that concerns the speed limits of
--- a/io/executor/throttlestate_test.go
+++ b/io/executor/throttlestate_test.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -68,3 +69,26 @@
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].percent, pacing.Unthrottled)
 }
+
+// deafExecutor carries out speed limits without an answer.
+type deafExecutor struct{ fakeExecutor }
+
+func (*deafExecutor) SetSpeedLimit(context.Context, oleandervalve.ExecutorID, oleandervalve.TaskName, oleandervalve.RunNumber, int, oleandervalve.FencingToken) error {
+	return &oleandervalve.UnknownOutcomeError{Operation: "pace"}
+}
+
+// Guards against a run that keeps a speed limit for good because the order that set it had no
+// answer, and the next limit is the one before.
+func TestUnansweredSpeedLimitIsSetAgain(t *testing.T) {
+	is := is.New(t)
+	s := newSession(clockwork.NewFakeClock())
+	s.agent.options.Executor = &deafExecutor{}
+	bestEffort := runKey{oleandervalve.TaskName{Job: "f"}, 1}
+	s.hints[bestEffort] = dispatch.RunHints{BestEffort: true, Image: "press"}
+	s.sendSpeedLimit(context.Background(), speedLimitOrder{bestEffort, 10})
+	result := oleandervalve.PollResult{Running: []oleandervalve.RunningTask{{Task: bestEffort.task, Run: 1}}}
+	is.Equal(s.updateSpeedLimits(result), []speedLimitOrder{{bestEffort, pacing.Unthrottled}})
+	next := newSession(clockwork.NewFakeClock())
+	next.restoreThrottleState(s.throttleState())
+	is.Equal(next.updateSpeedLimits(result), []speedLimitOrder{{bestEffort, pacing.Unthrottled}})
+}
