Leave a leader that the table no longer names

What callers would see: executors that get no work and no stops, and whose runs all end when the lease does, 7 s after the leader's last proof, although another entry leads and reaches the table.

Cause: an agent kept its session as long as the leader answered its pings. A leader that is cut off from the table hands over if another entry that reaches the table is connected to it. If it is cut off from these entries too, it goes on answering the agents, and nothing told them that it had been replaced.

Evidence: in TestAgentLeavesReplacedLeader the leader's last proof is 4 s old and the table names another entry. Before this commit the agent stayed for the 10 s of the test.

Fix: an agent whose last proof is 3 s old asks the table who leads, and ends the session if that is another entry. It asks again each time that the age has doubled, so that an outage of the table for all costs each agent one call at 3, 6 and 12 s. A renewal every 0.7 s and a ping every 0.7 s keep proofs younger than that while the table answers.

--- a/io/executor/proof_test.go
+++ b/io/executor/proof_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,6 +77,16 @@
 
 // lead runs an agent against the leader.
 func (l *cutLeader) lead(t *testing.T, a *Agent) {
+	t.Helper()
+	address := l.listen(t)
+	a.options.LeaderAddress = func(context.Context) (string, error) { return address, nil }
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go a.Run(ctx)
+}
+
+// listen returns the address on which the leader admits agents.
+func (l *cutLeader) listen(t *testing.T) string {
 	t.Helper()
 	meter := peer.NewMeter(tally.NoopScope)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -101,10 +112,8 @@
 			}
 		}
 	}))
-	a.options.LeaderAddress = func(context.Context) (string, error) { return strings.TrimPrefix(server.URL, "http://"), nil }
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(func() { cancel(); server.Close() })
-	go a.Run(ctx)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
 }
 
 // awaitProof waits until the session has a proof of leadership.
@@ -197,3 +206,32 @@
 		})
 	}
 }
+
+// Guards against an agent that stays with a leader which is cut off from the table and has been
+// replaced, so that its executor ends all runs with the lease and gets no work.
+func TestAgentLeavesReplacedLeader(t *testing.T) {
+	is := is.New(t)
+	first, second := newCutLeader(), newCutLeader()
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Uptime: first.uptime, Executor: &fakeExecutor{}, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second})
+	is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+	firstAddress, secondAddress := first.listen(t), second.listen(t)
+	var replaced atomic.Bool
+	a.options.LeaderAddress = func(context.Context) (string, error) {
+		if replaced.Load() {
+			return secondAddress, nil
+		}
+		return firstAddress, nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go a.Run(ctx)
+	<-first.conns
+	a.awaitSession().awaitProof()
+	replaced.Store(true)
+	first.cut(4 * time.Second)
+	select {
+	case <-second.conns:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the agent stays with the replaced leader")
+	}
+}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -13,6 +13,7 @@
 	"oleandervalve/core/contention"
 	"oleandervalve/core/crash"
 	"oleandervalve/core/dispatch"
+	"oleandervalve/core/following"
 	"oleandervalve/core/pacing"
 	"oleandervalve/io/leader"
 	"oleandervalve/io/peer"
@@ -54,11 +55,13 @@
 // connection is closed, when the executor gets a new incarnation, or when a newer
 // session fences it off.
 type session struct {
-	agent  *Agent
-	conn   *peer.Conn
-	status oleandervalve.ExecutorStatus
-	token  oleandervalve.FencingToken
-	cancel context.CancelCauseFunc
+	agent *Agent
+	conn  *peer.Conn
+	// address is the address of the leader.
+	address string
+	status  oleandervalve.ExecutorStatus
+	token   oleandervalve.FencingToken
+	cancel  context.CancelCauseFunc
 	// orderSlots and stopSlots hold a value for each start or stop order in flight.
 	orderSlots, stopSlots chan struct{}
 
@@ -191,7 +194,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &session{
-		agent: a, conn: c, token: admit.Token, cancel: cancel, orderSlots: make(chan struct{}, maxParallelOrders), stopSlots: make(chan struct{}, maxParallelStops),
+		agent: a, conn: c, address: address, token: admit.Token, cancel: cancel, orderSlots: make(chan struct{}, maxParallelOrders), stopSlots: make(chan struct{}, maxParallelStops),
 		acknowledgedEnds: map[uint64]bool{}, hints: map[runKey]dispatch.RunHints{}, running: map[runKey]bool{},
 		pendingStarts: map[runKey]*pendingStart{}, confirmedStops: map[runKey]time.Time{}, listedEnds: map[runKey]bool{},
 		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*runProgress{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1), wakePing: make(chan struct{}, 1), proofRenewed: make(chan struct{}),
@@ -233,6 +236,10 @@
 	}()
 	next, err := s.receive(ctx)
 	if cause := context.Cause(ctx); cause != nil {
+		var replaced *replacedLeaderError
+		if errors.As(cause, &replaced) {
+			return replaced.Leader, cause
+		}
 		return address, cause
 	}
 	return next, err
@@ -291,8 +298,10 @@
 func (s *session) pingLoop(ctx context.Context) {
 	t := s.agent.options.Clock.NewTicker(pingInterval)
 	defer t.Stop()
+	var doubts following.Doubts
 	for n := uint64(1); ; n++ {
 		s.mu.Lock()
+		proofAt := s.proofAt
 		sentAt := s.agent.options.now()
 		s.pings = append(s.pings, sentPing{n, sentAt})
 		sample := s.sample
@@ -300,6 +309,9 @@
 		checkpoints := s.takeUnsentCheckpoints()
 		s.mu.Unlock()
 		s.conn.TrySend(&peer.Ping{Sequence: n, Sample: sample, Checkpoints: checkpoints})
+		if !proofAt.IsZero() && doubts.Ask(sentAt.Sub(proofAt)) {
+			go s.checkLeader(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -312,6 +324,27 @@
 	}
 }
 
+// replacedLeaderError ends a session with an entry that has been replaced as the leader.
+type replacedLeaderError struct{ Leader string }
+
+func (e *replacedLeaderError) Error() string {
+	return "the table names another leader: follow " + e.Leader
+}
+
+// checkLeader ends the session if the table names another entry as the leader.
+func (s *session) checkLeader(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, leaderLookupTimeout)
+	defer cancel()
+	address, err := s.agent.options.LeaderAddress(call)
+	if err != nil {
+		s.log().WithError(err).Info("leader has sent no new proof, and the table can't be asked who leads")
+		return
+	}
+	if address != "" && address != s.address {
+		s.cancel(&replacedLeaderError{address})
+	}
+}
+
 // waitUntil waits until a time on the agent's clock. It returns false if ctx is done first.
 func (s *session) waitUntil(ctx context.Context, at time.Time) bool {
 	select {
