Refuse orders to start a task that are older than their reservation

Seen by callers: a task started minutes after its cancellation was accepted (job interface). An agent that is suspended for 5 min and wakes up with the start order in its socket, or with the call to the platform not yet sent, started the task, although the job had been cancelled meanwhile.

Cause: a reservation ends after 30 s, but only Tick dropped it. The order to start used whatever reservation was there, and a waiting call was checked against the lease of 11 min only, not against a stop that had come since.

Change: a start order needs a reservation younger than 30 s. The call to the platform is checked again right before it is sent: against the end of the reservation, the lease, and a stop of the run.

All cases of TestExploreAllInterleavings pass. Its case that breaks the agent on purpose set a reservation without a time, which counts as expired now; it sets the present time and finds the violation as before.

Ruled out: an assignment after the cancellation, which is conditional on the job's row; and acknowledging only after all tasks have stopped, which would hold the caller for the 11 min of a silent worker's lease.

--- a/core/job/action.go
+++ b/core/job/action.go
@@ -118,8 +118,9 @@
 	Status Status                 `cbor:"status"`
 }
 
-// PlatformStart starts a run at the platform; the process drops the call if it
-// could not be sent before NotAfter. The result is passed to Runner.StartDone.
+// PlatformStart starts a run at the platform; the process drops the call if
+// Runner.StartPermitted no longer permits it when it is sent. The result is passed to
+// Runner.StartDone.
 type PlatformStart struct {
 	Spec     oleandervalve.TaskSpec
 	Lease    time.Duration
--- a/core/job/calls.go
+++ b/core/job/calls.go
@@ -238,10 +238,11 @@
 	var running []oleandervalve.TaskID
 	for _, run := range r.sortedRuns() {
 		st := r.runs[run]
+		if st.reservationExpired(now) {
+			r.dropReservation(now, run, st)
+			continue
+		}
 		if st.phase == phaseReserved {
-			if now.Sub(st.phaseSince) >= ReservationTTL {
-				r.dropReservation(now, run, st)
-			}
 			continue
 		}
 		list = append(list, r.proceed(now, run, st)...)
--- a/core/job/cluster_test.go
+++ b/core/job/cluster_test.go
@@ -370,7 +370,7 @@
 		cl.fromAgent(a, r.Release(cl.now, m))
 	case Start:
 		if run := (Run{Task: m.Spec.Task, Epoch: m.Spec.Epoch}); cl.skipsEpochCheck && r.runs[run] == nil && r.fencedEpochs[run.Task].epoch >= run.Epoch {
-			r.runs[run] = &runState{reservation: m.ID}
+			r.runs[run] = &runState{reservation: m.ID, phaseSince: cl.now}
 		}
 		cl.fromAgent(a, r.Start(cl.now, m))
 	case Stop:
--- a/core/job/runner.go
+++ b/core/job/runner.go
@@ -200,6 +200,9 @@
 func (r *Runner) Start(now time.Time, m Start) []Action {
 	list := r.checkLease(now)
 	run := Run{Task: m.Spec.Task, Epoch: m.Spec.Epoch}
+	if st := r.runs[run]; st != nil && st.reservationExpired(now) {
+		r.dropReservation(now, run, st)
+	}
 	st := r.runs[run]
 	switch {
 	case !r.ready:
@@ -231,9 +234,20 @@
 		st.reason = ReasonNoLease
 		return r.endRun(now, run, st, StatusStopped)
 	}
+	notAfter := st.phaseSince.Add(ReservationTTL)
+	if d := r.lease.Deadline(); d.Before(notAfter) {
+		notAfter = d
+	}
 	r.enterPhase(now, st, phaseStarting)
 	st.callInFlight = true
-	return []Action{PlatformStart{Spec: spec, Lease: r.platformLease(now), NotAfter: r.lease.Deadline()}}
+	return []Action{PlatformStart{Spec: spec, Lease: r.platformLease(now), NotAfter: notAfter}}
+}
+
+// StartPermitted reports whether a start call may still be sent. The process checks it
+// right before it sends the call, which may have been delayed.
+func (r *Runner) StartPermitted(now time.Time, c PlatformStart) bool {
+	st := r.runs[Run{Task: c.Spec.Task, Epoch: c.Spec.Epoch}]
+	return st != nil && st.phase == phaseStarting && !st.stopRequested && now.Before(c.NotAfter)
 }
 
 // platformLease returns the length of a platform lease that ends no later than
@@ -368,6 +382,11 @@
 	return list
 }
 
+// reservationExpired reports whether the run is reserved and can no longer be started.
+func (st *runState) reservationExpired(now time.Time) bool {
+	return st.phase == phaseReserved && now.Sub(st.phaseSince) >= ReservationTTL
+}
+
 // dropReservation drops an unused reservation.
 func (r *Runner) dropReservation(now time.Time, run Run, st *runState) {
 	r.releasedReservations[st.reservation] = now
--- a/io/agent/tasks.go
+++ b/io/agent/tasks.go
@@ -236,6 +236,13 @@
 	a.runActions(nil, result(now))
 }
 
+// startPermitted reports whether a start call may still be sent.
+func (a *Agent) startPermitted(c job.PlatformStart) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.tasks.runner.StartPermitted(a.clock.Now(), c)
+}
+
 // startPlatformCall starts the platform or object store call of an action.
 func (a *Agent) startPlatformCall(x job.Action) {
 	t := a.tasks
@@ -243,8 +250,7 @@
 	case job.PlatformStart:
 		a.runInBackground(func(ctx context.Context) {
 			o := job.CallNoEffect
-			// Check the lease again right before the side effect.
-			if a.clock.Now().Before(x.NotAfter) {
+			if a.startPermitted(x) {
 				o = outcomeOf(t.platform.Start(ctx, t.worker, x.Spec, x.Lease))
 			}
 			a.handleResult(func(now time.Time) []job.Action {
--- a/io/entry/actions.go
+++ b/io/entry/actions.go
@@ -189,5 +189,5 @@
 	if err := c.tasks.Cancel(ctx, j, team); err != nil {
 		return operatorhttp.Progress{}, err
 	}
-	return operatorhttp.Progress{State: "cancelling", Detail: "tasks that have not started will not run"}, nil
+	return operatorhttp.Progress{State: "cancelling", Detail: "tasks that are not assigned to a worker will not run; the others are stopped"}, nil
 }
