Report a request that may have run as unknown when its repetition does not run

Seen by callers: `Oleandervalve-Outcome: notRun` for an idempotent request that had run. Its agent was lost without an answer; the entry repeated the request, which is allowed, but no endpoint was free until the deadline. The promise "not run means that the work did not run" (invariant 5) was broken. With an idempotency key, the key was released as not run.

Cause: the outcome of the call was that of its last attempt. A refusal by the queue, by an agent or by the deadline speaks only for the repetition.

Change: once an attempt may have run, a NotRunError of a later one becomes an UnknownOutcomeError. Its cause is text, as callers' errors are classified with errors.As, which would find the NotRunError in it.

Ruled out: refusing the repetition. Repeating is what the caller asked for with an idempotent request, and most repetitions are answered.

--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -121,7 +121,7 @@
 	for {
 		slot, err := e.acquire(ctx, x, enqueue)
 		if err != nil {
-			return err
+			return x.finalError(err)
 		}
 		x.attempts++
 		started := e.clock.Now()
@@ -133,11 +133,23 @@
 		case attemptIndeterminate:
 			enqueue = e.queue(x.call.Service).Push
 		default:
-			return err
+			return x.finalError(err)
 		}
 	}
 }
 
+// finalError returns the error of the whole call, given that of its last attempt. That the
+// last attempt did not run says nothing of the ones before.
+func (x *pendingCall) finalError(last error) error {
+	var notRun *oleandervalve.NotRunError
+	if x.lostExecutions == 0 || !errors.As(last, &notRun) {
+		return last
+	}
+	// The cause must not be found as a NotRunError in the error of the call.
+	_, err := unknownOutcome(errors.Newf("no whole answer, and the repetition did not run: %s", last.Error()))
+	return err
+}
+
 // finishAttempt records the result of an attempt and returns the next step:
 // attemptAnswered ends the call, attemptNotRun requeues it at its former
 // position, attemptIndeterminate queues it as a new request.
--- a/io/entry/path_test.go
+++ b/io/entry/path_test.go
@@ -236,3 +236,16 @@
 		})
 	}
 }
+
+// Guards against the outcome "notRun" for a request that has run when its repetition does not run.
+func TestRepetitionThatDoesNotRunLeavesOutcomeUnknown(t *testing.T) {
+	p := newTestbed(t, 1, 300*time.Millisecond)
+	running := make(chan reply, 1)
+	go func() { running <- p.call(context.Background(), http.MethodGet, "", "running", "1000") }()
+	p.waitStarted("running")
+	p.agent.Close() // the entry repeats the request and finds no endpoint until the deadline
+	r := <-running
+	p.is.NoErr(r.err)
+	p.is.Equal(r.outcome, "unknown")
+	p.is.Equal(p.books.Runs("running"), 1)
+}
