Let the lease of a worker end while its instance is suspended

Seen by callers: a task that runs on two workers at once (invariant 2), shown by a test. An instance is suspended for 15 min. Its lease ends after 11 min by the table's clock, and the task is taken over and started elsewhere. When the instance goes on, its agent renews the platform lease of its run, and starts what an old order in its socket asks for.

Cause: the agent measured its lease, the age of reservations and the deadline of its calls on the monotonic clock, which stands still while an instance is suspended. Keys already allowed for this by the time of day, and the hosted programs by the uptime; the tasks did not.

Change: a LeaseClock tells the time including suspensions, from the uptime of the system. Everything that the runner of an agent decides uses it, and so does the time in heartbeats, which the entry sends back with a renewal.

Ruled out: the time of day as for keys. It may be stepped back at the moment at which a suspended instance goes on.

--- a/core/lease/doc.go
+++ b/core/lease/doc.go
@@ -1,7 +1,8 @@
 // Package lease implements the leases of workers and entries. A worker's lease
 // permits its agent to run tasks; an entry's session permits it to own shards
-// of work. Each holder measures its deadline on its own monotonic clock,
-// starting before it sends the renewal request. Every other process relies on
+// of work. Each holder measures its deadline on its own oleandervalve.LeaseClock,
+// which counts suspensions of the instance, starting before it sends the renewal
+// request. Every other process relies on
 // the table's clock: the transaction that takes over checks that the lease has
 // expired. Clocks of two machines are therefore never compared.
 //
--- a/core/lease/worker.go
+++ b/core/lease/worker.go
@@ -31,7 +31,7 @@
 
 // Renew extends the lease to its duration after sentAt, the time at which the
 // agent sent the heartbeat. It must be called only after the entry has reported
-// that the renewal is committed. Both times must carry a monotonic clock reading.
+// that the renewal is committed. Both times must be of the agent's oleandervalve.LeaseClock.
 func (w *WorkerLease) Renew(now, sentAt time.Time) {
 	// An expiry while the process was paused must be detected before the lease is
 	// extended, because the tasks may have been taken over since.
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -31,6 +31,7 @@
 	labels            map[string]string
 	location          oleandervalve.Location
 	clock             oleandervalve.Clock
+	uptime            oleandervalve.Uptime
 	log               *logrus.Entry
 	scope             tally.Scope
 	endpointClient    oleandervalve.EndpointClient
@@ -59,6 +60,9 @@
 // WithClock replaces the system clock.
 func WithClock(c oleandervalve.Clock) Option { return func(a *Agent) { a.clock = c } }
 
+// WithUptime replaces the uptime of the system, which counts suspensions of the instance.
+func WithUptime(u oleandervalve.Uptime) Option { return func(a *Agent) { a.uptime = u } }
+
 // WithLog sets the logger.
 func WithLog(l *logrus.Entry) Option { return func(a *Agent) { a.log = l } }
 
@@ -101,6 +105,7 @@
 	a := &Agent{
 		id:                id,
 		clock:             oleandervalve.SystemClock(),
+		uptime:            oleandervalve.SystemUptime,
 		log:               logrus.NewEntry(logrus.StandardLogger()),
 		scope:             tally.NoopScope,
 		endpointClient:    endpointhttp.NewClient(0),
@@ -150,19 +155,20 @@
 			lastHeartbeat = now
 			sequence++
 			for _, l := range a.links {
-				l.conn.TrySend(&peer.Heartbeat{Sequence: sequence, SentAfter: a.sinceStart(now), Revision: a.config.replica.Revision(), Free: a.ledger.FreeResources()})
+				l.conn.TrySend(&peer.Heartbeat{Sequence: sequence, SentAfter: a.sinceStart(), Revision: a.config.replica.Revision(), Free: a.ledger.FreeResources()})
 			}
 		}
 		a.mu.Unlock()
 	}
 }
 
-// sinceStart returns the time since the agent started, or 0 without a platform.
-func (a *Agent) sinceStart(now time.Time) time.Duration {
+// sinceStart returns the time since the agent started, including suspensions of the
+// instance, or 0 without a platform.
+func (a *Agent) sinceStart() time.Duration {
 	if a.tasks == nil {
 		return 0
 	}
-	return now.Sub(a.tasks.startedAt)
+	return a.tasks.clock.Now().Sub(a.tasks.startedAt)
 }
 
 // sendCredits sends the credits that the ledger grants and revokes; the caller
--- a/io/agent/link.go
+++ b/io/agent/link.go
@@ -70,7 +70,7 @@
 	a.ledger.Connect(now, l.entry, epoch)
 	_ = conn.Send(endpointsMessage(a.ledger.Endpoints()))
 	a.sendCredits(now)
-	a.sendTaskState(now, l)
+	a.sendTaskState(l)
 	a.sendDrain(now, l)
 	a.mu.Unlock()
 	a.log.WithField("entry", l.entry).WithField("connectionEpoch", epoch).Info("connected to entry")
--- a/io/agent/tasks.go
+++ b/io/agent/tasks.go
@@ -24,11 +24,13 @@
 // taskState holds what the agent knows of its worker and the worker's tasks; the
 // agent's lock guards it.
 type taskState struct {
-	worker        oleandervalve.WorkerID
-	platform      oleandervalve.Platform
-	objects       oleandervalve.ObjectStore
-	runner        *job.Runner
-	lease         *lease.WorkerLease
+	worker   oleandervalve.WorkerID
+	platform oleandervalve.Platform
+	objects  oleandervalve.ObjectStore
+	runner   *job.Runner
+	lease    *lease.WorkerLease
+	// clock measures the lease and everything that depends on it; the runner knows no other time.
+	clock         *oleandervalve.LeaseClock
 	startedAt     time.Time
 	checkpoints   map[job.Run][]byte
 	capacity      oleandervalve.Resources
@@ -55,7 +57,8 @@
 	if t == nil {
 		return
 	}
-	t.worker, t.startedAt, t.lease = a.worker, a.clock.Now(), lease.NewWorkerLease(lease.WorkerTTL)
+	t.clock = oleandervalve.NewLeaseClock(a.clock, a.uptime)
+	t.worker, t.startedAt, t.lease = a.worker, t.clock.Now(), lease.NewWorkerLease(lease.WorkerTTL)
 	t.checkpoints = map[job.Run][]byte{}
 	t.runner = job.NewRunner(a.worker, job.Incarnation(rand.Uint64()), t.lease, taskLedger{a})
 }
@@ -82,7 +85,7 @@
 	if t == nil {
 		return
 	}
-	a.runActions(nil, t.runner.Tick(now))
+	a.runActions(nil, t.runner.Tick(t.clock.Now()))
 	if now.Sub(t.usageReadAt) >= t.usageInterval {
 		t.usageReadAt = now
 		since := t.lastSampleAt
@@ -129,14 +132,14 @@
 
 // sendTaskState sends the worker's residents and the state of its runs to a new
 // connection; the caller holds the lock.
-func (a *Agent) sendTaskState(now time.Time, l *link) {
+func (a *Agent) sendTaskState(l *link) {
 	if a.tasks == nil {
 		return
 	}
 	if m := a.residentsMessage(); m != nil {
 		l.conn.TrySend(m)
 	}
-	a.runActions(l, a.tasks.runner.Reports(now))
+	a.runActions(l, a.tasks.runner.Reports(a.tasks.clock.Now()))
 }
 
 // residentsMessage returns nil until the platform has reported the capacity.
@@ -163,7 +166,7 @@
 	if t == nil {
 		return
 	}
-	now := a.clock.Now()
+	now := t.clock.Now()
 	switch m := m.(type) {
 	case *peer.LeaseRenewed:
 		t.lease.Renew(now, t.startedAt.Add(m.SentAfter))
@@ -232,15 +235,14 @@
 func (a *Agent) handleResult(result func(now time.Time) []job.Action) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.clock.Now()
-	a.runActions(nil, result(now))
+	a.runActions(nil, result(a.tasks.clock.Now()))
 }
 
 // startPermitted reports whether a start call may still be sent.
 func (a *Agent) startPermitted(c job.PlatformStart) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.tasks.runner.StartPermitted(a.clock.Now(), c)
+	return a.tasks.runner.StartPermitted(a.tasks.clock.Now(), c)
 }
 
 // startPlatformCall starts the platform or object store call of an action.
@@ -259,13 +261,13 @@
 		})
 	case job.PlatformRenew:
 		a.runInBackground(func(ctx context.Context) {
-			if a.clock.Now().Before(x.NotAfter) {
+			if t.clock.Now().Before(x.NotAfter) {
 				_ = t.platform.Renew(ctx, t.worker, x.Tasks, x.Lease)
 			}
 		})
 	case job.PlatformThrottle:
 		a.runInBackground(func(ctx context.Context) {
-			if !a.clock.Now().Before(x.NotAfter) {
+			if !t.clock.Now().Before(x.NotAfter) {
 				return
 			}
 			if err := t.platform.Throttle(ctx, t.worker, x.Run.Task, x.Share); err != nil {
