Give no orders for shards of tasks that the entry has lost

Seen by callers: a task started after its cancellation was acknowledged by another entry (job interface, shown by a test). An entry assigns the task and is suspended before it handles the answer of the table. Its session ends after 15 s, another entry owns the shard, and the job is cancelled. When the first entry goes on, it sends the start order from its memory.

Only the tick checked that the shard is still owned; answers of the table, messages of agents and reads went to the shard without that check, and may be handled before the first tick. And the session was measured on the monotonic clock, which stands still while an instance is suspended.

Change: every use of a shard goes through one method, which checks the ownership and drops the shard if it is lost. The session is measured with a LeaseClock.

Ruled out: two owners that write. All transitions are compare-and-set, and the deletion of inbox rows is conditional on the lease row of the shard.

--- a/io/taskowner/config.go
+++ b/io/taskowner/config.go
@@ -138,7 +138,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.shards[job.ShardOf(j)] == nil {
+	if o.shard(job.ShardOf(j)) == nil {
 		e.Details = append(e.Details, "another entry places the job; ask that entry for more")
 		return e, nil
 	}
--- a/io/taskowner/jobs.go
+++ b/io/taskowner/jobs.go
@@ -225,7 +225,7 @@
 func (o *Owner) waitReason(id oleandervalve.TaskID) oleandervalve.Reason {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if s := o.shards[job.ShardOf(job.Parent(id))]; s != nil {
+	if s := o.shard(job.ShardOf(job.Parent(id))); s != nil {
 		return s.WaitReason(id)
 	}
 	return ""
@@ -241,7 +241,7 @@
 		j := oleandervalve.JobID(r.Value)
 		i := job.ShardOf(j)
 		o.mu.Lock()
-		claim := o.shards[i] != nil && !o.claimedInbox[r.Key]
+		claim := o.shard(i) != nil && !o.claimedInbox[r.Key]
 		if claim {
 			o.claimedInbox[r.Key] = true
 		}
@@ -275,7 +275,7 @@
 func (o *Owner) handleInboxRow(i oleandervalve.ShardID, j oleandervalve.JobID, inboxKey oleandervalve.Key) {
 	o.mu.Lock()
 	fence := o.taskShards.Fence(i)
-	held := o.taskShards.Held(o.clock.Now(), i)
+	held := o.holds(i)
 	o.mu.Unlock()
 	handled := false
 	if held {
--- a/io/taskowner/owner.go
+++ b/io/taskowner/owner.go
@@ -58,9 +58,12 @@
 
 // Owner runs the tasks of the shards that its entry owns.
 type Owner struct {
-	id              oleandervalve.EntryID
-	sessionID       string
-	clock           oleandervalve.Clock
+	id        oleandervalve.EntryID
+	sessionID string
+	clock     oleandervalve.Clock
+	uptime    oleandervalve.Uptime
+	// leaseClock measures the session, on which the ownership of all shards depends.
+	leaseClock      *oleandervalve.LeaseClock
 	log             *logrus.Entry
 	scope           tally.Scope
 	platform        oleandervalve.Platform
@@ -100,6 +103,9 @@
 // WithClock replaces the system clock.
 func WithClock(c oleandervalve.Clock) Option { return func(o *Owner) { o.clock = c } }
 
+// WithUptime replaces the uptime of the system, which counts suspensions of the instance.
+func WithUptime(u oleandervalve.Uptime) Option { return func(o *Owner) { o.uptime = u } }
+
 // WithLog sets the log.
 func WithLog(l *logrus.Entry) Option { return func(o *Owner) { o.log = l } }
 
@@ -124,7 +130,7 @@
 	_, _ = rand.Read(b)
 	o := &Owner{
 		id: id, sessionID: string(id) + "-" + hex.EncodeToString(b),
-		clock: oleandervalve.SystemClock(), log: logrus.NewEntry(logrus.StandardLogger()), scope: tally.NoopScope,
+		clock: oleandervalve.SystemClock(), uptime: oleandervalve.SystemUptime, log: logrus.NewEntry(logrus.StandardLogger()), scope: tally.NoopScope,
 		platform: p, sender: s, schedulerConfig: scheduler.DefaultConfig(), limits: table.DefaultLimits, sharedLimits: true,
 		shards:       map[oleandervalve.ShardID]*job.Shard{},
 		loading:      map[oleandervalve.ShardID]bool{},
@@ -137,6 +143,7 @@
 	for _, f := range options {
 		f(o)
 	}
+	o.leaseClock = oleandervalve.NewLeaseClock(o.clock, o.uptime)
 	o.store = newStore(t, o.clock, o.limits)
 	o.placer = newPlacer(o.schedulerConfig, o.log)
 	o.session = lease.NewSession(lease.SessionRow{Entry: id, Session: o.sessionID, Address: address}, lease.SessionTTL)
@@ -195,7 +202,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock.Now()
-	o.tickLeases(now)
+	o.tickLeases(o.leaseClock.Now())
 	o.tickRenewals(now)
 	o.ticks++
 	for i := range oleandervalve.ShardID(job.Shards) {
@@ -207,7 +214,7 @@
 
 func (o *Owner) tickLeases(now time.Time) {
 	if t, ok := o.session.Tick(now); ok {
-		o.commit(t, table.Renewing, func(now time.Time, r table.Result) { o.session.HandleResult(now, t.ID, r) })
+		o.commit(t, table.Renewing, func(_ time.Time, r table.Result) { o.session.HandleResult(o.leaseClock.Now(), t.ID, r) })
 	}
 	for _, s := range []*lease.Shards{o.taskShards, o.renewalShards} {
 		for _, t := range s.Tick(now) {
@@ -219,7 +226,7 @@
 func (o *Owner) tickRenewals(now time.Time) {
 	for i := range oleandervalve.ShardID(lease.WorkerLeaseShardCount) {
 		r := o.renewals[i]
-		switch held := o.renewalShards.Held(now, i); {
+		switch held := o.renewalShards.Held(o.leaseClock.Now(), i); {
 		case held && r == nil:
 			r = lease.NewRenewalWriter(i, o.sessionID)
 			o.renewals[i] = r
@@ -261,16 +268,41 @@
 	return due
 }
 
-func (o *Owner) tickShard(now time.Time, i oleandervalve.ShardID, due bool) {
+// holds reports whether the entry owns a shard of tasks now.
+func (o *Owner) holds(i oleandervalve.ShardID) bool {
+	return o.taskShards.Held(o.leaseClock.Now(), i)
+}
+
+// shard returns the shard if the entry owns it now, or nil. What a shard says is used only
+// after this check: the entry may have been suspended, and another one owns the shard since.
+func (o *Owner) shard(i oleandervalve.ShardID) *job.Shard {
 	s := o.shards[i]
-	switch held := o.taskShards.Held(now, i); {
+	if s == nil || o.holds(i) {
+		return s
+	}
+	delete(o.shards, i)
+	o.placer.dropShard(i, o.clock.Now())
+	o.log.WithField("shard", i).Info("shard of tasks is no longer owned")
+	return nil
+}
+
+// ownedShards returns all shards that the entry owns now.
+func (o *Owner) ownedShards() map[oleandervalve.ShardID]*job.Shard {
+	out := make(map[oleandervalve.ShardID]*job.Shard, len(o.shards))
+	for i := range o.shards {
+		if s := o.shard(i); s != nil {
+			out[i] = s
+		}
+	}
+	return out
+}
+
+func (o *Owner) tickShard(now time.Time, i oleandervalve.ShardID, due bool) {
+	s := o.shard(i)
+	switch held := o.holds(i); {
 	case held && s == nil && !o.loading[i]:
 		o.loading[i] = true
 		o.background(func() { o.loadShard(i) })
-	case !held && s != nil:
-		delete(o.shards, i)
-		o.placer.dropShard(i, now)
-		o.log.WithField("shard", i).Info("shard of tasks is no longer owned")
 	case held && s != nil && due:
 		o.executeActions(i, s.Tick(now))
 	}
@@ -287,7 +319,7 @@
 	defer o.mu.Unlock()
 	delete(o.loading, i)
 	now := o.clock.Now()
-	if err != nil || !o.taskShards.Held(now, i) {
+	if err != nil || !o.holds(i) {
 		return
 	}
 	s := job.NewShard(i, o.id, o.sessionID, o.placer, job.DefaultSettings)
@@ -356,7 +388,7 @@
 	}
 	for _, d := range o.placer.recordDecisions(now, list) {
 		i := job.ShardOf(job.Parent(d.Task))
-		s := o.shards[i]
+		s := o.shard(i)
 		if s == nil {
 			continue // the owner of the task gets the same measurements and decides itself
 		}
@@ -410,7 +442,7 @@
 
 // commitResolved passes the result of a commit to its shard and to the placer.
 func (o *Owner) commitResolved(now time.Time, i oleandervalve.ShardID, t oleandervalve.Transaction, r table.Result) {
-	s := o.shards[i]
+	s := o.shard(i)
 	if s == nil {
 		return
 	}
@@ -454,7 +486,7 @@
 func (o *Owner) observe(i oleandervalve.ShardID, rows []oleandervalve.Row) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := o.shards[i]
+	s := o.shard(i)
 	if s == nil {
 		return
 	}
@@ -472,7 +504,7 @@
 // Release ends the session, so that other entries can take over the shards at once.
 func (o *Owner) Release() {
 	o.mu.Lock()
-	t, ok := o.session.Release(o.clock.Now())
+	t, ok := o.session.Release(o.leaseClock.Now())
 	o.mu.Unlock()
 	if ok {
 		_, _ = o.store.resolve(o.ctx, t, table.Finishing)
--- a/io/taskowner/workers.go
+++ b/io/taskowner/workers.go
@@ -23,7 +23,7 @@
 	o.suspicion.HeartbeatReceived(now, w)
 	// An agent that is still draining sends peer.Drain after it has connected.
 	o.placer.scheduler.CancelDrain(w)
-	for i, s := range o.shards {
+	for i, s := range o.ownedShards() {
 		o.executeActions(i, s.WorkerConnected(now, w))
 	}
 }
@@ -52,7 +52,7 @@
 	case *peer.ReservedTask:
 		m.Worker = w
 		i := job.ShardOf(job.Parent(m.Run.Task))
-		if s := o.shards[i]; s != nil {
+		if s := o.shard(i); s != nil {
 			o.executeActions(i, s.Reserved(now, m.Reserved))
 		}
 	case *peer.TaskReport:
@@ -75,14 +75,14 @@
 	if m.Reason != peer.ReasonPlannedStop {
 		return
 	}
-	for i, s := range o.shards {
+	for i, s := range o.ownedShards() {
 		o.executeActions(i, s.EvictWorker(now, w, reasonDraining))
 	}
 }
 
 func (o *Owner) report(now time.Time, r job.Report) {
 	i := job.ShardOf(job.Parent(r.Run.Task))
-	if s := o.shards[i]; s != nil {
+	if s := o.shard(i); s != nil {
 		o.executeActions(i, s.Reported(now, r))
 	}
 }
@@ -137,7 +137,7 @@
 // adoptOwned adds the owned tasks on a worker to the scheduler, which may not have
 // known the worker when the records of the tasks were read.
 func (o *Owner) adoptOwned(now time.Time, w oleandervalve.WorkerID) {
-	for i, s := range o.shards {
+	for i, s := range o.ownedShards() {
 		for _, t := range s.Placed(w) {
 			o.syncRow(now, s, i, job.TaskKey(t.Job, t.Task()))
 		}
@@ -191,7 +191,7 @@
 // is concluded from its absence.
 func (o *Owner) applyPlatformStatus(now time.Time, w oleandervalve.WorkerID, s oleandervalve.WorkerStatus) {
 	if s.Terminated {
-		for i, x := range o.shards {
+		for i, x := range o.ownedShards() {
 			o.executeActions(i, x.WorkerTerminated(now, w))
 		}
 		for _, id := range o.placer.scheduler.WorkerTerminated(w, now) {
@@ -270,7 +270,7 @@
 	}
 	now := o.clock.Now()
 	o.log.WithField("worker", w).Warn("worker's lease has expired; its tasks are placed again")
-	for i, s := range o.shards {
+	for i, s := range o.ownedShards() {
 		o.executeActions(i, s.WorkerExpired(now, w, c))
 	}
 }
