Load a shard of tasks only from rows read under its present lease

Seen by callers: an accepted job whose tasks wait for ever (shown by a test). An entry that begins to load a shard, and is held up by an outage of the table or suspended, loses the shard meanwhile. The owner in between accepts a job and deletes its inbox row. The first entry acquires the shard again, and its load, which is still in flight, ends with the rows of the beginning. The job is missing there, and nothing tells of it before the next change of owner.

Cause: the load checked at its end that the entry owns the shard, not that it has owned it since the beginning.

Change: the load carries the version of the lease row from its beginning, as the handling of inbox rows does, and is repeated if that has changed.

Evidence: TestShardIsLoadedFromRowsOfItsPresentOwnership fails before and passes, also with the race detector.

Ruled out: the loads of worker leases, whose writer is replaced with each acquisition, and single reads, as older rows are ignored.

--- a/io/taskowner/owner.go
+++ b/io/taskowner/owner.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -302,14 +303,17 @@
 	switch held := o.holds(i); {
 	case held && s == nil && !o.loading[i]:
 		o.loading[i] = true
-		o.background(func() { o.loadShard(i) })
+		fence := o.taskShards.Fence(i)
+		o.background(func() { o.loadShard(i, fence) })
 	case held && s != nil && due:
 		o.executeActions(i, s.Tick(now))
 	}
 }
 
-// loadShard builds a shard from its rows in the table.
-func (o *Owner) loadShard(i oleandervalve.ShardID) {
+// loadShard builds a shard from its rows in the table. The fence is that of the lease under
+// which the load began: rows read before the shard was lost lack what its owners in between
+// have accepted, and the next tick loads the shard again.
+func (o *Owner) loadShard(i oleandervalve.ShardID, fence []oleandervalve.Condition) {
 	page, err := o.store.scan(o.ctx, job.TaskPrefix(i))
 	var jobRows []oleandervalve.Row
 	if err == nil {
@@ -319,7 +323,7 @@
 	defer o.mu.Unlock()
 	delete(o.loading, i)
 	now := o.clock.Now()
-	if err != nil || !o.holds(i) {
+	if err != nil || !o.holds(i) || !slices.Equal(fence, o.taskShards.Fence(i)) {
 		return
 	}
 	s := job.NewShard(i, o.id, o.sessionID, o.placer, job.DefaultSettings)
