Acknowledge a drain once the agent has confirmed it

Seen by operators: `drain` answered with 202 and state "draining", and the instance went on to accept work. The request was only in the send queue of a connection whose agent was suspended or cut off; when the connection ended, the request was gone, and the agent connected again without it.

Cause: the answer told of an effect that waited for the agent, without a proof that it had taken place.

Without it the outcome is unknown (504); the drain can be sent again.

Ruled out: keeping the drain at the entry for the next connection. The entry may be replaced, and a new agent process on the instance must not inherit it.

--- a/io/entry/actions.go
+++ b/io/entry/actions.go
@@ -14,6 +14,9 @@
 	"oleandervalve/io/peer"
 )
 
+// drainConfirmation is how long an operator's drain waits for the agent's confirmation.
+const drainConfirmation = 2 * time.Second
+
 // maxRefusals bounds the recorded refusals, because callers choose the names in them.
 const maxRefusals = 1024
 
@@ -154,16 +157,16 @@
 	return out
 }
 
-// Drain requests the agent of an instance, named by agent or worker, to accept
-// no new work. The agent notifies all entries, which then migrate the worker's tasks.
-func (c *Configuration) Drain(_ context.Context, d operatorhttp.DrainRequest, _ operator.Actor) (operatorhttp.Progress, error) {
+// Drain requests the agent of an instance, named by agent or worker, to accept no new work,
+// and waits until the agent confirms it to all entries, which then migrate the worker's tasks.
+func (c *Configuration) Drain(ctx context.Context, d operatorhttp.DrainRequest, _ operator.Actor) (operatorhttp.Progress, error) {
 	e := c.entry
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	l := e.links[oleandervalve.AgentID(d.Instance)]
 	if l == nil {
 		l = e.workers[oleandervalve.WorkerID(d.Instance)]
 	}
+	e.mu.Unlock()
 	if l == nil {
 		return operatorhttp.Progress{}, &oleandervalve.NotFoundError{
 			Kind: "connected instance", Name: d.Instance, Remedy: "name an agent or worker that is connected to this entry",
@@ -174,7 +177,16 @@
 			Service: "agent of " + d.Instance, Remedy: "the drain did not begin; send it again", RetryAfter: time.Second,
 		}
 	}
-	return operatorhttp.Progress{State: "draining", Detail: fmt.Sprintf("asked agent %s to stop new work", l.agent)}, nil
+	select {
+	case <-l.drained:
+		return operatorhttp.Progress{State: "draining", Detail: fmt.Sprintf("agent %s accepts no new work", l.agent)}, nil
+	case <-l.conn.Done():
+	case <-ctx.Done():
+	case <-e.clock.After(drainConfirmation):
+	}
+	return operatorhttp.Progress{}, &oleandervalve.UnknownOutcomeError{
+		Operation: "drain of " + d.Instance, Remedy: "the agent has not confirmed it; send the drain again, which is safe",
+	}
 }
 
 // Cancel cancels a job of the operator's team; the admin team may cancel jobs of any team.
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -16,8 +16,10 @@
 	worker oleandervalve.WorkerID
 	epoch  oleandervalve.ConnectionEpoch
 	conn   *peer.Conn
-	// draining is set when the agent announces a planned stop.
+	// draining is set when the agent announces that it accepts no new work; drained is
+	// closed then.
 	draining atomic.Bool
+	drained  chan struct{}
 
 	mu    sync.Mutex
 	calls map[oleandervalve.RequestID]*call
@@ -34,7 +36,7 @@
 }
 
 func (e *Entry) serveLink(conn *peer.Conn, h peer.Hello) {
-	l := &link{agent: h.Agent, worker: h.Worker, epoch: h.Epoch, conn: conn, calls: map[oleandervalve.RequestID]*call{}}
+	l := &link{agent: h.Agent, worker: h.Worker, epoch: h.Epoch, conn: conn, drained: make(chan struct{}), calls: map[oleandervalve.RequestID]*call{}}
 	log := e.log.WithField("agent", h.Agent).WithField("connectionEpoch", h.Epoch)
 	config := e.currentConfiguration()
 	if err := conn.Send(&peer.Welcome{Version: peer.ProtocolVersion, Entry: e.id, Revision: config.appliedRevision()}); err != nil {
@@ -114,7 +116,9 @@
 			c.handle(l, m)
 		}
 	case *peer.Drain:
-		l.draining.Store(true)
+		if !l.draining.Swap(true) {
+			close(l.drained)
+		}
 		e.mu.Lock()
 		e.directory.SetDraining(l.agent, l.epoch)
 		e.mu.Unlock()
