Admit requests only for endpoints that announced themselves recently

Seen by services: an endpoint that is leaving got a new request minutes after it had left (invariant 7, shown by a test). The agent was suspended; when it went on, a request in its socket was admitted before the first Tick and before the endpoint's DELETE was read.

Cause: an announcement counts for 3 s, but only Tick checked its age.

Change: Admit checks it too and refuses with endpointLeaving, upon which the entry sends the request elsewhere. The next announcement makes the endpoint ready again.

Evidence: 3 of 4 cases of TestNoAdmissionOnAnOldAnnouncement (5 s, 15 s and 15 min) fail before and pass; TestRandomEvents and the others of the package pass. BenchmarkAdmission announced its endpoint once for minutes of its time; it announces every second now.

Ruled out: credits used after a suspension. The ledger admits a request without a credit only to a free slot, whatever the entry believes.

--- a/core/instance/admission.go
+++ b/core/instance/admission.go
@@ -122,6 +122,10 @@
 // checkAdmissible returns the refusal of a request that can't be admitted now.
 func (l *Ledger) checkAdmissible(now time.Time, a Admission) error {
 	ep := l.endpoints[a.Endpoint]
+	if ep != nil {
+		// The endpoint may have left while the agent was suspended.
+		l.checkAnnounced(now, ep)
+	}
 	switch {
 	case l.draining:
 		return refuse("instanceDraining", "send the request to another instance")
--- a/core/instance/ledger.go
+++ b/core/instance/ledger.go
@@ -194,6 +194,13 @@
 	}
 }
 
+// checkAnnounced marks an endpoint as leaving if its announcements have stopped.
+func (l *Ledger) checkAnnounced(now time.Time, ep *endpointState) {
+	if !ep.leaving && now.Sub(ep.lastAnnounced) > MaxMissedAnnouncements*AnnounceInterval {
+		l.markLeaving(now, ep)
+	}
+}
+
 // Connect records an entry's connection, which replaces an older one.
 func (l *Ledger) Connect(now time.Time, e oleandervalve.EntryID, c oleandervalve.ConnectionEpoch) {
 	if entry := l.entries[e]; entry != nil {
@@ -247,9 +254,7 @@
 func (l *Ledger) Tick(now time.Time) {
 	removed := false
 	for _, ep := range l.sortedEndpoints {
-		if !ep.leaving && now.Sub(ep.lastAnnounced) > MaxMissedAnnouncements*AnnounceInterval {
-			l.markLeaving(now, ep)
-		}
+		l.checkAnnounced(now, ep)
 		if ep.leaving && ep.inUse == 0 && now.Sub(ep.leavingSince) > leaveCooldown {
 			delete(l.endpoints, ep.announced.Endpoint)
 			removed = true
--- a/core/instance/ledger_test.go
+++ b/core/instance/ledger_test.go
@@ -145,6 +145,9 @@
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		now := start.Add(time.Duration(i) * time.Millisecond)
+		if i%1000 == 0 {
+			_ = l.Announce(now, oleandervalve.Announcement{Endpoint: "e", Service: "s", Slots: 8, Connections: 64})
+		}
 		l.Grants(now)
 		id := ids[i%len(ids)]
 		err := l.Admit(now, instance.Admission{ID: id, Entry: "0", Epoch: 1, Endpoint: "e", Class: "a", Deadline: now.Add(time.Hour)})
@@ -174,3 +177,35 @@
 	is.NoErr(l.Reserve(start, "a/0", 1, size(9)))
 	is.True(l.Resize("a/0", 1, size(10)) != nil)
 }
+
+// Guards against work for an endpoint that left while the agent was suspended.
+func TestNoAdmissionOnAnOldAnnouncement(t *testing.T) {
+	for _, tt := range []struct {
+		suspended time.Duration
+		admitted  bool
+	}{
+		{2 * time.Second, true},
+		{5 * time.Second, false},
+		{15 * time.Second, false},
+		{15 * time.Minute, false},
+	} {
+		t.Run(tt.suspended.String(), func(t *testing.T) {
+			is := is.New(t)
+			l := newLedgerWithEntries(1)
+			now := start.Add(tt.suspended)
+			request := func(id oleandervalve.RequestID) error {
+				return l.Admit(now, instance.Admission{ID: id, Entry: "0", Epoch: 1, Endpoint: "e", Class: "a", Deadline: now.Add(time.Second)})
+			}
+			err := request("waiting")
+			is.Equal(err == nil, tt.admitted)
+			if tt.admitted {
+				return
+			}
+			var notRun *oleandervalve.NotRunError
+			is.True(errors.As(err, &notRun))
+			is.Equal(notRun.Reason, oleandervalve.Reason("endpointLeaving"))
+			is.NoErr(l.Announce(now, oleandervalve.Announcement{Endpoint: "e", Service: "s", Slots: 8, Connections: 64}))
+			is.NoErr(request("next"))
+		})
+	}
+}
