Report the age of the configuration in the status of an entry

Seen by operators: `status` of an entry that was cut off from the table or suspended: ready, and its revision in force at all agents, while another entry had accepted newer ones.

Cause: the status is answered from the replica, whose last read may be of any age, and the answer didn't give that age.

Change: `ageMs`, and the column READ AGO, tell how long ago the entry began its last read of the configuration, including suspensions of the instance.

The field is new, so nothing to run before it.

Ruled out: refusing the status. Operators need it most during an outage.

--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -193,7 +193,7 @@
 // Status returns the state of the entry and the rollout status of the
 // configuration among the agents.
 func (c *Configuration) Status(context.Context) (operatorhttp.EntryStatus, error) {
-	s := operatorhttp.EntryStatus{Entry: c.entry.id, Ready: c.ready.Load()}
+	s := operatorhttp.EntryStatus{Entry: c.entry.id, Ready: c.ready.Load(), AgeMS: c.watcher.Age().Milliseconds()}
 	c.watcher.WithReplica(func(r *operator.Replica) {
 		s.Revision, s.Rollout = r.Revision(), c.distributor.RolloutStatus(c.entry.clock.Now())
 	})
--- a/io/operatorcli/cli_test.go
+++ b/io/operatorcli/cli_test.go
@@ -118,7 +118,7 @@
 		{map[string]response{"GET /v1/audit": {200, `{"changeId":"c","at":"2026-01-31T08:00:00Z","actor":{"name":"ilona"},"verb":"put","kind":"service","name":"a","result":"accepted","revision":3}` + "\n"}}, "audit --actor ilona"},
 		{map[string]response{"GET /v1/audit": {200, `{"error":{"reason":"unavailable","message":"table is unavailable","remedy":"try again"}}` + "\n"}}, "audit --export"},
 		{nil, "audit --from yesterday"},
-		{map[string]response{"GET /v1/status": {200, `{"entry":"e0","revision":4,"ready":true,"spread":{"revision":4,"agents":2,"inForce":1,"lowest":3,"behind":[{"agent":"a1","revision":3,"behindMs":1500}]}}`}}, "status"},
+		{map[string]response{"GET /v1/status": {200, `{"entry":"e0","revision":4,"ready":true,"ageMs":5511,"spread":{"revision":4,"agents":2,"inForce":1,"lowest":3,"behind":[{"agent":"a1","revision":3,"behindMs":1500}]}}`}}, "status"},
 		{map[string]response{"GET /v1/explain/eviction/j-1/4": {200, `{"subject":"eviction j-1/4","answer":"memory guard","details":["w-3 had 2% left"]}`}}, "explain eviction j-1/4"},
 		{nil, "explain class formaro"},
 		{nil, "explain weather today"},
--- a/io/operatorcli/commands.go
+++ b/io/operatorcli/commands.go
@@ -316,10 +316,10 @@
 
 func statusRows(s operatorhttp.EntryStatus) [][]string {
 	rows := [][]string{
-		{"ENTRY", "REVISION", "READY", "AGENTS", "IN FORCE", "LOWEST"},
+		{"ENTRY", "REVISION", "READY", "AGENTS", "IN FORCE", "LOWEST", "READ AGO"},
 		{
 			string(s.Entry), fmt.Sprint(s.Revision), fmt.Sprint(s.Ready), fmt.Sprint(s.Rollout.Agents),
-			fmt.Sprint(s.Rollout.Applied), fmt.Sprint(s.Rollout.Lowest),
+			fmt.Sprint(s.Rollout.Applied), fmt.Sprint(s.Rollout.Lowest), (time.Duration(s.AgeMS) * time.Millisecond).Round(time.Second).String(),
 		},
 	}
 	for _, b := range s.Rollout.Lagging {
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -71,7 +71,10 @@
 	Entry    oleandervalve.EntryID  `json:"entry"`
 	Revision oleandervalve.Revision `json:"revision"`
 	Ready    bool                   `json:"ready"`
-	Rollout  operator.RolloutStatus `json:"spread"`
+	// AgeMS is how long ago the entry last read the configuration from the table, in
+	// milliseconds. Newer revisions may be in force elsewhere.
+	AgeMS   int64                  `json:"ageMs"`
+	Rollout operator.RolloutStatus `json:"spread"`
 	// Entries holds the revisions of the other entries.
 	Entries map[oleandervalve.EntryID]oleandervalve.Revision `json:"entries,omitempty"`
 }
--- a/io/operatorhttp/watcher.go
+++ b/io/operatorhttp/watcher.go
@@ -28,15 +28,39 @@
 	log   logrus.FieldLogger
 	// maxReplay is maxLogRows unless a test lowers it.
 	maxReplay oleandervalve.Revision
+	// ages measures how old the replica is, including suspensions of the instance.
+	ages *oleandervalve.LeaseClock
 
 	mu      sync.Mutex
 	replica *operator.Replica
+	// readAt is when the last read of the head row began that the replica reflects.
+	readAt  time.Time
 	changed chan struct{}
 }
 
 // NewWatcher returns a watcher with an empty replica.
 func NewWatcher(t oleandervalve.Table, c oleandervalve.Clock, log logrus.FieldLogger) *Watcher {
-	return &Watcher{table: t, clock: c, log: log, maxReplay: maxLogRows, replica: operator.NewReplica(), changed: make(chan struct{}, 1)}
+	w := &Watcher{
+		table: t, clock: c, log: log, maxReplay: maxLogRows, replica: operator.NewReplica(), changed: make(chan struct{}, 1),
+		ages: oleandervalve.NewLeaseClock(c, oleandervalve.SystemUptime),
+	}
+	w.readAt = w.ages.Now()
+	return w
+}
+
+// Age returns how long ago the replica was last known to be the newest configuration. Before
+// the first read it returns the time since the watcher was created.
+func (w *Watcher) Age() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ages.Now().Sub(w.readAt)
+}
+
+// recordRead records that the replica reflects a read that began at the given time.
+func (w *Watcher) recordRead(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.readAt = at
 }
 
 // WithReplica calls f with the replica under the watcher's lock; f must not retain it.
@@ -67,6 +91,15 @@
 // the table, *operator.RowError and *operator.GapError; the replica keeps serving
 // its last consistent revision.
 func (w *Watcher) Poll(ctx context.Context) error {
+	startedAt := w.ages.Now()
+	if err := w.poll(ctx); err != nil {
+		return err
+	}
+	w.recordRead(startedAt)
+	return nil
+}
+
+func (w *Watcher) poll(ctx context.Context) error {
 	head, err := w.head(ctx)
 	if err != nil {
 		return err
