Accept a cancellation that another entry has just accepted too

Seen by callers: `DELETE /v1/jobs/{job}` answered with 409 `jobExists`, although the job is cancelled. Two entries cancelled it at the same moment.

Cause: the second one had read the job's row before the first cancellation, and reported the conflict of its own commit without a look at the row that came back with it.

Change: if that row says that the job is cancelled, the call is accepted.

Evidence: TestCancellationsThroughTwoEntriesAtOnce fails before and passes.

Ruled out: other causes of a conflict. A job's row changes only by its creation and its cancellation.

--- a/io/taskowner/jobs.go
+++ b/io/taskowner/jobs.go
@@ -135,7 +135,14 @@
 	if err != nil || stored.Cancelled {
 		return err
 	}
-	return o.commitChange(ctx, stored.Cancel(oleandervalve.MutationID("cancel-"+uuid.NewString()), o.id, job.ReasonJobCancelled), j, "job cancellation")
+	err = o.commitChange(ctx, stored.Cancel(oleandervalve.MutationID("cancel-"+uuid.NewString()), o.id, job.ReasonJobCancelled), j, "job cancellation")
+	var conflict *oleandervalve.ConflictError
+	if errors.As(err, &conflict) {
+		if current, parseErr := job.ParseJob(conflict.Current); parseErr == nil && current.Cancelled {
+			return nil // cancelled through another entry since the row was read
+		}
+	}
+	return err
 }
 
 // commitChange commits a change of a job together with an inbox row for the owner
