Confirm that a job is absent although its submission waits for a commit

Seen by callers: nothing is recorded. GET of an accepted job can be answered with 410 by a leader that was suspended and replaced: a repeated submission that was in its socket makes the job known to it as not stored.

Cause: the row was read only for jobs that the leader doesn't have. That it has one which is not stored says nothing about other leaders.

Evidence: TestLeaderConfirmsThatAWaitingJobIsAbsent failed before ("3 != 1", no such job instead of a refusal), and passes.

Fix: the state of a job that is not stored is answered like that of an unknown one, after a read of its row. Only a cancellation without a submission that this leader has stored itself is denied from memory.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -410,3 +410,9 @@
 
 // HasJob reports whether a job is known, whether stored or not.
 func (d *Dispatcher) HasJob(id oleandervalve.JobID) bool { return d.jobs[id] != nil }
+
+// IsStored reports whether a job has a record in the table.
+func (d *Dispatcher) IsStored(id oleandervalve.JobID) bool {
+	j := d.jobs[id]
+	return j != nil && j.version > 0
+}
--- a/io/leader/calls.go
+++ b/io/leader/calls.go
@@ -43,8 +43,8 @@
 			switch {
 			case ok:
 				answer(peer.JobReply{ID: m.ID, State: st})
-			case d.HasJob(m.Job):
-				answer(peer.JobReply{ID: m.ID, Verdict: dispatch.JobNotFound}) // not stored yet
+			case d.IsStored(m.Job):
+				answer(peer.JobReply{ID: m.ID, Verdict: dispatch.JobNotFound}) // cancelled without a submission
 			default:
 				l.answerAbsent(m, answer)
 			}
--- a/io/leader/calls_test.go
+++ b/io/leader/calls_test.go
@@ -81,6 +81,25 @@
 	}
 }
 
+// Guards against a leader that was replaced without knowing it and denies a job, because a repeated
+// submission of it waits there for a commit.
+func TestLeaderConfirmsThatAWaitingJobIsAbsent(t *testing.T) {
+	is := is.New(t)
+	x := newFakeTable()
+	l, _ := startLeader(t, x)
+	x.mu.Lock()
+	x.commitError = &oleandervalve.UnknownOutcomeError{Operation: "commit"}
+	x.mu.Unlock()
+	call(l, peer.JobCall{ID: 1, Kind: peer.CallSubmit, Job: "a", Queue: work.Queue{Name: "q", Service: "s"}, Spec: work.Spec{Steps: []work.Step{{Count: 1}}}})
+	status := peer.JobCall{ID: 2, Kind: peer.CallStatus, Job: "a"}
+	is.Equal((<-call(l, status)).Verdict, dispatch.JobNotFound)
+	x.mu.Lock()
+	x.version++
+	x.rows[work.RecordKey("a")] = oleandervalve.Row{Key: work.RecordKey("a"), Version: x.version}
+	x.mu.Unlock()
+	is.Equal((<-call(l, status)).Verdict, dispatch.NotRun)
+}
+
 // call sends a request to a leader and returns a channel that receives the reply.
 func call(l *Leader, m peer.JobCall) chan peer.JobReply {
 	answer := make(chan peer.JobReply, 1)
