Let the lease of keys end during a suspension whatever the time of day says

Seen by callers: nothing yet; found by reading. An owner of keys whose instance was suspended for 15 min, and whose time of day was set back at that moment, holds its lease in its own view, while another agent has taken over its ranges. It could refuse a key as not run that the new owner has run.

Cause: the monotonic clock stands still during a suspension, and the lease noticed one only by the time of day, which may jump.

Change: the lease counts the uptime of the system as well.

Evidence: the case of 15 min of TestLeaseEndsDuringSuspension fails without the uptime and passes; 5 and 15 s change nothing. The other tests pass nil, as their clock has no suspensions.

Ruled out: a second run of the key. A key from before the takeover is never run by the new owner, and one from after it is ahead of a clock set back.

--- a/core/callerkey/cluster_test.go
+++ b/core/callerkey/cluster_test.go
@@ -162,7 +162,7 @@
 	if cl.noLease {
 		o.Duration = 1000 * time.Hour
 	}
-	a.lease = keyrange.NewLease(keyrange.Owner{Agent: a.id, Incarnation: a.incarnation}, o, cl.table.rows[keyrange.LeaseKey(a.id)])
+	a.lease = keyrange.NewLease(keyrange.Owner{Agent: a.id, Incarnation: a.incarnation}, o, cl.table.rows[keyrange.LeaseKey(a.id)], nil)
 	a.store = NewRecordStore(cl.now.Add(a.offset), a.lease, Limits{Retention: simRetention, MaxRecords: 3 + cl.r.IntN(20), MaxBytes: 1 << 20, MaxAnswer: 1 << 10})
 	a.view = keyrange.Map{}
 	if cl.noMargin {
--- a/core/callerkey/key_test.go
+++ b/core/callerkey/key_test.go
@@ -74,7 +74,7 @@
 func newStoreFixture(takenOverAt time.Time, offset time.Duration, l Limits) *storeFixture {
 	fixture := &storeFixture{now: simStart.Add(offset)}
 	self := keyrange.Owner{Agent: "a", Incarnation: 1}
-	fixture.lease = keyrange.NewLease(self, keyrange.DefaultLease(), oleandervalve.Row{})
+	fixture.lease = keyrange.NewLease(self, keyrange.DefaultLease(), oleandervalve.Row{}, nil)
 	x, _ := fixture.lease.Renew(fixture.now, "m")
 	fixture.lease.HandleResult(x.ID, oleandervalve.Committed{Versions: []oleandervalve.Version{1}}, nil)
 	fixture.store = NewRecordStore(fixture.now, fixture.lease, l)
--- a/core/callerkey/transfer_test.go
+++ b/core/callerkey/transfer_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	oldOwner := newStoreFixture(time.Time{}, 0, DefaultLimits())
 	newOwner := newStoreFixture(time.Time{}, 0, DefaultLimits())
-	newOwner.store = NewRecordStore(newOwner.now, keyrange.NewLease(keyrange.Owner{Agent: "b", Incarnation: 7}, keyrange.DefaultLease(), oleandervalve.Row{}), DefaultLimits())
+	newOwner.store = NewRecordStore(newOwner.now, keyrange.NewLease(keyrange.Owner{Agent: "b", Incarnation: 7}, keyrange.DefaultLease(), oleandervalve.Row{}, nil), DefaultLimits())
 	x, _ := newOwner.store.lease.Renew(newOwner.now, "b")
 	newOwner.store.lease.HandleResult(x.ID, oleandervalve.Committed{Versions: []oleandervalve.Version{1}}, nil)
 	now := oldOwner.now
--- a/core/keyrange/lease.go
+++ b/core/keyrange/lease.go
@@ -58,16 +58,17 @@
 type Lease struct {
 	owner   Owner
 	options LeaseOptions
+	uptime  oleandervalve.Uptime
 	version oleandervalve.Version
 	// validFrom is when the last committed renewal was first sent.
-	validFrom time.Time
+	validFrom oleandervalve.Instant
 	// held is true from the first committed renewal on.
 	held bool
 	// lost means that another process has overwritten the row.
 	lost bool
 	// inDoubt is a renewal, sent at sentAt, whose outcome is not known yet.
 	inDoubt *oleandervalve.Transaction
-	sentAt  time.Time
+	sentAt  oleandervalve.Instant
 	// resent means that the in-doubt renewal was sent more than once, so that an
 	// earlier copy may still take effect.
 	resent bool
@@ -75,19 +76,30 @@
 
 // NewLease returns the lease of an owner that is starting. The row is the agent's
 // lease row as read; it may have been written by an earlier incarnation of
-// the agent, which must have terminated.
-func NewLease(owner Owner, o LeaseOptions, row oleandervalve.Row) *Lease {
-	return &Lease{owner: owner, options: o, version: row.Version}
+// the agent, which must have terminated. Parameter u may be nil if instances are never
+// suspended.
+func NewLease(owner Owner, o LeaseOptions, row oleandervalve.Row, u oleandervalve.Uptime) *Lease {
+	return &Lease{owner: owner, options: o, uptime: u, version: row.Version}
+}
+
+// instant returns the reading of the clocks at time now.
+func (l *Lease) instant(now time.Time) oleandervalve.Instant {
+	i := oleandervalve.Instant{Time: now}
+	if l.uptime != nil {
+		i.Uptime = l.uptime()
+	}
+	return i
 }
 
 // Owner returns the owner that the lease belongs to.
 func (l *Lease) Owner() Owner { return l.owner }
 
-// Valid reports whether the owner may admit new keys. It checks the wall clock
-// as well, because the monotonic clock stops while an instance is suspended.
+// Valid reports whether the owner may admit new keys. It checks the uptime as well,
+// because the monotonic clock stops while an instance is suspended, and the time of day,
+// which the timestamps of keys are compared with.
 func (l *Lease) Valid(now time.Time) bool {
-	return l.held && !l.lost && now.Sub(l.validFrom) < l.options.Duration &&
-		now.Round(0).Sub(l.validFrom.Round(0)) < l.options.Duration
+	return l.held && !l.lost && l.instant(now).Sub(l.validFrom) < l.options.Duration &&
+		now.Round(0).Sub(l.validFrom.Time.Round(0)) < l.options.Duration
 }
 
 // Lost reports whether another process has overwritten the lease row; the agent
@@ -104,7 +116,7 @@
 	case l.inDoubt != nil:
 		l.resent = true
 		return *l.inDoubt, true
-	case l.held && now.Sub(l.validFrom) < l.options.RenewInterval:
+	case l.held && l.instant(now).Sub(l.validFrom) < l.options.RenewInterval:
 		return oleandervalve.Transaction{}, false
 	}
 	k := LeaseKey(l.owner.Agent)
@@ -113,7 +125,7 @@
 		Conditions: []oleandervalve.Condition{{Key: k, Version: l.version}},
 		Puts:       []oleandervalve.Put{{Key: k, Value: []byte(leaseValue(l.owner))}},
 	}
-	l.sentAt, l.resent = now, false
+	l.sentAt, l.resent = l.instant(now), false
 	return *l.inDoubt, true
 }
 
--- a/core/keyrange/plan_test.go
+++ b/core/keyrange/plan_test.go
@@ -87,7 +87,7 @@
 	is := is.New(t)
 	now := time.UnixMilli(1_800_000_000_000)
 	o := DefaultLease()
-	l := NewLease(testOwners("a")[0], o, oleandervalve.Row{Version: 4})
+	l := NewLease(testOwners("a")[0], o, oleandervalve.Row{Version: 4}, nil)
 	x, ok := l.Renew(now, "1")
 	is.True(ok)
 	is.True(!l.Valid(now))
@@ -105,3 +105,26 @@
 	l.HandleResult(x.ID, oleandervalve.Committed{}, &oleandervalve.ConflictError{Current: oleandervalve.Row{Version: 6, Value: []byte(revoked)}})
 	is.True(l.Lost() && !l.Valid(now.Add(time.Minute)))
 }
+
+// Guards against an owner that was suspended and admits keys after its ranges were taken over, because the time of day was set back.
+func TestLeaseEndsDuringSuspension(t *testing.T) {
+	for _, c := range []struct {
+		suspended time.Duration
+		valid     bool
+	}{
+		{5 * time.Second, true}, {15 * time.Second, true}, {15 * time.Minute, false},
+	} {
+		t.Run(c.suspended.String(), func(t *testing.T) {
+			is := is.New(t)
+			now := time.UnixMilli(1_800_000_000_000)
+			uptime := time.Hour
+			l := NewLease(testOwners("a")[0], DefaultLease(), oleandervalve.Row{Version: 4}, func() time.Duration { return uptime })
+			x, ok := l.Renew(now, "1")
+			is.True(ok)
+			l.HandleResult(x.ID, oleandervalve.Committed{Versions: []oleandervalve.Version{5}}, nil)
+			is.True(l.Valid(now))
+			uptime += c.suspended
+			is.Equal(l.Valid(now), c.valid)
+		})
+	}
+}
--- a/io/agent/keys.go
+++ b/io/agent/keys.go
@@ -145,7 +145,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.lease = keyrange.NewLease(keyrange.Owner{Agent: k.agent.id, Incarnation: rand.Uint64()}, k.options.Lease, rows[0])
+	k.lease = keyrange.NewLease(keyrange.Owner{Agent: k.agent.id, Incarnation: rand.Uint64()}, k.options.Lease, rows[0], k.agent.uptime)
 	k.store = callerkey.NewRecordStore(k.agent.clock.Now(), k.lease, k.options.Limits)
 	k.rangeMap = keyrange.Map{}
 	// IDs increase within an incarnation; the random start keeps them apart
