Tell by an executor's answers which incarnation runs a task

An executor started again under its id between two polls, a start order reached the new incarnation and was run, and the agent reported that run as lost in the crash of the earlier one. With one true crash after it the task was given up.

Cause: the agent took each answer for one of the incarnation that it knew, until a poll (up to a second later) or an announcement told it otherwise.

Change: - An answer to a start with an earlier time than the last known one is of another incarnation: the run is stopped there, and the session ends. - A run that an incarnation lists is taken out of the reports about earlier ones. - After a failed poll no start order is sent until a poll is answered by the same incarnation; that poll waits for 20 ms. - The end of an executor at whose address nothing listens is reported once no start order is in flight. - The first lease of a session with a new incarnation counts with the longest that executors grant, since deadlines on the clock of an earlier incarnation are later on that of the new one.

The last two rule out two ways in which the task could have been started elsewhere while it ran in the new incarnation. Ruled out without a change: the next session's inventory, which stops the run and starts its task again only after its end (TestRunOfNextIncarnationIsStoppedBeforeItsTask- StartsAgain).

--- a/core/crash/log.go
+++ b/core/crash/log.go
@@ -187,6 +187,15 @@
 	l.runs[runKey{t, n}] = r
 }
 
+// StartedLater records that a run was started by a later incarnation than the one that its order
+// was meant for.
+func (l *Log) StartedLater(x oleandervalve.Incarnation, t oleandervalve.TaskName, n oleandervalve.RunNumber) {
+	if r, ok := l.runs[runKey{t, n}]; ok && x == l.executor {
+		r.started = true
+		l.runs[runKey{t, n}] = r
+	}
+}
+
 // Forget records that a run has ended or never started.
 func (l *Log) Forget(x oleandervalve.Incarnation, t oleandervalve.TaskName, n oleandervalve.RunNumber) {
 	if x == l.executor {
@@ -194,7 +203,8 @@
 	}
 }
 
-// Answered records the lists of runs in an answer of the executor to a poll.
+// Answered records the lists of runs in an answer of the executor to a poll. A run that the
+// executor lists was not lost with an earlier incarnation, even if it was ordered of that one.
 func (l *Log) Answered(now time.Time, x oleandervalve.Incarnation, lists oleandervalve.PollResult) {
 	if x != l.executor {
 		return
@@ -212,6 +222,27 @@
 	for _, e := range lists.Ended {
 		l.Forget(x, e.Task, e.Run)
 	}
+	l.withdraw(lists)
+}
+
+// withdraw removes the listed runs from the reports.
+func (l *Log) withdraw(lists oleandervalve.PollResult) {
+	if len(l.reports) == 0 {
+		return
+	}
+	listed := make(map[runKey]bool, len(lists.Running)+len(lists.Ended))
+	for _, t := range lists.Running {
+		listed[runKey{t.Task, t.Run}] = true
+	}
+	for _, e := range lists.Ended {
+		listed[runKey{e.Task, e.Run}] = true
+	}
+	isListed := func(x Run) bool { return listed[runKey{x.Task, x.Run}] }
+	for i, r := range l.reports {
+		if slices.ContainsFunc(r.Runs, isListed) {
+			l.reports[i].Runs = slices.DeleteFunc(slices.Clone(r.Runs), isListed)
+		}
+	}
 }
 
 // Silent records that a call to the executor had no answer.
--- a/core/crash/log_test.go
+++ b/core/crash/log_test.go
@@ -72,3 +72,29 @@
 	is.Equal(len(reports), maxReports)
 	is.Equal(reports[maxReports-1].Executor.StartedAt, int64(3*maxReports-2))
 }
+
+// Guards against a run that counts as lost with an incarnation although the next one has it: its
+// start order had reached that one.
+func TestRunOfNextIncarnationIsNotLost(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		is := is.New(t)
+		l := NewLog()
+		l.Replaced(start, first, false)
+		for n := range 3 {
+			l.StartOrdered(at(time.Duration(n)*time.Millisecond), first, name(n), 1)
+		}
+		l.StartConfirmed(at(5*time.Millisecond), first, name(0), 1)
+		l.StartedLater(first, name(1), 1)
+		r, _ := l.Replaced(at(time.Second), second, false)
+		is.Equal(len(r.Runs), 3)
+		is.Equal(r.Runs[1], Run{Task: name(1), Run: 1, Started: true, MinAge: 4 * time.Millisecond, MaxAge: 999 * time.Millisecond})
+		lists := oleandervalve.PollResult{Running: []oleandervalve.RunningTask{{Task: name(1), Run: 1}}}
+		if ended {
+			lists = oleandervalve.PollResult{Ended: []oleandervalve.EndedTask{{Number: 1, Task: name(1), Run: 1}}}
+		}
+		l.Answered(at(2*time.Second), second, lists)
+		reports := l.Reports(at(2 * time.Second))
+		is.Equal(len(reports), 1)
+		is.Equal(reports[0].Runs, []Run{r.Runs[0], r.Runs[2]})
+	}
+}
--- a/core/dispatch/reconnect_test.go
+++ b/core/dispatch/reconnect_test.go
@@ -89,3 +89,40 @@
 		})
 	}
 }
+
+// Guards against a task that is started again while it runs in an incarnation that its start order
+// was not meant for, and against a job that ends as failed or waits because of that.
+func TestRunOfNextIncarnationIsStoppedBeforeItsTaskStartsAgain(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 2)
+	c.failureProbability = 0
+	c.submit("j", work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{{Count: 1, Demand: oleandervalve.Resources{CPU: 9000}}}})
+	c.advanceCommit(true)
+	c.advanceCommit(true)
+	k := runKey{oleandervalve.TaskName{Job: "j"}, 1}
+	a := c.agents[agentOf(c.outbox[0])]
+	c.deliverNextOrder()
+	c.dispatcher.AgentDisconnected(c.now, a.id)
+	a.connected = false
+	c.crash(a)
+	a.running = []fakeRun{{key: k, ends: c.now.Add(time.Hour), size: oleandervalve.Resources{CPU: 9000}}}
+	a.crashes.Answered(c.now, a.status.Incarnation, oleandervalve.PollResult{Running: []oleandervalve.RunningTask{{Task: k.task, Run: k.run}}})
+	c.connect(a)
+	is.Equal(c.outbox, []Action{Stop{Agent: a.id, Task: k.task, Run: k.run}})
+	is.Equal(len(c.dispatcher.jobs["j"].rec.Crashes), 0)
+	stop := c.outbox
+	c.outbox = nil
+	// The stop is under way: the run counts with its size, and its task waits.
+	for range 20 {
+		c.advance(50 * time.Millisecond)
+		c.advanceCommit(true)
+		is.Equal(len(c.outbox), 0)
+	}
+	is.Equal(c.dispatcher.agents[a.id].reserved.CPU, oleandervalve.Millicores(9000))
+	c.outbox = stop
+	for range 60 {
+		c.step()
+	}
+	state, _ := c.dispatcher.State("j")
+	is.Equal(state, work.Completed)
+}
--- a/core/startorder/decide.go
+++ b/core/startorder/decide.go
@@ -27,6 +27,9 @@
 	// Reserved is what the known runs reserve, that of the order included.
 	Reserved oleandervalve.Resources
 	Capacity oleandervalve.Resources
+	// Unconfirmed means that a poll has failed since the executor last named its incarnation, so
+	// that another one may answer now.
+	Unconfirmed bool
 	// ProofAt is the latest time at which the leader is known to have led; zero if there is none.
 	ProofAt oleandervalve.Instant
 }
@@ -39,6 +42,8 @@
 	Send Verdict = iota
 	// AwaitProof means that the order must wait for a newer proof of leadership.
 	AwaitProof
+	// AwaitExecutor means that the order must wait until the executor has named its incarnation.
+	AwaitExecutor
 	// Abandon means that the order must not be sent any more.
 	Abandon
 )
@@ -52,6 +57,8 @@
 		return Abandon, oleandervalve.RefusedDraining
 	case !c.Reserved.Fits(c.Capacity):
 		return Abandon, oleandervalve.RefusedRoom
+	case c.Unconfirmed:
+		return AwaitExecutor, ""
 	case c.ProofAt.IsZero() || now.Sub(c.ProofAt) >= l.MaxProofAge:
 		return AwaitProof, ""
 	}
--- a/core/startorder/decide_test.go
+++ b/core/startorder/decide_test.go
@@ -25,6 +25,8 @@
 		{"proof too old", func(c *Circumstances) { c.ProofAt = now.Add(-limits.MaxProofAge) }, AwaitProof, ""},
 		{"suspended since the proof", func(c *Circumstances) { c.ProofAt.Uptime -= 5 * time.Second }, AwaitProof, ""},
 		{"no proof", func(c *Circumstances) { c.ProofAt = oleandervalve.Instant{} }, AwaitProof, ""},
+		{"poll has failed", func(c *Circumstances) { c.Unconfirmed = true }, AwaitExecutor, ""},
+		{"poll has failed, stopped", func(c *Circumstances) { c.Unconfirmed, c.Stopped = true, true }, Abandon, oleandervalve.RefusedOld},
 		{"stopped", func(c *Circumstances) { c.Stopped = true }, Abandon, oleandervalve.RefusedOld},
 		{"stopped, no proof", func(c *Circumstances) { c.Stopped, c.ProofAt = true, oleandervalve.Instant{} }, Abandon, oleandervalve.RefusedOld},
 		{"executor has ended", func(c *Circumstances) { c.Ended = true }, Abandon, oleandervalve.RefusedOld},
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -75,6 +75,8 @@
 	// polledStartedAt is the start of the executor according to its last answer to a poll
 	// that named another one than its announcement, or 0.
 	polledStartedAt int64
+	// sessionIncarnation is the incarnation of the executor in the last session.
+	sessionIncarnation oleandervalve.Incarnation
 	// drainingSince is when the executor first announced that it is draining.
 	drainingSince time.Time
 	// ended means that the executor has ended and has not announced itself since.
--- a/io/executor/crashes.go
+++ b/io/executor/crashes.go
@@ -73,9 +73,15 @@
 // executorEnded tells the leader that the executor of the session has ended, as no process
 // listens at its address. It has crashed unless it was leaving as planned. The session goes
 // on until the executor announces itself again. executorEnded reports false if the executor
-// has a new incarnation already.
+// has a new incarnation already, or may have one that has received a start order.
 func (s *session) executorEnded() bool {
 	a := s.agent
+	s.mu.Lock()
+	starting := s.startsInFlight > 0
+	s.mu.Unlock()
+	if starting {
+		return false
+	}
 	a.mu.Lock()
 	replaced := a.status.Incarnation != s.status.Incarnation
 	planned := a.deregistered || a.status.State == oleandervalve.ExecutorDraining
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -101,7 +101,7 @@
 	timeout := initialOrderTimeout
 	waited := false
 	for ctx.Err() == nil {
-		verdict, reason, _ := s.decideStart(st)
+		verdict, reason := s.decideStart(st)
 		switch verdict {
 		case startorder.Abandon:
 			if unanswered {
@@ -118,24 +118,31 @@
 			}
 			s.waitForProof(ctx, st)
 			continue
+		case startorder.AwaitExecutor:
+			s.agent.waitRetryDelay(ctx)
+			continue
 		}
 		if !s.acquireStartSlot(ctx, st) {
 			continue
 		}
-		// The circumstances may have changed during the wait for the slot.
-		verdict, _, until := s.decideStart(st)
-		if verdict != startorder.Send {
+		attempt, ok := s.beginStart(st)
+		if !ok {
 			<-s.orderSlots
 			continue
 		}
 		s.logLateStart(o, receivedAt, unanswered)
 		call, cancel := context.WithTimeout(ctx, timeout)
 		s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.StartOrdered(now, s.status.Incarnation, o.Task, o.Run) })
-		_, refusal, err := s.agent.options.Executor.Start(call, s.status.Incarnation.ID, oleandervalve.StartOrder{
-			Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: until, Token: s.token, Checkpoint: o.Checkpoint, PermitToken: o.PermitToken,
+		clock, refusal, err := s.agent.options.Executor.Start(call, s.status.Incarnation.ID, oleandervalve.StartOrder{
+			Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: attempt.leaseUntil, Token: s.token, Checkpoint: o.Checkpoint, PermitToken: o.PermitToken,
 		})
+		s.startReturned()
 		cancel()
 		<-s.orderSlots
+		if err == nil && clock > 0 && clock < attempt.clock {
+			s.endAsReplaced(ctx, k, refusal)
+			return
+		}
 		if err == nil && refusal == "" {
 			s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.StartConfirmed(now, s.status.Incarnation, o.Task, o.Run) })
 			s.mu.Lock()
@@ -179,6 +186,31 @@
 	}
 }
 
+func (s *session) startReturned() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.startsInFlight--
+}
+
+func (s *session) setUnconfirmed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unconfirmed = true
+}
+
+// endAsReplaced ends the session because another incarnation of the executor has answered a
+// start order: its clock is behind that of the session's one. If that incarnation has started
+// the run, it is stopped there, as its lease may last longer than the order was meant to grant.
+func (s *session) endAsReplaced(ctx context.Context, k runKey, refusal oleandervalve.StartRefusal) {
+	s.setUnconfirmed()
+	s.log().WithFields(logrus.Fields{"job": k.task.Job, "task": k.task.String(), "run": k.run, "reason": refusal}).Warn("start order was answered by another incarnation of the executor")
+	if refusal == "" {
+		s.agent.crashes.update(func(l *crash.Log, _ time.Time) { l.StartedLater(s.status.Incarnation, k.task, k.run) })
+		s.sendStop(ctx, k)
+	}
+	s.end("executor has a new incarnation")
+}
+
 // endIfReplaced ends the session and returns true if err reports that the executor has
 // another incarnation than the session.
 func (s *session) endIfReplaced(err error) bool {
@@ -190,23 +222,46 @@
 	return false
 }
 
-// decideStart decides whether a start order may be sent now. If so, it returns the end of the
-// lease to request with it. The executor may start whatever it is told, so that is decided
-// before each attempt.
-func (s *session) decideStart(st *pendingStart) (startorder.Verdict, oleandervalve.StartRefusal, oleandervalve.ExecutorTime) {
-	a := s.agent
+// decideStart decides whether a start order may be sent now. The executor may start whatever it
+// is told, so that is decided before each attempt.
+func (s *session) decideStart(st *pendingStart) (startorder.Verdict, oleandervalve.StartRefusal) {
+	c := s.agent.circumstances()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.decideStartWith(c, st)
+}
+
+// circumstances returns what the agent knows of its executor.
+func (a *Agent) circumstances() startorder.Circumstances {
 	a.mu.Lock()
-	c := startorder.Circumstances{Ended: a.ended, DrainingSince: a.drainingSince, Capacity: a.status.Capacity}
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	return startorder.Circumstances{Ended: a.ended, DrainingSince: a.drainingSince, Capacity: a.status.Capacity}
+}
+
+// decideStartWith decides with what the session knows beside c. s.mu must be held.
+func (s *session) decideStartWith(c startorder.Circumstances, st *pendingStart) (startorder.Verdict, oleandervalve.StartRefusal) {
+	c.Stopped, c.Reserved, c.ProofAt, c.Unconfirmed = st.isStopped(), s.reserved(), s.proofAt, s.unconfirmed
+	return startorder.Decide(s.agent.options.now(), s.agent.startLimits, c)
+}
+
+// startAttempt is an attempt at a start order.
+type startAttempt struct {
+	// leaseUntil is the end of the lease to request, and clock the executor's time in its last
+	// answer to a poll, both on the executor's clock.
+	leaseUntil, clock oleandervalve.ExecutorTime
+}
+
+// beginStart decides again once the order has a slot, as the circumstances may have changed. If
+// the order may be sent, it is in flight until startReturned is called.
+func (s *session) beginStart(st *pendingStart) (startAttempt, bool) {
+	c := s.agent.circumstances()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.Stopped, c.Reserved, c.ProofAt = st.isStopped(), s.reserved(), s.proofAt
-	now := a.options.now()
-	verdict, reason := startorder.Decide(now, a.startLimits, c)
-	if verdict != startorder.Send {
-		return verdict, reason, 0
+	if verdict, _ := s.decideStartWith(c, st); verdict != startorder.Send {
+		return startAttempt{}, false
 	}
-	return verdict, reason, s.leaseUntil(now)
+	s.startsInFlight++
+	return startAttempt{leaseUntil: s.leaseUntil(s.agent.options.now()), clock: s.clock}, true
 }
 
 // waitForProof asks the leader for a newer proof of leadership, and waits until there is one,
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -40,7 +40,7 @@
 		if s.hasColocatedRuns() || len(s.confirmedStops) > 0 || len(s.progress) > 0 {
 			wait = activePollWait
 		}
-		if s.proofAt.IsZero() {
+		if s.proofAt.IsZero() || s.unconfirmed {
 			wait = initialPollWait
 		}
 		request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: s.lastAcknowledgedEnd, LeaseUntil: s.leaseUntil(s.agent.options.now()), Wait: wait}
@@ -52,6 +52,7 @@
 			if s.endIfReplaced(err) || ctx.Err() != nil {
 				return
 			}
+			s.setUnconfirmed()
 			s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Silent(now, s.status.Incarnation) })
 			if !failing {
 				s.log().WithError(err).Warn("executor is unreachable")
@@ -102,7 +103,7 @@
 }
 
 // initialPollWait is the wait of polls until the leader has proved its leadership,
-// before which they can't extend the lease.
+// before which they can't extend the lease, and until the executor has named its incarnation.
 const initialPollWait = 20 * time.Millisecond
 
 // leaseExpired reports whether the executor's lease has certainly expired.
@@ -130,6 +131,7 @@
 	ends := &peer.RunsEnded{Incarnation: s.status.Incarnation}
 	s.mu.Lock()
 	s.clock, s.clockAt = result.Clock, s.agent.options.Clock.Now()
+	s.unconfirmed = false
 	running := make(map[runKey]bool, len(result.Running))
 	for _, r := range result.Running {
 		k := runKey{r.Task, r.Run}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -74,6 +74,11 @@
 	// clock is the executor's time as of clockAt on the agent's clock.
 	clock   oleandervalve.ExecutorTime
 	clockAt time.Time
+	// unconfirmed means that a poll has failed since the executor last named its incarnation,
+	// so that another one may answer now. No start order is sent meanwhile.
+	unconfirmed bool
+	// startsInFlight is the number of start orders without an answer yet.
+	startsInFlight int
 	// leaseEnd is when the executor's lease has certainly expired, on the agent's clock.
 	leaseEnd time.Time
 	// inventoryIncomplete means that ended runs are missing from the session's inventory.
@@ -260,10 +265,10 @@
 		return &oleandervalve.WrongIncarnationError{ID: s.status.Incarnation.ID}
 	}
 	s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Answered(now, s.status.Incarnation, result) })
+	earlierLease := s.agent.earlierLease(s.status.Incarnation)
 	s.mu.Lock()
 	s.clock, s.clockAt = result.Clock, s.agent.options.Clock.Now()
-	// An earlier session may have extended the lease until just before this poll.
-	s.leaseEnd = sent.Add(s.maxElapsed(s.agent.leaseDuration))
+	s.leaseEnd = sent.Add(s.maxElapsed(earlierLease))
 	for _, r := range result.Running {
 		k := runKey{r.Task, r.Run}
 		s.running[k] = true
@@ -291,6 +296,20 @@
 	return nil
 }
 
+// earlierLease returns the longest lease that an earlier session may have requested of an
+// incarnation just before its first poll in the next session. An order that reached another
+// incarnation than it was meant for has requested a time on the clock of an older one.
+func (a *Agent) earlierLease(next oleandervalve.Incarnation) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	earlier := a.sessionIncarnation
+	a.sessionIncarnation = next
+	if earlier.ID != "" && earlier != next {
+		return a.options.MaxLease
+	}
+	return a.leaseDuration
+}
+
 // maxElapsed returns an upper bound of the real time that passes while the executor's
 // clock, which may be 2% slow, advances by d.
 func (s *session) maxElapsed(d time.Duration) time.Duration { return d * 103 / 100 }
