Decide on a start and its lease at the same instant

If the proof of leadership ran out in between, which takes a suspension of 5 s there, the order would have been sent without a lease. Found by reading; one instant is used for both now.

--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -228,7 +228,7 @@
 	c := s.agent.circumstances()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.decideStartWith(c, st)
+	return s.decideStartWith(s.agent.options.now(), c, st)
 }
 
 // circumstances returns what the agent knows of its executor.
@@ -239,9 +239,9 @@
 }
 
 // decideStartWith decides with what the session knows beside c. s.mu must be held.
-func (s *session) decideStartWith(c startorder.Circumstances, st *pendingStart) (startorder.Verdict, oleandervalve.StartRefusal) {
+func (s *session) decideStartWith(now oleandervalve.Instant, c startorder.Circumstances, st *pendingStart) (startorder.Verdict, oleandervalve.StartRefusal) {
 	c.Stopped, c.Reserved, c.ProofAt, c.Unconfirmed = st.isStopped(), s.reserved(), s.proofAt, s.unconfirmed
-	return startorder.Decide(s.agent.options.now(), s.agent.startLimits, c)
+	return startorder.Decide(now, s.agent.startLimits, c)
 }
 
 // startAttempt is an attempt at a start order.
@@ -257,11 +257,12 @@
 	c := s.agent.circumstances()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if verdict, _ := s.decideStartWith(c, st); verdict != startorder.Send {
+	now := s.agent.options.now()
+	if verdict, _ := s.decideStartWith(now, c, st); verdict != startorder.Send {
 		return startAttempt{}, false
 	}
 	s.startsInFlight++
-	return startAttempt{leaseUntil: s.leaseUntil(s.agent.options.now()), clock: s.clock}, true
+	return startAttempt{leaseUntil: s.leaseUntil(now), clock: s.clock}, true
 }
 
 // waitForProof asks the leader for a newer proof of leadership, and waits until there is one,
