Isolate many suspect tasks of one crash in groups

One crash of its executor made 334 and 396 tasks suspect, and each ran isolated, two at a time, five tasks a second.

Cause: a suspect task was isolated alone, and the runs that started last before a crash are all suspect. With small tasks these are hundreds.

If they outlive their isolations, all are cleared. If the executor crashes, the incident is recorded for the members only and as not isolated, so nobody is given up for it, and each is isolated alone next. A new leader, which does not know the groups, treats isolated runs that share an executor as one, and no longer isolates again those that have outlived their isolation. The agent asks its executor once for all runs whose isolations end within 10 ms. No stored format changes.

Halving a crashed group was ruled out: each halving costs one more crash under the guilty task, 25 tasks take five, and such a task may be started four times. So a guilty task among more than eight suspects crashes three executors instead of two. The crash of a group stays one of the four after which a task is given up without an isolation.

Report.Incidents takes an Isolation instead of a duration; the existing test of it is adapted in that only.

--- a/core/crash/history.go
+++ b/core/crash/history.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"maps"
 	"time"
 
 	"oleandervalve"
@@ -42,7 +43,8 @@
 	// Young means that the run was among the last that started before the executor was lost,
 	// and may have been younger than youngAge.
 	Young bool
-	// Isolated means that no other run had started on the executor shortly before or after.
+	// Isolated means that no other run had started on the executor shortly before or after. It
+	// is false for a run that was isolated together with others.
 	Isolated bool
 	// Outlived means that the run had outlived its isolation before.
 	Outlived bool
@@ -127,10 +129,10 @@
 	return crashes >= crashesToGiveUp && (isolated || len(h.Incidents) >= incidentsWithoutIsolation) || early >= crashesWithoutIsolation
 }
 
-// Incidents returns the incidents that the report adds to the histories of tasks. isolation
-// returns for how long the leader was to start no other run on the executor beside a run, or
-// zero if it was not isolated. A crash in that time is attributed to the isolated run alone.
-func (r Report) Incidents(isolation func(Run) time.Duration) map[int]Incident {
+// Incidents returns the incidents that the report adds to the histories of tasks, by the index of
+// the run. isolation returns how the leader has isolated a run. A crash in that time is attributed
+// to the isolated run alone, or to the group.
+func (r Report) Incidents(isolation func(Run) Isolation) map[int]Incident {
 	out := map[int]Incident{}
 	youngest := r.youngest()
 	for i, x := range r.Runs {
@@ -145,6 +147,9 @@
 			return map[int]Incident{i: x}
 		}
 	}
+	if group := r.crashedGroup(isolation); len(group) > 0 {
+		maps.DeleteFunc(out, func(i int, _ Incident) bool { return !group[i] })
+	}
 	return out
 }
 
@@ -159,10 +164,10 @@
 	return youngest
 }
 
-// isIsolated reports whether the executor was certainly lost during the isolation of run i.
+// isIsolated reports whether the executor was certainly lost while run i was isolated alone.
 // A run that may be much older may also have ended before, without the agent knowing it.
-func (r Report) isIsolated(i int, isolation time.Duration) bool {
-	return isolation > 0 && r.Runs[i].MaxAge <= isolation+maxNoticeTime && !r.hasYounger(i)
+func (r Report) isIsolated(i int, by Isolation) bool {
+	return by.Duration > 0 && !by.Grouped && r.Runs[i].MaxAge <= by.Duration+maxNoticeTime && !r.hasYounger(i)
 }
 
 // hasYounger reports whether another run may have started after run i or shortly before it.
--- a/core/crash/history_test.go
+++ b/core/crash/history_test.go
@@ -96,11 +96,11 @@
 			is := is.New(t)
 			r := Report{Executor: first, Crashed: true, Runs: c.runs}
 			got := map[int]result{}
-			isolation := func(x Run) time.Duration {
+			isolation := func(x Run) Isolation {
 				if c.isolated >= 0 && x == c.runs[c.isolated] {
-					return minIsolation
+					return Isolation{Duration: minIsolation}
 				}
-				return 0
+				return Isolation{}
 			}
 			for i, x := range r.Incidents(isolation) {
 				is.Equal(x.Crashed, c.runs[i].Started)
--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -36,6 +36,8 @@
 	// attributed to the run. isolation is how long that lasts from the start of the run.
 	isolated  bool
 	isolation time.Duration
+	// grouped means that the run was isolated together with others.
+	grouped bool
 	// resumed means that the run started from a checkpoint.
 	resumed   bool
 	startedAt time.Time
@@ -85,6 +87,8 @@
 	shared        sharedPairs
 	// isolatedRuns is the number of isolated runs.
 	isolatedRuns int
+	// group is the last group of runs that were isolated together.
+	group isolationGroup
 	// quietUntil is until when no other run is started on the executor, so that a suspect
 	// task finds it settled.
 	quietUntil time.Time
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -44,11 +44,15 @@
 		a.reported = append(a.reported, r.Executor)
 		a.reported = a.reported[max(0, len(a.reported)-maxReportedIncarnations):]
 	}
-	incidents := r.Incidents(func(x crash.Run) time.Duration {
-		if held := a.runs[runKey{x.Task, x.Run}]; held != nil && held.isolated {
-			return held.isolation
+	incidents := r.Incidents(func(x crash.Run) crash.Isolation {
+		held := a.runs[runKey{x.Task, x.Run}]
+		switch {
+		case held == nil:
+			return crash.Isolation{}
+		case held.isolated:
+			return crash.Isolation{Duration: held.isolation, Grouped: held.grouped}
 		}
-		return 0
+		return crash.Isolation{Grouped: held.grouped}
 	})
 	for i, x := range r.Runs {
 		incident, ok := incidents[i]
@@ -137,13 +141,18 @@
 }
 
 // isolate isolates a new run if its task is suspect.
-func (d *Dispatcher) isolate(now time.Time, a *agent, r *run, hints *RunHints) {
+func (d *Dispatcher) isolate(now time.Time, a *agent, r *run, lostIn crashKey, hints *RunHints) {
 	h := r.step.history(r.index)
 	if !h.Suspect() {
 		return
 	}
 	r.isolated, r.isolation = true, h.Isolation()
 	hints.Isolation = r.isolation
+	if a.isolatedRuns > 0 {
+		a.addToGroup(r)
+		return
+	}
+	a.group = isolationGroup{step: r.step, crash: lostIn, at: now, size: 1, first: r}
 	if !a.isQuiet(now) {
 		d.isolatingExecutors++
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -72,6 +72,9 @@
 	// isolated run, in the current scheduling pass, and maxIsolating their limit.
 	isolatingExecutors int
 	maxIsolating       int
+	// suspectsByCrash holds, for the step that is being placed, the number of suspect tasks that
+	// may be isolated in groups.
+	suspectsByCrash map[crashKey]int
 	// placementNeeded means that something relevant to placement has changed since the
 	// last scheduling pass.
 	placementNeeded bool
@@ -162,7 +165,16 @@
 			// If the reference differs from the agent's newest known one, it names an
 			// earlier incarnation of the executor, which is resolved when the agent
 			// connects.
-			a.allocate(runKey{st.name(i), t.Run}, &run{step: st, index: i, size: st.spec.Reserved(), startSent: true, resumed: true, isolated: st.history(i).Suspect(), isolation: st.history(i).Isolation(), startedAt: now})
+			r := &run{step: st, index: i, size: st.spec.Reserved(), startSent: true, resumed: true, startedAt: now}
+			if h := st.history(i); h.Suspect() && t.Run > h.OutlivedBy {
+				r.isolated, r.isolation = true, h.Isolation()
+				if a.isolatedRuns > 0 {
+					a.addToGroup(r)
+				} else {
+					a.group = isolationGroup{first: r}
+				}
+			}
+			a.allocate(runKey{st.name(i), t.Run}, r)
 		}
 	}
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -85,7 +85,7 @@
 	var bestScore, unsettledScore float64
 	need := d.isolationNeed(s, index, now)
 	for _, a := range d.sortedAgents {
-		admitted := d.admitsIsolated(need, a, now)
+		admitted := d.admitsIsolated(need, a, now) || need == needsIsolation && d.joinsGroup(s, index, a, now)
 		if !admitted && need != needsIsolation || !d.fits(s, a, now) {
 			continue
 		}
--- a/core/dispatch/schedule.go
+++ b/core/dispatch/schedule.go
@@ -82,6 +82,7 @@
 		return 0
 	}
 	placed := 0
+	d.suspectsByCrash = s.countSuspects()
 	var left []int
 	for n, i := range s.waiting {
 		a, unsettled := d.choose(s, i, now)
@@ -107,6 +108,7 @@
 // assign assigns a task to an executor. The Start is sent once the assignment is durable.
 func (d *Dispatcher) assign(now time.Time, s *step, index int, a *agent) {
 	t := &s.job.rec.Tasks[s.firstTask+index]
+	lostIn := s.crashOf(index)
 	t.State = work.TaskAssigned
 	t.Run++
 	t.ExecutorIndex = s.job.executorIndex(a.executorRef())
@@ -117,7 +119,7 @@
 		hints.SpeedLimit = int(100 * speed)
 	}
 	r := &run{step: s, index: index, size: s.spec.Reserved(), resumed: t.Checkpoint != "", startedAt: now}
-	d.isolate(now, a, r, &hints)
+	d.isolate(now, a, r, lostIn, &hints)
 	a.allocate(k, r)
 	s.job.effects = append(s.job.effects, Start{
 		Agent: a.id, Executor: a.status.Incarnation, Task: k.task, Run: k.run,
--- a/io/executor/crashes.go
+++ b/io/executor/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -118,25 +117,49 @@
 	}()
 }
 
-// reportOutlived asks the executor whether it still has a run and tells the leader. If there
-// is no answer, the executor may have crashed, which the next poll finds.
+// reportOutlived tells the leader that a run has outlived its isolation, if the executor still has
+// it. Runs that were isolated together are asked for by one poll. If there is no answer, the
+// executor may have crashed, which the next poll finds.
 func (s *session) reportOutlived(ctx context.Context, k runKey) {
+	s.mu.Lock()
+	s.dueIsolations = append(s.dueIsolations, k)
+	first := len(s.dueIsolations) == 1
+	s.mu.Unlock()
+	if !first {
+		return
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.agent.options.Clock.After(outlivedDelay):
+	}
 	call, cancel := context.WithTimeout(ctx, initialOrderTimeout)
 	defer cancel()
 	s.mu.Lock()
+	due := s.dueIsolations
+	s.dueIsolations = nil
 	request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: s.lastAcknowledgedEnd}
 	s.mu.Unlock()
 	result, err := s.agent.options.Executor.Poll(call, s.status.Incarnation.ID, request)
 	if err != nil {
-		s.log().WithFields(logrus.Fields{"job": k.task.Job, "task": k.task.String(), "run": k.run}).WithError(err).Info("executor gives no answer after the isolation of a run")
+		s.log().WithFields(logrus.Fields{"job": k.task.Job, "task": k.task.String(), "run": k.run, "runs": len(due)}).WithError(err).Info("executor gives no answer after the isolation of a run")
 		return
 	}
 	if result.StartedAt != 0 && result.StartedAt != s.status.Incarnation.StartedAt {
 		return
 	}
 	s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Answered(now, s.status.Incarnation, result) })
-	running := slices.ContainsFunc(result.Running, func(r oleandervalve.RunningTask) bool { return r.Task == k.task && r.Run == k.run })
-	if running {
-		s.conn.TrySend(&peer.RunOutlived{Task: k.task, Run: k.run})
+	running := make(map[runKey]bool, len(result.Running))
+	for _, r := range result.Running {
+		running[runKey{r.Task, r.Run}] = true
+	}
+	for _, k := range due {
+		if running[k] {
+			s.conn.TrySend(&peer.RunOutlived{Task: k.task, Run: k.run})
+		}
 	}
 }
+
+// outlivedDelay is how long runs whose isolation has ended are collected before the executor is
+// asked for them.
+const outlivedDelay = 10 * time.Millisecond
--- a/io/executor/crashes_test.go
+++ b/io/executor/crashes_test.go
@@ -98,3 +98,35 @@
 		})
 	}
 }
+
+// Guards against runs that stay isolated although they have outlived it, because they were isolated
+// together with others.
+func TestAllRunsOfGroupAreReportedToHaveOutlived(t *testing.T) {
+	is := is.New(t)
+	const runs = 25
+	x := &crashingExecutor{}
+	x.start = x.run
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second})
+	is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+	outlived := make(chan oleandervalve.TaskName, 2*runs)
+	leadAgent(t, a, func(conn *peer.Conn, m peer.Message) {
+		switch m := m.(type) {
+		case *peer.ExecutorInventory:
+			for i := range runs {
+				conn.TrySend(&peer.StartRun{Start: dispatch.Start{Executor: m.Status.Incarnation, Task: oleandervalve.TaskName{Job: "j", Index: i}, Run: 1, Hints: dispatch.RunHints{CPU: 100, Isolation: 30 * time.Millisecond}}})
+			}
+		case *peer.RunOutlived:
+			outlived <- m.Task
+		}
+	})
+	reported := map[oleandervalve.TaskName]bool{}
+	for len(reported) < runs {
+		select {
+		case n := <-outlived:
+			is.True(!reported[n])
+			reported[n] = true
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%d of %d runs are reported", len(reported), runs)
+		}
+	}
+}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -97,6 +97,8 @@
 	// order, until a later poll shows whether the run had started.
 	confirmedStops map[runKey]time.Time
 	listedEnds     map[runKey]bool
+	// dueIsolations holds the runs whose isolation has ended, until the executor is asked for them.
+	dueIsolations []runKey
 	// progress holds the runs whose speed is measured.
 	progress map[runKey]*runProgress
 	// controllers holds the throttle controller of each best-effort image.
