Drop log lines after the log of a process was closed

Seen by operators: an entry ended its planned stop with "panic: send on closed channel" in LogWriter.Write, called from followLeader, whose read of the leader's row had just been ended by the stop. The process had nothing left to do, but it ended with an error.

Cause: the command closes the log while goroutines that have been cancelled may still write to it.

Fix: writing and closing exclude each other, and lines that come later are dropped.

--- a/io/process/log_writer.go
+++ b/io/process/log_writer.go
@@ -14,11 +14,13 @@
 // LogWriter writes log lines in the background. If the queue is full, lines are
 // dropped and counted, so that logging never blocks the process.
 type LogWriter struct {
-	lines     chan []byte
-	dropped   atomic.Int64
-	dest      io.Writer
-	closeOnce sync.Once
-	done      chan struct{}
+	// mu is held for reading while a line is queued, and for writing while lines is closed.
+	mu      sync.RWMutex
+	closed  bool
+	lines   chan []byte
+	dropped atomic.Int64
+	dest    io.Writer
+	done    chan struct{}
 }
 
 // NewLogWriter returns a LogWriter that writes to w.
@@ -28,10 +30,15 @@
 	return l
 }
 
-// Write queues a copy of one line, or drops the line if the queue is full. It
+// Write queues a copy of one line, or drops the line if the queue is full or closed. It
 // never fails.
 func (l *LogWriter) Write(b []byte) (int, error) {
 	line := append([]byte(nil), b...)
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.closed {
+		return len(b), nil
+	}
 	select {
 	case l.lines <- line:
 	default:
@@ -42,7 +49,12 @@
 
 // Close writes the queued lines and stops the background writer.
 func (l *LogWriter) Close() {
-	l.closeOnce.Do(func() { close(l.lines) })
+	l.mu.Lock()
+	if !l.closed {
+		l.closed = true
+		close(l.lines)
+	}
+	l.mu.Unlock()
 	<-l.done
 }
 
