Commit cancellations of unknown jobs after all other changes

Seen by callers: nothing is recorded.

Cause: a commit takes the changed jobs in the order of their changes. Since such cancellations are stored, they stood in line with submissions and ends.

Evidence: TestCancellationsOfUnknownJobsHoldUpNoSubmission failed before: the submission was not answered by the next commit.

Fix: changed jobs without a submission, and deletions, come last in each commit.

--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -52,11 +52,12 @@
 func (d *Dispatcher) Pending() bool { return len(d.dirtyJobs) > 0 || d.placementNeeded }
 
 // Batch returns the next commit, or nil if nothing has changed. It takes as many changed
-// jobs as fit into one commit. Only one batch may be in flight at a time.
+// jobs as fit into one commit, the most urgent ones first. Only one batch may be in flight at a time.
 func (d *Dispatcher) Batch() *Batch {
 	if len(d.dirtyJobs) == 0 {
 		return nil
 	}
+	slices.SortStableFunc(d.dirtyJobs, compareUrgency)
 	b := &Batch{}
 	size, n := 0, 0
 	for _, j := range d.dirtyJobs {
@@ -98,6 +99,19 @@
 	return b
 }
 
+// compareUrgency orders changed jobs for the next commit: those without a submission and
+// deletions come last, so that a flood of cancellations of unknown jobs, or the end of their
+// retention, doesn't hold up submissions and ends.
+func compareUrgency(a, b *job) int {
+	rank := func(j *job) int {
+		if j.expired || j.rec.Unsubmitted {
+			return 1
+		}
+		return 0
+	}
+	return rank(a) - rank(b)
+}
+
 // CommitApplied handles a successful commit: it replies to callers and applies the effects
 // that depended on the commit.
 func (d *Dispatcher) CommitApplied(now time.Time, b *Batch, version oleandervalve.Version) {
--- a/core/dispatch/unsubmitted_test.go
+++ b/core/dispatch/unsubmitted_test.go
@@ -52,6 +52,20 @@
 	is.Equal(c.dispatcher.unsubmittedJobs, maxUnsubmittedJobs)
 }
 
+// Guards against submissions that wait behind a flood of cancellations of unknown jobs.
+func TestCancellationsOfUnknownJobsHoldUpNoSubmission(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	for n := range maxUnsubmittedJobs {
+		c.cancel(oleandervalve.JobID(fmt.Sprintf("job%04d", n)))
+	}
+	c.submit("a", work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{{Count: 1, Estimate: time.Second}}})
+	submission := c.token
+	c.advanceCommit(true) // sends the commit
+	c.advanceCommit(true)
+	is.Equal(c.verdict(submission), Accepted)
+}
+
 // Guards against records of cancelled unknown jobs that are never deleted, and against a
 // cancellation that is acknowledged, or a submission that is accepted, as they are deleted.
 func TestCancelledUnknownJobIsDeletedAfterRetention(t *testing.T) {
