Keep the retention of cancelled unknown jobs over changes of leader

Seen by callers: nothing is recorded. With leaders that change more often than the retention of ended jobs, the records of cancelled unknown jobs were never deleted.

Cause: a new leader begins the retention of all ended jobs anew.

Evidence: TestRetentionOfCancelledUnknownJobOutlivesLeader failed before.

Fix: for these records the retention counts from the stored time of the cancellation, and at most from the takeover, should the time of day jump. Ended jobs that were submitted are kept as before, as callers are promised their state for that time.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -118,6 +118,10 @@
 		if j.rec.State.Terminal() {
 			j.retainUntil = now.Add(d.options.Retention)
 		}
+		if end := j.rec.EndedAt.Add(d.options.Retention); j.rec.Unsubmitted && end.Before(j.retainUntil) {
+			// Their number is limited, so changes of leader must not prolong their retention.
+			j.retainUntil = end
+		}
 		d.recordBestEffortImages(j)
 		for _, st := range j.steps {
 			d.loadStep(now, st)
--- a/core/dispatch/unsubmitted_test.go
+++ b/core/dispatch/unsubmitted_test.go
@@ -66,6 +66,19 @@
 	is.Equal(c.verdict(submission), Accepted)
 }
 
+// Guards against cancelled unknown jobs that are kept for ever because leaders change.
+func TestRetentionOfCancelledUnknownJobOutlivesLeader(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	c.cancel("a")
+	c.commitAll()
+	c.advance(40 * time.Minute)
+	c.startLeader()
+	c.advance(40 * time.Minute)
+	c.commitAll()
+	is.True(!c.dispatcher.HasJob("a"))
+}
+
 // Guards against records of cancelled unknown jobs that are never deleted, and against a
 // cancellation that is acknowledged, or a submission that is accepted, as they are deleted.
 func TestCancelledUnknownJobIsDeletedAfterRetention(t *testing.T) {
