--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -29,6 +29,7 @@
 type jobChange struct {
 	job        *job
 	state      work.State
+	hidden     bool
 	expired    bool
 	wroteSpec  bool
 	submitters []Token
@@ -51,11 +52,12 @@
 func (d *Dispatcher) Pending() bool { return len(d.dirtyJobs) > 0 || d.placementNeeded }
 
 // Batch returns the next commit, or nil if nothing has changed. It takes as many changed
-// jobs as fit into one commit. Only one batch may be in flight at a time.
+// jobs as fit into one commit, the most urgent ones first. Only one batch may be in flight at a time.
 func (d *Dispatcher) Batch() *Batch {
 	if len(d.dirtyJobs) == 0 {
 		return nil
 	}
+	slices.SortStableFunc(d.dirtyJobs, compareUrgency)
 	b := &Batch{}
 	size, n := 0, 0
 	for _, j := range d.dirtyJobs {
@@ -63,7 +65,7 @@
 			break
 		}
 		n++
-		c := jobChange{job: j, state: j.rec.State, expired: j.expired, submitters: j.submitters, cancellers: j.cancellers, effects: j.effects}
+		c := jobChange{job: j, state: j.rec.State, hidden: j.rec.Unsubmitted, expired: j.expired, submitters: j.submitters, cancellers: j.cancellers, effects: j.effects}
 		key := work.RecordKey(j.id)
 		b.Transaction.Conditions = append(b.Transaction.Conditions, oleandervalve.Condition{Key: key, Version: j.version})
 		if j.expired {
@@ -97,13 +99,26 @@
 	return b
 }
 
+// compareUrgency orders changed jobs for the next commit: those without a submission and
+// deletions come last, so that a flood of cancellations of unknown jobs, or the end of their
+// retention, doesn't hold up submissions and ends.
+func compareUrgency(a, b *job) int {
+	rank := func(j *job) int {
+		if j.expired || j.rec.Unsubmitted {
+			return 1
+		}
+		return 0
+	}
+	return rank(a) - rank(b)
+}
+
 // CommitApplied handles a successful commit: it replies to callers and applies the effects
 // that depended on the commit.
 func (d *Dispatcher) CommitApplied(now time.Time, b *Batch, version oleandervalve.Version) {
 	for _, c := range b.changes {
-		c.job.version, c.job.committedState, c.job.inFlight, c.job.alone = version, c.state, false, false
+		c.job.version, c.job.committedState, c.job.hidden, c.job.inFlight, c.job.alone = version, c.state, c.hidden, false, false
 		if c.expired {
-			delete(d.jobs, c.job.id)
+			d.forget(c.job)
 		}
 		switch {
 		case c.wroteSpec:
@@ -111,12 +126,18 @@
 		case c.state == work.Completed:
 			c.job.specVersion = 0
 		}
-		// Submissions that were repeated during the commit need no other one.
-		submitters := slices.Concat(c.submitters, c.job.submitters)
-		c.job.submitters = nil
-		for _, t := range slices.Concat(submitters, c.cancellers) {
+		submitters := c.submitters
+		if !c.hidden {
+			// Submissions that were repeated during the commit need no other one.
+			submitters = slices.Concat(submitters, c.job.submitters)
+			c.job.submitters = nil
+		}
+		for _, t := range submitters {
 			d.enqueueAction(Reply{Token: t, Verdict: Accepted})
 		}
+		for _, t := range c.cancellers {
+			d.enqueueAction(Reply{Token: t, Verdict: c.job.cancelVerdict()})
+		}
 		for _, x := range c.effects {
 			d.applyEffect(now, x)
 		}
@@ -260,11 +281,13 @@
 	reasonTableUnavailable oleandervalve.Reason = "tableUnavailable"
 	// reasonRowRejected is the reason of the refusal of a job whose rows the table rejects.
 	reasonRowRejected oleandervalve.Reason = "rowRejected"
+	// reasonExpiring is the reason of refusals while the record of an ended job is being deleted.
+	reasonExpiring oleandervalve.Reason = "expiring"
 )
 
 // discardJob removes a job that was never stored. No Start of the job has been sent.
 func (d *Dispatcher) discardJob(j *job) {
-	delete(d.jobs, j.id)
+	d.forget(j)
 	if !j.rec.State.Terminal() {
 		d.activeJobs--
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -61,8 +61,10 @@
 	lastSubmissionAt time.Time
 	// nextExpiryScan is when to search for expired jobs next.
 	nextExpiryScan time.Time
-	// activeJobs is the number of jobs that have not ended.
-	activeJobs int
+	// activeJobs is the number of jobs that have not ended, and unsubmittedJobs that of
+	// cancelled jobs without a submission.
+	activeJobs      int
+	unsubmittedJobs int
 	// pausedExecutors is the number of executors that are paused or probed because of
 	// failures, or paused because of low speed.
 	pausedExecutors int
@@ -70,6 +72,9 @@
 	// isolated run, in the current scheduling pass, and maxIsolating their limit.
 	isolatingExecutors int
 	maxIsolating       int
+	// suspectsByCrash holds, for the step that is being placed, the number of suspect tasks that
+	// may be isolated in groups.
+	suspectsByCrash map[crashKey]int
 	// placementNeeded means that something relevant to placement has changed since the
 	// last scheduling pass.
 	placementNeeded bool
@@ -105,11 +110,18 @@
 	sort.Slice(stored, func(i, j int) bool { return stored[i].Job < stored[j].Job })
 	for _, s := range stored {
 		j := newJob(s.Job, s.Spec, s.Record)
-		j.version, j.specVersion, j.committedState = s.Version, s.SpecVersion, s.Record.State
+		j.version, j.specVersion, j.committedState, j.hidden = s.Version, s.SpecVersion, s.Record.State, s.Record.Unsubmitted
+		if j.rec.Unsubmitted {
+			d.unsubmittedJobs++
+		}
 		d.jobs[j.id] = j
 		if j.rec.State.Terminal() {
 			j.retainUntil = now.Add(d.options.Retention)
 		}
+		if end := j.rec.EndedAt.Add(d.options.Retention); j.rec.Unsubmitted && end.Before(j.retainUntil) {
+			// Their number is limited, so changes of leader must not prolong their retention.
+			j.retainUntil = end
+		}
 		d.recordBestEffortImages(j)
 		for _, st := range j.steps {
 			d.loadStep(now, st)
@@ -157,7 +169,16 @@
 			// If the reference differs from the agent's newest known one, it names an
 			// earlier incarnation of the executor, which is resolved when the agent
 			// connects.
-			a.allocate(runKey{st.name(i), t.Run}, &run{step: st, index: i, size: st.spec.Reserved(), startSent: true, resumed: true, isolated: st.history(i).Suspect(), isolation: st.history(i).Isolation(), startedAt: now})
+			r := &run{step: st, index: i, size: st.spec.Reserved(), startSent: true, resumed: true, startedAt: now}
+			if h := st.history(i); h.Suspect() && t.Run > h.OutlivedBy {
+				r.isolated, r.isolation = true, h.Isolation()
+				if a.isolatedRuns > 0 {
+					a.addToGroup(r)
+				} else {
+					a.group = isolationGroup{first: r}
+				}
+			}
+			a.allocate(runKey{st.name(i), t.Run}, r)
 		}
 	}
 }
@@ -190,7 +211,15 @@
 // repeated submission gets the same reply as the first.
 func (d *Dispatcher) Submit(now time.Time, s Submission) {
 	if j := d.jobs[s.Job]; j != nil {
-		if j.version > 0 {
+		if j.expired {
+			d.enqueueAction(Reply{Token: s.Token, Verdict: NotRun, Reason: reasonExpiring, RetryAfter: unavailableRetryAfter})
+			return
+		}
+		if j.rec.Unsubmitted {
+			d.submitCancelled(now, j, s)
+			return
+		}
+		if j.version > 0 && !j.hidden {
 			d.enqueueAction(Reply{Token: s.Token, Verdict: Accepted})
 			return
 		}
@@ -228,9 +257,14 @@
 	j := d.jobs[id]
 	switch {
 	case j == nil:
-		d.enqueueAction(Reply{Token: t, Verdict: JobNotFound})
+		d.cancelUnsubmitted(now, id, t)
+	case j.expired:
+		d.enqueueAction(Reply{Token: t, Verdict: NotRun, Reason: reasonExpiring, RetryAfter: unavailableRetryAfter})
 	case j.committedState.Terminal() && j.version > 0:
-		d.enqueueAction(Reply{Token: t, Verdict: Accepted})
+		if j.rec.Unsubmitted {
+			j.retainUntil = now.Add(d.options.Retention)
+		}
+		d.enqueueAction(Reply{Token: t, Verdict: j.cancelVerdict()})
 	default:
 		j.cancellers = append(j.cancellers, t)
 		if !j.rec.State.Terminal() {
@@ -244,7 +278,7 @@
 // State returns the committed state of a job, or false if the job is not stored.
 func (d *Dispatcher) State(id oleandervalve.JobID) (work.State, bool) {
 	j := d.jobs[id]
-	if j == nil || j.version == 0 {
+	if j == nil || j.version == 0 || j.hidden {
 		return 0, false
 	}
 	return j.committedState, true
@@ -392,3 +426,9 @@
 
 // HasJob reports whether a job is known, whether stored or not.
 func (d *Dispatcher) HasJob(id oleandervalve.JobID) bool { return d.jobs[id] != nil }
+
+// IsStored reports whether a job has a record in the table.
+func (d *Dispatcher) IsStored(id oleandervalve.JobID) bool {
+	j := d.jobs[id]
+	return j != nil && j.version > 0
+}
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -10,6 +10,7 @@
 	"oleandervalve"
 	"oleandervalve/core/crash"
 	"oleandervalve/core/dispatch"
+	"oleandervalve/core/startorder"
 	"oleandervalve/io/peer"
 )
 
@@ -17,6 +18,15 @@
 // announced. The platform allows such starts for longer.
 const drainStartGrace = 500 * time.Millisecond
 
+// newStartLimits returns the limits of start orders. An attempt at an order may reach the
+// executor until its timeout.
+func newStartLimits(o Options) startorder.Limits {
+	return startorder.Limits{MaxProofAge: min(max(o.CancelDelay-maxOrderTimeout, minProofAge), o.ProofLifetime), DrainGrace: drainStartGrace}
+}
+
+// minProofAge is the least age of proofs that allow starts, whatever the cancellation delay is.
+const minProofAge = 500 * time.Millisecond
+
 // loggedOrderAge is the age from which on a start order is logged when it is sent.
 const loggedOrderAge = time.Second
 
@@ -39,7 +49,7 @@
 	return b
 }
 
-// acquireStartSlot waits until fewer than maxParallelOrders orders are in flight. It returns
+// acquireStartSlot waits until fewer than maxParallelOrders start orders are in flight. It returns
 // false if the run has to end or ctx is done first.
 func (s *session) acquireStartSlot(ctx context.Context, st *pendingStart) bool {
 	select {
@@ -52,11 +62,11 @@
 	}
 }
 
-// acquireOrderSlot waits until fewer than maxParallelOrders orders are in flight. It
+// acquireStopSlot waits until fewer than maxParallelStops stop orders are in flight. It
 // returns false if ctx is done first.
-func (s *session) acquireOrderSlot(ctx context.Context) bool {
+func (s *session) acquireStopSlot(ctx context.Context) bool {
 	select {
-	case s.orderSlots <- struct{}{}:
+	case s.stopSlots <- struct{}{}:
 		return true
 	case <-ctx.Done():
 		return false
@@ -89,9 +99,11 @@
 	// unanswered means that an earlier attempt had no answer and may still take effect.
 	unanswered := false
 	timeout := initialOrderTimeout
+	waited := false
 	for ctx.Err() == nil {
-		reason, abort := s.abortReason(st)
-		if abort {
+		verdict, reason := s.decideStart(st)
+		switch verdict {
+		case startorder.Abandon:
 			if unanswered {
 				s.sendStop(ctx, k)
 			} else {
@@ -99,36 +111,38 @@
 				s.reportNeverStarted(k, reason)
 			}
 			return
+		case startorder.AwaitProof:
+			if !waited {
+				waited = true
+				s.logWaitingStart(o, unanswered)
+			}
+			s.waitForProof(ctx, st)
+			continue
+		case startorder.AwaitExecutor:
+			s.agent.waitRetryDelay(ctx)
+			continue
 		}
 		if !s.acquireStartSlot(ctx, st) {
 			continue
 		}
-		if _, abort := s.abortReason(st); abort {
-			// The run was stopped, or its executor changed, during the wait for the slot.
+		attempt, ok := s.beginStart(st)
+		if !ok {
 			<-s.orderSlots
 			continue
 		}
-		s.mu.Lock()
-		now := s.agent.options.now()
-		until := s.leaseUntil(now)
-		proofAge := now.Sub(s.proofAt)
-		s.mu.Unlock()
-		if waited := now.Sub(receivedAt); waited >= loggedOrderAge {
-			s.log().WithFields(logrus.Fields{
-				"job": o.Task.Job, "task": o.Task.String(), "run": o.Run, "waitedMs": waited.Milliseconds(), "proofAgeMs": proofAge.Milliseconds(), "unanswered": unanswered,
-			}).Info("start order is sent late")
-		}
+		s.logLateStart(o, receivedAt, unanswered)
 		call, cancel := context.WithTimeout(ctx, timeout)
-		refusal := oleandervalve.StartRefusal("")
-		err := error(&oleandervalve.UnavailableError{Service: "leading entry", Remedy: "wait for a proof of leadership"})
-		if until > 0 {
-			s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.StartOrdered(now, s.status.Incarnation, o.Task, o.Run) })
-			_, refusal, err = s.agent.options.Executor.Start(call, s.status.Incarnation.ID, oleandervalve.StartOrder{
-				Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: until, Token: s.token, Checkpoint: o.Checkpoint, PermitToken: o.PermitToken,
-			})
-		}
+		s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.StartOrdered(now, s.status.Incarnation, o.Task, o.Run) })
+		clock, refusal, err := s.agent.options.Executor.Start(call, s.status.Incarnation.ID, oleandervalve.StartOrder{
+			Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: attempt.leaseUntil, Token: s.token, Checkpoint: o.Checkpoint, PermitToken: o.PermitToken,
+		})
+		s.startReturned()
 		cancel()
 		<-s.orderSlots
+		if err == nil && clock > 0 && clock < attempt.clock {
+			s.endAsReplaced(ctx, k, refusal)
+			return
+		}
 		if err == nil && refusal == "" {
 			s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.StartConfirmed(now, s.status.Incarnation, o.Task, o.Run) })
 			s.mu.Lock()
@@ -172,6 +186,31 @@
 	}
 }
 
+func (s *session) startReturned() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.startsInFlight--
+}
+
+func (s *session) setUnconfirmed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unconfirmed = true
+}
+
+// endAsReplaced ends the session because another incarnation of the executor has answered a
+// start order: its clock is behind that of the session's one. If that incarnation has started
+// the run, it is stopped there, as its lease may last longer than the order was meant to grant.
+func (s *session) endAsReplaced(ctx context.Context, k runKey, refusal oleandervalve.StartRefusal) {
+	s.setUnconfirmed()
+	s.log().WithFields(logrus.Fields{"job": k.task.Job, "task": k.task.String(), "run": k.run, "reason": refusal}).Warn("start order was answered by another incarnation of the executor")
+	if refusal == "" {
+		s.agent.crashes.update(func(l *crash.Log, _ time.Time) { l.StartedLater(s.status.Incarnation, k.task, k.run) })
+		s.sendStop(ctx, k)
+	}
+	s.end("executor has a new incarnation")
+}
+
 // endIfReplaced ends the session and returns true if err reports that the executor has
 // another incarnation than the session.
 func (s *session) endIfReplaced(err error) bool {
@@ -183,25 +222,92 @@
 	return false
 }
 
-// abortReason reports whether a start order must be abandoned, and why. The executor may
-// start whatever it is told, so its capacity is checked before each attempt.
-func (s *session) abortReason(st *pendingStart) (oleandervalve.StartRefusal, bool) {
-	a := s.agent
+// decideStart decides whether a start order may be sent now. The executor may start whatever it
+// is told, so that is decided before each attempt.
+func (s *session) decideStart(st *pendingStart) (startorder.Verdict, oleandervalve.StartRefusal) {
+	c := s.agent.circumstances()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.decideStartWith(s.agent.options.now(), c, st)
+}
+
+// circumstances returns what the agent knows of its executor.
+func (a *Agent) circumstances() startorder.Circumstances {
 	a.mu.Lock()
-	draining := !a.drainingSince.IsZero() && a.options.Clock.Since(a.drainingSince) > drainStartGrace
-	capacity, ended := a.status.Capacity, a.ended
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	return startorder.Circumstances{Ended: a.ended, DrainingSince: a.drainingSince, Capacity: a.status.Capacity}
+}
+
+// decideStartWith decides with what the session knows beside c. s.mu must be held.
+func (s *session) decideStartWith(now oleandervalve.Instant, c startorder.Circumstances, st *pendingStart) (startorder.Verdict, oleandervalve.StartRefusal) {
+	c.Stopped, c.Reserved, c.ProofAt, c.Unconfirmed = st.isStopped(), s.reserved(), s.proofAt, s.unconfirmed
+	return startorder.Decide(now, s.agent.startLimits, c)
+}
+
+// startAttempt is an attempt at a start order.
+type startAttempt struct {
+	// leaseUntil is the end of the lease to request, and clock the executor's time in its last
+	// answer to a poll, both on the executor's clock.
+	leaseUntil, clock oleandervalve.ExecutorTime
+}
+
+// beginStart decides again once the order has a slot, as the circumstances may have changed. If
+// the order may be sent, it is in flight until startReturned is called.
+func (s *session) beginStart(st *pendingStart) (startAttempt, bool) {
+	c := s.agent.circumstances()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case st.isStopped() || ended:
-		return oleandervalve.RefusedOld, true
-	case draining:
-		return oleandervalve.RefusedDraining, true
-	case !s.reserved().Fits(capacity):
-		return oleandervalve.RefusedRoom, true
+	now := s.agent.options.now()
+	if verdict, _ := s.decideStartWith(now, c, st); verdict != startorder.Send {
+		return startAttempt{}, false
 	}
-	return "", false
+	s.startsInFlight++
+	return startAttempt{leaseUntil: s.leaseUntil(now), clock: s.clock}, true
+}
+
+// waitForProof asks the leader for a newer proof of leadership, and waits until there is one,
+// the run has to end, or the order has to be decided again.
+func (s *session) waitForProof(ctx context.Context, st *pendingStart) {
+	s.mu.Lock()
+	renewed := s.proofRenewed
+	s.mu.Unlock()
+	select {
+	case s.wakePing <- struct{}{}:
+	default:
+	}
+	select {
+	case <-renewed:
+	case <-st.stopped:
+	case <-ctx.Done():
+	case <-s.agent.options.Clock.After(retryDelay):
+	}
+}
+
+func (s *session) logWaitingStart(o dispatch.Start, unanswered bool) {
+	s.mu.Lock()
+	proofAt := s.proofAt
+	s.mu.Unlock()
+	if proofAt.IsZero() {
+		return
+	}
+	s.log().WithFields(logrus.Fields{
+		"job": o.Task.Job, "task": o.Task.String(), "run": o.Run, "proofAgeMs": s.agent.options.now().Sub(proofAt).Milliseconds(), "unanswered": unanswered,
+	}).Info("start order waits for a proof of leadership")
+}
+
+// logLateStart logs an order that is sent long after it was received at receivedAt.
+func (s *session) logLateStart(o dispatch.Start, receivedAt oleandervalve.Instant, unanswered bool) {
+	now := s.agent.options.now()
+	waited := now.Sub(receivedAt)
+	if waited < loggedOrderAge {
+		return
+	}
+	s.mu.Lock()
+	proofAge := now.Sub(s.proofAt)
+	s.mu.Unlock()
+	s.log().WithFields(logrus.Fields{
+		"job": o.Task.Job, "task": o.Task.String(), "run": o.Run, "waitedMs": waited.Milliseconds(), "proofAgeMs": proofAge.Milliseconds(), "unanswered": unanswered,
+	}).Info("start order is sent late")
 }
 
 // reserved returns what the known runs reserve, those that are being started or stopped
@@ -243,13 +349,13 @@
 func (s *session) sendStop(ctx context.Context, k runKey) {
 	timeout := initialOrderTimeout
 	for ctx.Err() == nil {
-		if !s.acquireOrderSlot(ctx) {
+		if !s.acquireStopSlot(ctx) {
 			return
 		}
 		call, cancel := context.WithTimeout(ctx, timeout)
 		err := s.agent.options.Executor.Stop(call, s.status.Incarnation.ID, k.task, k.run, s.token)
 		cancel()
-		<-s.orderSlots
+		<-s.stopSlots
 		if err == nil {
 			s.mu.Lock()
 			if !s.listedEnds[k] {
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -13,6 +13,7 @@
 	"oleandervalve/core/contention"
 	"oleandervalve/core/crash"
 	"oleandervalve/core/dispatch"
+	"oleandervalve/core/following"
 	"oleandervalve/core/pacing"
 	"oleandervalve/io/leader"
 	"oleandervalve/io/peer"
@@ -25,8 +26,12 @@
 	inventoryTimeout = 700 * time.Millisecond
 	// pingInterval is the time between pings. Their answers carry the proofs of leadership.
 	pingInterval = 700 * time.Millisecond
-	// maxParallelOrders limits the orders in flight to the executor.
+	// minPingInterval is the minimum time between a ping and one that asks for a newer proof.
+	minPingInterval = 100 * time.Millisecond
+	// maxParallelOrders limits the start orders in flight to the executor, and
+	// maxParallelStops the stop orders, which must not wait behind starts.
 	maxParallelOrders = 3
+	maxParallelStops  = 3
 	// initialOrderTimeout is the timeout of the first attempt at an order. It doubles
 	// with every attempt, up to maxOrderTimeout.
 	initialOrderTimeout = 300 * time.Millisecond
@@ -50,20 +55,30 @@
 // connection is closed, when the executor gets a new incarnation, or when a newer
 // session fences it off.
 type session struct {
-	agent      *Agent
-	conn       *peer.Conn
-	status     oleandervalve.ExecutorStatus
-	token      oleandervalve.FencingToken
-	cancel     context.CancelCauseFunc
-	orderSlots chan struct{}
+	agent *Agent
+	conn  *peer.Conn
+	// address is the address of the leader.
+	address string
+	status  oleandervalve.ExecutorStatus
+	token   oleandervalve.FencingToken
+	cancel  context.CancelCauseFunc
+	// orderSlots and stopSlots hold a value for each start or stop order in flight.
+	orderSlots, stopSlots chan struct{}
 
 	mu sync.Mutex
 	// proofAt is the latest time at which the leader is known to have led.
 	proofAt oleandervalve.Instant
-	pings   []sentPing
+	// proofRenewed is closed and replaced when proofAt advances.
+	proofRenewed chan struct{}
+	pings        []sentPing
 	// clock is the executor's time as of clockAt on the agent's clock.
 	clock   oleandervalve.ExecutorTime
 	clockAt time.Time
+	// unconfirmed means that a poll has failed since the executor last named its incarnation,
+	// so that another one may answer now. No start order is sent meanwhile.
+	unconfirmed bool
+	// startsInFlight is the number of start orders without an answer yet.
+	startsInFlight int
 	// leaseEnd is when the executor's lease has certainly expired, on the agent's clock.
 	leaseEnd time.Time
 	// inventoryIncomplete means that ended runs are missing from the session's inventory.
@@ -82,6 +97,8 @@
 	// order, until a later poll shows whether the run had started.
 	confirmedStops map[runKey]time.Time
 	listedEnds     map[runKey]bool
+	// dueIsolations holds the runs whose isolation has ended, until the executor is asked for them.
+	dueIsolations []runKey
 	// progress holds the runs whose speed is measured.
 	progress map[runKey]*runProgress
 	// controllers holds the throttle controller of each best-effort image.
@@ -97,8 +114,9 @@
 	// speedLimits holds the speed limit, in percent, that the executor applies to each
 	// run, or unknownSpeedLimit. A run missing from the map is unthrottled.
 	speedLimits map[runKey]int
-	// wakePoll ends the delay before the next poll of the executor.
-	wakePoll chan struct{}
+	// wakePoll ends the delay before the next poll of the executor, and wakePing that before
+	// the next ping.
+	wakePoll, wakePing chan struct{}
 }
 
 // pendingStart is a start order whose outcome is unknown.
@@ -183,10 +201,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &session{
-		agent: a, conn: c, token: admit.Token, cancel: cancel, orderSlots: make(chan struct{}, maxParallelOrders),
+		agent: a, conn: c, address: address, token: admit.Token, cancel: cancel, orderSlots: make(chan struct{}, maxParallelOrders), stopSlots: make(chan struct{}, maxParallelStops),
 		acknowledgedEnds: map[uint64]bool{}, hints: map[runKey]dispatch.RunHints{}, running: map[runKey]bool{},
 		pendingStarts: map[runKey]*pendingStart{}, confirmedStops: map[runKey]time.Time{}, listedEnds: map[runKey]bool{},
-		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*runProgress{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1),
+		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*runProgress{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1), wakePing: make(chan struct{}, 1), proofRenewed: make(chan struct{}),
 	}
 	a.mu.Lock()
 	s.status, a.token = a.status, max(a.token, admit.Token)
@@ -225,6 +243,10 @@
 	}()
 	next, err := s.receive(ctx)
 	if cause := context.Cause(ctx); cause != nil {
+		var replaced *replacedLeaderError
+		if errors.As(cause, &replaced) {
+			return replaced.Leader, cause
+		}
 		return address, cause
 	}
 	return next, err
@@ -245,10 +267,10 @@
 		return &oleandervalve.WrongIncarnationError{ID: s.status.Incarnation.ID}
 	}
 	s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Answered(now, s.status.Incarnation, result) })
+	earlierLease := s.agent.earlierLease(s.status.Incarnation)
 	s.mu.Lock()
-	s.clock, s.clockAt = result.Clock, sent
-	// An earlier session may have extended the lease until just before this poll.
-	s.leaseEnd = sent.Add(s.maxElapsed(s.agent.leaseDuration))
+	s.clock, s.clockAt = result.Clock, s.agent.options.Clock.Now()
+	s.leaseEnd = sent.Add(s.maxElapsed(earlierLease))
 	for _, r := range result.Running {
 		k := runKey{r.Task, r.Run}
 		s.running[k] = true
@@ -276,6 +298,20 @@
 	return nil
 }
 
+// earlierLease returns the longest lease that an earlier session may have requested of an
+// incarnation just before its first poll in the next session. An order that reached another
+// incarnation than it was meant for has requested a time on the clock of an older one.
+func (a *Agent) earlierLease(next oleandervalve.Incarnation) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	earlier := a.sessionIncarnation
+	a.sessionIncarnation = next
+	if earlier.ID != "" && earlier != next {
+		return a.options.MaxLease
+	}
+	return a.leaseDuration
+}
+
 // maxElapsed returns an upper bound of the real time that passes while the executor's
 // clock, which may be 2% slow, advances by d.
 func (s *session) maxElapsed(d time.Duration) time.Duration { return d * 103 / 100 }
@@ -283,22 +319,63 @@
 func (s *session) pingLoop(ctx context.Context) {
 	t := s.agent.options.Clock.NewTicker(pingInterval)
 	defer t.Stop()
+	var doubts following.Doubts
 	for n := uint64(1); ; n++ {
 		s.mu.Lock()
-		s.pings = append(s.pings, sentPing{n, s.agent.options.now()})
+		proofAt := s.proofAt
+		sentAt := s.agent.options.now()
+		s.pings = append(s.pings, sentPing{n, sentAt})
 		sample := s.sample
 		s.sample = contention.Sample{}
 		checkpoints := s.takeUnsentCheckpoints()
 		s.mu.Unlock()
 		s.conn.TrySend(&peer.Ping{Sequence: n, Sample: sample, Checkpoints: checkpoints})
+		if !proofAt.IsZero() && doubts.Ask(sentAt.Sub(proofAt)) {
+			go s.checkLeader(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.Chan():
+		case <-s.wakePing:
+			if !s.waitUntil(ctx, sentAt.Time.Add(minPingInterval)) {
+				return
+			}
 		}
 	}
 }
 
+// replacedLeaderError ends a session with an entry that has been replaced as the leader.
+type replacedLeaderError struct{ Leader string }
+
+func (e *replacedLeaderError) Error() string {
+	return "the table names another leader: follow " + e.Leader
+}
+
+// checkLeader ends the session if the table names another entry as the leader.
+func (s *session) checkLeader(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, leaderLookupTimeout)
+	defer cancel()
+	address, err := s.agent.options.LeaderAddress(call)
+	if err != nil {
+		s.log().WithError(err).Info("leader has sent no new proof, and the table can't be asked who leads")
+		return
+	}
+	if address != "" && address != s.address {
+		s.cancel(&replacedLeaderError{address})
+	}
+}
+
+// waitUntil waits until a time on the agent's clock. It returns false if ctx is done first.
+func (s *session) waitUntil(ctx context.Context, at time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.agent.options.Clock.After(at.Sub(s.agent.options.Clock.Now())):
+		return true
+	}
+}
+
 func (s *session) handlePong(p *peer.Pong) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -311,6 +388,8 @@
 		if first.sequence == p.Sequence {
 			if at := first.at.Add(-p.ProofAge); at.After(s.proofAt) {
 				s.proofAt = at
+				close(s.proofRenewed)
+				s.proofRenewed = make(chan struct{})
 			}
 		}
 	}
--- a/io/gateway/service_test.go
+++ b/io/gateway/service_test.go
@@ -95,3 +95,35 @@
 	is.True(leaderLease >= 2*leader.RenewInterval)
 	is.True(leader.EntryHeartbeatTimeout >= 2*pingInterval)
 }
+
+// Guards against a submission that is reported as not run although the leader that was lost has
+// accepted it: the leader that refuses it may be one that was replaced without knowing it.
+func TestRefusalAfterLostLeaderIsUnknown(t *testing.T) {
+	is := is.New(t)
+	g := newGateway()
+	replaced := &fakeLeader{reply: peer.JobReply{Verdict: dispatch.NotRun, Reason: "tableUnavailable", RetryAfter: time.Second}}
+	g.replaceUpstream(&fakeLeader{reply: peer.JobReply{Verdict: dispatch.Unknown}, afterReply: func() { g.replaceUpstream(nil); g.replaceUpstream(replaced) }})
+	var unknown *oleandervalve.UnknownOutcomeError
+	is.True(errors.As(g.Submit(context.Background(), work.Queue{Name: "q"}, "a", work.Spec{}), &unknown))
+	is.Equal(replaced.calls, 1)
+	var refused *oleandervalve.NotRunError
+	is.True(errors.As(g.Submit(context.Background(), work.Queue{Name: "q"}, "b", work.Spec{}), &refused)) // not lost before
+}
+
+// Guards against a reply that this release doesn't know and that counts as success: a
+// cancellation was acknowledged that way.
+func TestUnknownVerdictIsNoSuccess(t *testing.T) {
+	is := is.New(t)
+	g := newGateway()
+	g.replaceUpstream(&fakeLeader{reply: peer.JobReply{Verdict: 99}})
+	ctx := context.Background()
+	var unknown *oleandervalve.UnknownOutcomeError
+	is.True(errors.As(g.Cancel(ctx, "a"), &unknown))
+	is.True(errors.As(g.Submit(ctx, work.Queue{Name: "q"}, "a", work.Spec{}), &unknown))
+	_, err := g.Status(ctx, "a")
+	is.True(errors.As(err, &unknown))
+	_, err = g.Waiting(ctx, "q")
+	is.True(errors.As(err, &unknown))
+	g.replaceUpstream(&fakeLeader{reply: peer.JobReply{Verdict: dispatch.JobNotFound}})
+	is.True(errors.As(g.Submit(ctx, work.Queue{Name: "q"}, "a", work.Spec{}), &unknown))
+}
--- a/io/taskowner/jobs.go
+++ b/io/taskowner/jobs.go
@@ -135,7 +135,14 @@
 	if err != nil || stored.Cancelled {
 		return err
 	}
-	return o.commitChange(ctx, stored.Cancel(oleandervalve.MutationID("cancel-"+uuid.NewString()), o.id, job.ReasonJobCancelled), j, "job cancellation")
+	err = o.commitChange(ctx, stored.Cancel(oleandervalve.MutationID("cancel-"+uuid.NewString()), o.id, job.ReasonJobCancelled), j, "job cancellation")
+	var conflict *oleandervalve.ConflictError
+	if errors.As(err, &conflict) {
+		if current, parseErr := job.ParseJob(conflict.Current); parseErr == nil && current.Cancelled {
+			return nil // cancelled through another entry since the row was read
+		}
+	}
+	return err
 }
 
 // commitChange commits a change of a job together with an inbox row for the owner
@@ -225,7 +232,7 @@
 func (o *Owner) waitReason(id oleandervalve.TaskID) oleandervalve.Reason {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if s := o.shards[job.ShardOf(job.Parent(id))]; s != nil {
+	if s := o.shard(job.ShardOf(job.Parent(id))); s != nil {
 		return s.WaitReason(id)
 	}
 	return ""
@@ -241,7 +248,7 @@
 		j := oleandervalve.JobID(r.Value)
 		i := job.ShardOf(j)
 		o.mu.Lock()
-		claim := o.shards[i] != nil && !o.claimedInbox[r.Key]
+		claim := o.shard(i) != nil && !o.claimedInbox[r.Key]
 		if claim {
 			o.claimedInbox[r.Key] = true
 		}
@@ -275,7 +282,7 @@
 func (o *Owner) handleInboxRow(i oleandervalve.ShardID, j oleandervalve.JobID, inboxKey oleandervalve.Key) {
 	o.mu.Lock()
 	fence := o.taskShards.Fence(i)
-	held := o.taskShards.Held(o.clock.Now(), i)
+	held := o.holds(i)
 	o.mu.Unlock()
 	handled := false
 	if held {
