Count jobs as waiting whose start orders are delayed

Cause: an assigned task counted as started. A leader that has just taken over knows only the assignments, and with such executors its agents take up to 7 s to connect.

Fix: agents list with their pings the runs whose orders they have had for 0.5 s and that are not known to have started, at most twice a second and within 16 KiB. The leader keeps the newest list of each agent until the agent connects again, as a lost session ends its orders. A job waits if each assigned task is in such a list, or its start has not been sent, or was sent less than 1.5 s ago after an earlier run that is not known to have started. A new leader refuses the number, with a time to return, as long as the jobs that it can't tell outnumber those that it knows to wait, so that a number is never below half of the truth for that reason.

Why it works: starts that are answered soon never reach 0.5 s, so that their jobs count as begun at once, as before. A run that the executor lists as running or ended leaves the list with the next ping; the number may be 2 s old. An agent of an earlier release sends no list, and its assigned tasks count as started; an entry of an earlier release handles the refusal as it does others.

Ruled out: counting each run that has just been sent as waiting, which would show every job as waiting for a while; storing what is delayed, which costs commits while the table is out of reach. Dispatcher.Waiting takes the time and tells whether the number is known; the tests of it read both.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -52,7 +52,12 @@
 	// grantedAt is when the agent was last allowed to extend its executor's lease.
 	grantedAt time.Time
 	runs      map[runKey]*run
-	reserved  oleandervalve.Resources
+	// unheard means that the agent has not connected to this leader, which knows it only from
+	// the records of an earlier one.
+	unheard bool
+	// delayedStarts holds the runs that the agent has last listed as delayed.
+	delayedStarts map[runKey]bool
+	reserved      oleandervalve.Resources
 	// unsizedRuns is the number of runs of unknown size.
 	unsizedRuns int
 	// lcCPU is the CPU demand of long-running runs that are not best-effort, and
--- /dev/null
+++ b/core/dispatch/delayed.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"time"
+
+	"oleandervalve"
+	"oleandervalve/core/work"
+)
+
+// DelayedStart is a run whose start order has been at its agent for a while and that is not known
+// to have started.
+type DelayedStart struct {
+	Task oleandervalve.TaskName  `cbor:"1,keyasint"`
+	Run  oleandervalve.RunNumber `cbor:"2,keyasint"`
+}
+
+// StartsDelayed replaces the delayed starts of an agent by those that it has just listed. The
+// lists answer the load of executors that leave most orders without an answer while jobs arrive
+// in bursts: start orders wait at the agents for seconds, and their jobs are waiting jobs.
+func (d *Dispatcher) StartsDelayed(id oleandervalve.AgentID, starts []DelayedStart) {
+	a := d.agents[id]
+	if a == nil || !a.connected {
+		return
+	}
+	a.delayedStarts = make(map[runKey]bool, len(starts))
+	for _, s := range starts {
+		a.delayedStarts[runKey{s.Task, s.Run}] = true
+	}
+}
+
+// Waiting returns the number of stored jobs of a queue of which no task has started, as far as
+// that is known. known is false if the number may be over twice as high: until its agents have
+// connected, a new leader doesn't know which of the runs that it has loaded have started.
+func (d *Dispatcher) Waiting(now time.Time, q work.QueueName) (count int, known bool) {
+	unknown := 0
+	for _, j := range d.jobs {
+		if j.rec.Queue.Name != q || j.version == 0 {
+			continue
+		}
+		switch j.committedState {
+		case work.Pending:
+			count++
+		case work.Running:
+			switch d.beginning(now, j) {
+			case notBegun:
+				count++
+			case maybeBegun:
+				unknown++
+			}
+		}
+	}
+	return count, unknown <= count
+}
+
+// beginning tells whether a job has begun.
+type beginning int
+
+const (
+	notBegun beginning = iota
+	maybeBegun
+	begun
+)
+
+// beginning tells whether a task of a job has started. An assigned task counts as started unless
+// something is known to the contrary.
+func (d *Dispatcher) beginning(now time.Time, j *job) beginning {
+	if j.began {
+		return begun
+	}
+	latest := notBegun
+	for _, s := range j.steps {
+		for i := range s.spec.Count {
+			if s.firstTask+i >= len(j.rec.Tasks) {
+				return latest
+			}
+			t := &j.rec.Tasks[s.firstTask+i]
+			if t.State == work.TaskDone || t.Failures > 0 || t.Checkpoint != "" {
+				return begun
+			}
+			if t.State == work.TaskAssigned {
+				latest = max(latest, d.runBeginning(now, j.rec.Executors[t.ExecutorIndex].Agent, runKey{s.name(i), t.Run}))
+			}
+			if latest == begun {
+				return begun
+			}
+		}
+	}
+	return latest
+}
+
+// listDelay is how long after the leader has sent a start an agent's list may lack it although
+// it is delayed.
+const listDelay = 1500 * time.Millisecond
+
+// runBeginning tells whether a run that is assigned to an agent has started.
+func (d *Dispatcher) runBeginning(now time.Time, id oleandervalve.AgentID, k runKey) beginning {
+	a := d.agents[id]
+	if a == nil || a.runs[k] == nil {
+		return begun
+	}
+	r := a.runs[k]
+	switch {
+	case !r.startSent || a.delayedStarts[k]:
+		return notBegun
+	case a.unheard:
+		return maybeBegun
+	case k.run > 1 && now.Sub(r.startedAt) < listDelay:
+		// No earlier run is known to have started: the job was waiting until just now.
+		return notBegun
+	}
+	return begun
+}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -165,6 +165,7 @@
 				a = d.addAgent(ref.Agent)
 				a.status.Incarnation = ref.Executor
 				a.grantedAt = now
+				a.unheard = true
 			}
 			// If the reference differs from the agent's newest known one, it names an
 			// earlier incarnation of the executor, which is resolved when the agent
@@ -284,18 +285,6 @@
 	return j.committedState, true
 }
 
-// Waiting returns the number of stored jobs of a queue of which no task has started, as far as
-// that is known.
-func (d *Dispatcher) Waiting(q work.QueueName) int {
-	n := 0
-	for _, j := range d.jobs {
-		if j.rec.Queue.Name == q && j.version > 0 && (j.committedState == work.Pending || j.committedState == work.Running && !j.hasBegun()) {
-			n++
-		}
-	}
-	return n
-}
-
 // TakeActions returns the queued actions and clears the queue.
 func (d *Dispatcher) TakeActions() []Action {
 	out := d.actions
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -186,19 +186,6 @@
 	return len(j.rec.Executors) - 1
 }
 
-// hasBegun reports whether a task of the job has started or is assigned to an executor.
-func (j *job) hasBegun() bool {
-	if j.began {
-		return true
-	}
-	for _, t := range j.rec.Tasks {
-		if t.State != work.TaskWaiting || t.Failures > 0 || t.Checkpoint != "" {
-			return true
-		}
-	}
-	return false
-}
-
 // running reports whether any task of the job is assigned to an executor.
 func (j *job) running() bool {
 	for _, t := range j.rec.Tasks {
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -23,6 +23,7 @@
 		d.recordRestart(now, a)
 	}
 	a.connected = true
+	a.unheard, a.delayedStarts = false, nil
 	a.grantedAt = now
 	a.status = status
 	a.rack = rackOf(status.Labels)
--- a/core/dispatch/waiting_test.go
+++ b/core/dispatch/waiting_test.go
@@ -42,7 +42,7 @@
 			c.submit("j", work.Queue{Name: "q", Service: "press", MaxAttempts: 3}, work.Spec{Steps: []work.Step{{Count: 1, Demand: oleandervalve.Resources{CPU: 1000}}}})
 			c.advanceCommit(true)
 			c.advanceCommit(true)
-			is.Equal(c.dispatcher.Waiting("q"), 0)
+			is.Equal(c.waiting("q"), 0)
 			k := runKey{oleandervalve.TaskName{Job: "j"}, 1}
 			is.True(c.dispatcher.agents[a.id].runs[k] != nil)
 			// The task finds no other executor.
@@ -52,8 +52,118 @@
 			for range 4 {
 				c.advanceCommit(true)
 			}
-			is.Equal(c.dispatcher.Waiting("q"), tt.want)
-			is.Equal(c.dispatcher.Waiting("other"), 0)
+			is.Equal(c.waiting("q"), tt.want)
+			is.Equal(c.waiting("other"), 0)
+		})
+	}
+}
+
+// unknownCount is the number of waiting jobs if it is not known.
+const unknownCount = -1
+
+// waiting returns the number of waiting jobs of a queue.
+func (c *cluster) waiting(q work.QueueName) int {
+	if n, known := c.dispatcher.Waiting(c.now, q); known {
+		return n
+	}
+	return unknownCount
+}
+
+// Guards against jobs that are left out of the number of waiting jobs while their start orders
+// wait at an agent, and against jobs that have begun and are counted.
+func TestJobWhoseStartsAreDelayedIsWaiting(t *testing.T) {
+	first, second := runKey{oleandervalve.TaskName{Job: "j"}, 1}, runKey{oleandervalve.TaskName{Job: "j", Index: 1}, 1}
+	list := func(c *cluster, a *fakeAgent, runs ...runKey) {
+		var starts []DelayedStart
+		for _, k := range runs {
+			starts = append(starts, DelayedStart{Task: k.task, Run: k.run})
+		}
+		c.dispatcher.StartsDelayed(a.id, starts)
+	}
+	run := func(a *fakeAgent, c *cluster, k runKey) {
+		a.running = append(a.running, fakeRun{key: k, ends: c.now.Add(time.Hour)})
+	}
+	for _, tt := range []struct {
+		name   string
+		events func(c *cluster, a *fakeAgent)
+		want   int
+	}{
+		{"all starts are delayed", func(c *cluster, a *fakeAgent) { list(c, a, first, second) }, 1},
+		{"agent lists nothing", func(*cluster, *fakeAgent) {}, 0},
+		{"one start is not delayed", func(c *cluster, a *fakeAgent) { list(c, a, second) }, 0},
+		{"list is of an earlier run", func(c *cluster, a *fakeAgent) { list(c, a, first, runKey{second.task, 0}) }, 0},
+		{"list is of another agent", func(c *cluster, a *fakeAgent) { list(c, c.agents[c.order[1]], first, second) }, 0},
+		{"a start is not delayed any more", func(c *cluster, a *fakeAgent) {
+			list(c, a, first, second)
+			list(c, a, second)
+		}, 0},
+		{"one task is done", func(c *cluster, a *fakeAgent) {
+			list(c, a, first, second)
+			c.dispatcher.RunEnded(c.now, a.id, a.status.Incarnation, oleandervalve.EndedTask{Number: 1, Task: first.task, Run: first.run, How: oleandervalve.EndDone})
+		}, 0},
+		{"one start is refused", func(c *cluster, a *fakeAgent) {
+			list(c, a, first, second)
+			c.dispatcher.RunNeverStarted(c.now, a.id, NeverStarted{Task: first.task, Run: first.run, Reason: oleandervalve.RefusedRoom})
+		}, 1},
+		{"session is lost", func(c *cluster, a *fakeAgent) {
+			list(c, a, first, second)
+			c.dispatcher.AgentDisconnected(c.now, a.id)
+		}, 1},
+		{"next session lists the runs", func(c *cluster, a *fakeAgent) {
+			list(c, a, first, second)
+			run(a, c, first)
+			run(a, c, second)
+			c.connect(a)
+		}, 0},
+		{"next leader has not heard of the agent", func(c *cluster, a *fakeAgent) {
+			list(c, a, first, second)
+			c.startLeader()
+		}, unknownCount},
+		{"next leader knows that one task is done", func(c *cluster, a *fakeAgent) {
+			c.dispatcher.RunEnded(c.now, a.id, a.status.Incarnation, oleandervalve.EndedTask{Number: 1, Task: first.task, Run: first.run, How: oleandervalve.EndDone})
+			for range 2 {
+				c.advanceCommit(true)
+			}
+			c.startLeader()
+		}, 0},
+		{"next leader hears of a run", func(c *cluster, a *fakeAgent) {
+			run(a, c, first)
+			c.startLeader()
+			c.connect(a)
+		}, 0},
+		{"run of the next leader is delayed", func(c *cluster, a *fakeAgent) {
+			c.startLeader()
+			c.connect(a)
+			list(c, a, first, second)
+			is.New(c.t).Equal(c.waiting("q"), 1) // requeued, and not placed again
+			a.status.State = oleandervalve.ExecutorReady
+			c.dispatcher.StatusChanged(a.id, a.status)
+			for range 4 {
+				c.collect()
+				c.advanceCommit(true)
+			}
+			is.New(c.t).Equal(c.waiting("q"), 1) // the agent can't have listed the starts yet
+			c.now = c.now.Add(listDelay)
+			is.New(c.t).Equal(c.waiting("q"), 0)
+			list(c, a, runKey{first.task, 2}, runKey{second.task, 2})
+		}, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 1, 2)
+			a, other := c.agents[c.order[0]], c.agents[c.order[1]]
+			other.status.State = oleandervalve.ExecutorDraining
+			c.dispatcher.StatusChanged(other.id, other.status)
+			c.submit("j", work.Queue{Name: "q", Service: "press", MaxAttempts: 3}, work.Spec{Steps: []work.Step{{Count: 2, Demand: oleandervalve.Resources{CPU: 1000}}}})
+			c.advanceCommit(true)
+			c.advanceCommit(true)
+			is.True(c.dispatcher.agents[a.id].runs[first].startSent)
+			is.True(c.dispatcher.agents[a.id].runs[second].startSent)
+			// The tasks find no other executor.
+			a.status.State = oleandervalve.ExecutorDraining
+			c.dispatcher.StatusChanged(a.id, a.status)
+			tt.events(c, a)
+			is.Equal(c.waiting("q"), tt.want)
 		})
 	}
 }
--- a/core/work/service.go
+++ b/core/work/service.go
@@ -21,7 +21,7 @@
 	Status(ctx context.Context, j oleandervalve.JobID) (State, error)
 	// Cancel cancels a job.
 	Cancel(ctx context.Context, j oleandervalve.JobID) error
-	// Waiting returns the number of jobs of a queue of which no task has been assigned yet.
+	// Waiting returns the number of jobs of a queue of which no task has started yet.
 	Waiting(ctx context.Context, q QueueName) (int, error)
 	// NotReadyReason returns what the process is still waiting for, or "" if it is ready.
 	NotReadyReason() string
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -79,7 +79,7 @@
 		s.reportNeverStarted(k, oleandervalve.RefusedOld)
 		return
 	}
-	st := &pendingStart{done: make(chan struct{}), stopped: make(chan struct{})}
+	st := &pendingStart{receivedAt: s.agent.options.now(), done: make(chan struct{}), stopped: make(chan struct{})}
 	s.mu.Lock()
 	s.pendingStarts[k] = st
 	s.hints[k] = o.Hints
@@ -95,7 +95,6 @@
 		s.mu.Unlock()
 		close(st.done)
 	}()
-	receivedAt := s.agent.options.now()
 	// unanswered means that an earlier attempt had no answer and may still take effect.
 	unanswered := false
 	timeout := initialOrderTimeout
@@ -130,7 +129,7 @@
 			<-s.orderSlots
 			continue
 		}
-		s.logLateStart(o, receivedAt, unanswered)
+		s.logLateStart(o, st.receivedAt, unanswered)
 		call, cancel := context.WithTimeout(ctx, timeout)
 		s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.StartOrdered(now, s.status.Incarnation, o.Task, o.Run) })
 		clock, refusal, err := s.agent.options.Executor.Start(call, s.status.Incarnation.ID, oleandervalve.StartOrder{
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -93,6 +93,8 @@
 	hints               map[runKey]dispatch.RunHints
 	running             map[runKey]bool
 	pendingStarts       map[runKey]*pendingStart
+	// delayedStartsAt is when the delayed starts were last sent to the leader.
+	delayedStartsAt oleandervalve.Instant
 	// confirmedStops maps runs to the time at which the executor confirmed their stop
 	// order, until a later poll shows whether the run had started.
 	confirmedStops map[runKey]time.Time
@@ -121,6 +123,7 @@
 
 // pendingStart is a start order whose outcome is unknown.
 type pendingStart struct {
+	receivedAt oleandervalve.Instant
 	// done is closed once the outcome is known, and stopped once the run has to end.
 	done, stopped chan struct{}
 	// void means, once done is closed, that the run has been reported as never started.
@@ -328,8 +331,10 @@
 		sample := s.sample
 		s.sample = contention.Sample{}
 		checkpoints := s.takeUnsentCheckpoints()
+		ping := &peer.Ping{Sequence: n, Sample: sample, Checkpoints: checkpoints}
+		s.addDelayedStarts(sentAt, ping)
 		s.mu.Unlock()
-		s.conn.TrySend(&peer.Ping{Sequence: n, Sample: sample, Checkpoints: checkpoints})
+		s.conn.TrySend(ping)
 		if !proofAt.IsZero() && doubts.Ask(sentAt.Sub(proofAt)) {
 			go s.checkLeader(ctx)
 		}
--- a/io/gateway/service.go
+++ b/io/gateway/service.go
@@ -201,8 +201,7 @@
 	return nil
 }
 
-// Waiting returns the number of jobs of a queue of which no task has been assigned
-// yet.
+// Waiting returns the number of jobs of a queue of which no task has started yet.
 func (g *Gateway) Waiting(ctx context.Context, q work.QueueName) (int, error) {
 	r, _, answered := g.call(ctx, peer.JobCall{Kind: peer.CallCountWaiting, Queue: work.Queue{Name: q}})
 	if !answered || r.Verdict != dispatch.Accepted {
--- a/io/leader/calls.go
+++ b/io/leader/calls.go
@@ -49,7 +49,12 @@
 				l.answerAbsent(m, answer)
 			}
 		case peer.CallCountWaiting:
-			answer(peer.JobReply{ID: m.ID, Count: d.Waiting(m.Queue.Name)})
+			n, known := d.Waiting(now, m.Queue.Name)
+			if !known {
+				answer(peer.JobReply{ID: m.ID, Verdict: dispatch.NotRun, Reason: "takeover", RetryAfter: minRetryAfter})
+				return
+			}
+			answer(peer.JobReply{ID: m.ID, Count: n})
 		}
 	})
 	if !handled {
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -168,6 +168,9 @@
 			l.dispatcher.LeaseGranted(now, id)
 			l.dispatcher.LoadSampled(now, id, p.Sample)
 			l.dispatcher.RunsCheckpointed(now, id, p.Checkpoints)
+			if p.ListsDelayedStarts {
+				l.dispatcher.StartsDelayed(id, p.DelayedStarts)
+			}
 		}
 		l.mu.Unlock()
 		return
--- a/io/peer/dispatch.go
+++ b/io/peer/dispatch.go
@@ -119,6 +119,10 @@
 	Sample contention.Sample `cbor:"3,keyasint,omitempty"`
 	// Checkpoints are the checkpoints made at the agent's executor since the last Ping.
 	Checkpoints []dispatch.RunCheckpoint `cbor:"4,keyasint,omitempty"`
+	// DelayedStarts are the delayed starts at the agent. ListsDelayedStarts means that they
+	// replace those of the earlier messages.
+	DelayedStarts      []dispatch.DelayedStart `cbor:"5,keyasint,omitempty"`
+	ListsDelayedStarts bool                    `cbor:"6,keyasint,omitempty"`
 }
 
 // Pong responds to a Ping.
