--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -27,14 +27,14 @@
 
 // jobChange is the part of a Batch that belongs to one job.
 type jobChange struct {
-	job        *job
-	state      work.State
-	hidden     bool
-	expired    bool
-	wroteSpec  bool
-	submitters []Token
-	cancellers []Token
-	effects    []Action
+	job               *job
+	state             work.State
+	storedUnsubmitted bool
+	expired           bool
+	wroteSpec         bool
+	submitters        []Token
+	cancellers        []Token
+	effects           []Action
 }
 
 // maxOperationsPerJob is the maximum number of operations per job: a condition and two
@@ -65,7 +65,7 @@
 			break
 		}
 		n++
-		c := jobChange{job: j, state: j.rec.State, hidden: j.rec.Unsubmitted, expired: j.expired, submitters: j.submitters, cancellers: j.cancellers, effects: j.effects}
+		c := jobChange{job: j, state: j.rec.State, storedUnsubmitted: j.rec.Unsubmitted, expired: j.expired, submitters: j.submitters, cancellers: j.cancellers, effects: j.effects}
 		key := work.RecordKey(j.id)
 		b.Transaction.Conditions = append(b.Transaction.Conditions, oleandervalve.Condition{Key: key, Version: j.version})
 		if j.expired {
@@ -116,7 +116,7 @@
 // that depended on the commit.
 func (d *Dispatcher) CommitApplied(now time.Time, b *Batch, version oleandervalve.Version) {
 	for _, c := range b.changes {
-		c.job.version, c.job.committedState, c.job.hidden, c.job.inFlight, c.job.alone = version, c.state, c.hidden, false, false
+		c.job.version, c.job.committedState, c.job.storedUnsubmitted, c.job.inFlight, c.job.alone = version, c.state, c.storedUnsubmitted, false, false
 		if c.expired {
 			d.forget(c.job)
 		}
@@ -127,7 +127,7 @@
 			c.job.specVersion = 0
 		}
 		submitters := c.submitters
-		if !c.hidden {
+		if !c.storedUnsubmitted {
 			// Submissions that were repeated during the commit need no other one.
 			submitters = slices.Concat(submitters, c.job.submitters)
 			c.job.submitters = nil
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -110,7 +110,7 @@
 	sort.Slice(stored, func(i, j int) bool { return stored[i].Job < stored[j].Job })
 	for _, s := range stored {
 		j := newJob(s.Job, s.Spec, s.Record)
-		j.version, j.specVersion, j.committedState, j.hidden = s.Version, s.SpecVersion, s.Record.State, s.Record.Unsubmitted
+		j.version, j.specVersion, j.committedState, j.storedUnsubmitted = s.Version, s.SpecVersion, s.Record.State, s.Record.Unsubmitted
 		if j.rec.Unsubmitted {
 			d.unsubmittedJobs++
 		}
@@ -220,7 +220,7 @@
 			d.submitCancelled(now, j, s)
 			return
 		}
-		if j.version > 0 && !j.hidden {
+		if j.version > 0 && !j.storedUnsubmitted {
 			d.enqueueAction(Reply{Token: s.Token, Verdict: Accepted})
 			return
 		}
@@ -279,7 +279,7 @@
 // State returns the committed state of a job, or false if the job is not stored.
 func (d *Dispatcher) State(id oleandervalve.JobID) (work.State, bool) {
 	j := d.jobs[id]
-	if j == nil || j.version == 0 || j.hidden {
+	if j == nil || j.version == 0 || j.storedUnsubmitted {
 		return 0, false
 	}
 	return j.committedState, true
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -30,9 +30,9 @@
 	retryAt time.Time
 	// committedState is the durable state, which is the one reported to callers.
 	committedState work.State
-	// hidden means that the durable record is that of a job without a submission, which is not
-	// shown to callers.
-	hidden bool
+	// storedUnsubmitted means that the durable record is that of a job without a submission, which
+	// is not shown to callers.
+	storedUnsubmitted bool
 	// objective is the target time to completion, based on declared run times.
 	objective time.Duration
 
--- a/core/dispatch/unsubmitted.go
+++ b/core/dispatch/unsubmitted.go
@@ -49,7 +49,7 @@
 
 // cancelVerdict returns the verdict for a cancellation that is durable.
 func (j *job) cancelVerdict() Verdict {
-	if j.hidden {
+	if j.storedUnsubmitted {
 		return JobNotFound
 	}
 	return Accepted
--- a/core/following/decide_test.go
+++ b/core/following/decide_test.go
@@ -11,7 +11,7 @@
 // is sound.
 func TestTableIsAskedAtFallingRate(t *testing.T) {
 	is := is.New(t)
-	var d Doubts
+	var d Inquiry
 	askedAt := func(from, to time.Duration) []time.Duration {
 		var out []time.Duration
 		for age := from; age <= to; age += 500 * time.Millisecond {
--- a/core/startorder/decide.go
+++ b/core/startorder/decide.go
@@ -30,7 +30,8 @@
 	// Unconfirmed means that a poll has failed since the executor last named its incarnation, so
 	// that another one may answer now.
 	Unconfirmed bool
-	// ProofAt is the latest time at which the leader is known to have led; zero if there is none.
+	// ProofAt is the latest time at which the leader is known to have led, by a commit that only
+	// the leader can make; zero if there is none.
 	ProofAt oleandervalve.Instant
 }
 
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -49,11 +49,11 @@
 	return b
 }
 
-// acquireStartSlot waits until fewer than maxParallelOrders start orders are in flight. It returns
+// acquireStartSlot waits until fewer than maxParallelStarts start orders are in flight. It returns
 // false if the run has to end or ctx is done first.
 func (s *session) acquireStartSlot(ctx context.Context, st *pendingStart) bool {
 	select {
-	case s.orderSlots <- struct{}{}:
+	case s.startSlots <- struct{}{}:
 		return true
 	case <-st.stopped:
 		return false
@@ -126,7 +126,7 @@
 		}
 		attempt, ok := s.beginStart(st)
 		if !ok {
-			<-s.orderSlots
+			<-s.startSlots
 			continue
 		}
 		s.logLateStart(o, st.receivedAt, unanswered)
@@ -137,7 +137,7 @@
 		})
 		s.startReturned()
 		cancel()
-		<-s.orderSlots
+		<-s.startSlots
 		if err == nil && clock > 0 && clock < attempt.clock {
 			s.endAsReplaced(ctx, k, refusal)
 			return
--- a/io/executor/proof_test.go
+++ b/io/executor/proof_test.go
@@ -159,8 +159,8 @@
 			conn := <-l.conns
 			s := a.awaitSession()
 			s.awaitProof()
-			for range maxParallelOrders {
-				s.orderSlots <- struct{}{}
+			for range maxParallelStarts {
+				s.startSlots <- struct{}{}
 			}
 			conn.TrySend(&peer.StartRun{Start: dispatch.Start{Executor: s.status.Incarnation, Task: waiting.task, Run: waiting.run, Hints: dispatch.RunHints{CPU: 2000}}})
 			for !s.isPending(waiting) {
--- a/io/executor/queue_test.go
+++ b/io/executor/queue_test.go
@@ -56,8 +56,8 @@
 			})
 			conn := <-conns
 			s := a.awaitSession()
-			for range maxParallelOrders {
-				s.orderSlots <- struct{}{}
+			for range maxParallelStarts {
+				s.startSlots <- struct{}{}
 			}
 			conn.TrySend(&peer.StartRun{Start: dispatch.Start{Executor: s.status.Incarnation, Task: waiting.task, Run: waiting.run, Hints: dispatch.RunHints{CPU: 2000}}})
 			for !s.isPending(waiting) {
@@ -104,7 +104,7 @@
 }
 
 func (s *session) releaseSlots() {
-	for range maxParallelOrders {
-		<-s.orderSlots
+	for range maxParallelStarts {
+		<-s.startSlots
 	}
 }
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -28,9 +28,9 @@
 	pingInterval = 700 * time.Millisecond
 	// minPingInterval is the minimum time between a ping and one that asks for a newer proof.
 	minPingInterval = 100 * time.Millisecond
-	// maxParallelOrders limits the start orders in flight to the executor, and
+	// maxParallelStarts limits the start orders in flight to the executor, and
 	// maxParallelStops the stop orders, which must not wait behind starts.
-	maxParallelOrders = 3
+	maxParallelStarts = 3
 	maxParallelStops  = 3
 	// initialOrderTimeout is the timeout of the first attempt at an order. It doubles
 	// with every attempt, up to maxOrderTimeout.
@@ -62,8 +62,8 @@
 	status  oleandervalve.ExecutorStatus
 	token   oleandervalve.FencingToken
 	cancel  context.CancelCauseFunc
-	// orderSlots and stopSlots hold a value for each start or stop order in flight.
-	orderSlots, stopSlots chan struct{}
+	// startSlots and stopSlots hold a value for each start or stop order in flight.
+	startSlots, stopSlots chan struct{}
 
 	mu sync.Mutex
 	// proofAt is the latest time at which the leader is known to have led.
@@ -204,7 +204,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &session{
-		agent: a, conn: c, address: address, token: admit.Token, cancel: cancel, orderSlots: make(chan struct{}, maxParallelOrders), stopSlots: make(chan struct{}, maxParallelStops),
+		agent: a, conn: c, address: address, token: admit.Token, cancel: cancel, startSlots: make(chan struct{}, maxParallelStarts), stopSlots: make(chan struct{}, maxParallelStops),
 		acknowledgedEnds: map[uint64]bool{}, hints: map[runKey]dispatch.RunHints{}, running: map[runKey]bool{},
 		pendingStarts: map[runKey]*pendingStart{}, confirmedStops: map[runKey]time.Time{}, listedEnds: map[runKey]bool{},
 		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*runProgress{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1), wakePing: make(chan struct{}, 1), proofRenewed: make(chan struct{}),
@@ -322,7 +322,7 @@
 func (s *session) pingLoop(ctx context.Context) {
 	t := s.agent.options.Clock.NewTicker(pingInterval)
 	defer t.Stop()
-	var doubts following.Doubts
+	var inquiry following.Inquiry
 	for n := uint64(1); ; n++ {
 		s.mu.Lock()
 		proofAt := s.proofAt
@@ -335,7 +335,7 @@
 		s.addDelayedStarts(sentAt, ping)
 		s.mu.Unlock()
 		s.conn.TrySend(ping)
-		if !proofAt.IsZero() && doubts.Ask(sentAt.Sub(proofAt)) {
+		if !proofAt.IsZero() && inquiry.Ask(sentAt.Sub(proofAt)) {
 			go s.checkLeader(ctx)
 		}
 		select {
--- a/io/executor/stops_test.go
+++ b/io/executor/stops_test.go
@@ -44,11 +44,11 @@
 	conn := <-conns
 	s := a.awaitSession()
 	running := oleandervalve.TaskName{Job: "running"}
-	const starts = 10 * maxParallelOrders
+	const starts = 10 * maxParallelStarts
 	for i := range starts {
 		conn.TrySend(&peer.StartRun{Start: dispatch.Start{Executor: s.status.Incarnation, Task: oleandervalve.TaskName{Job: "silent", Index: i}, Run: 1}})
 	}
-	for len(s.orderSlots) < maxParallelOrders {
+	for len(s.startSlots) < maxParallelStarts {
 		time.Sleep(time.Millisecond)
 	}
 	conn.TrySend(&peer.StopRun{Stop: dispatch.Stop{Task: running, Run: 1}})
