Renew the leader's row while its jobs are loaded

What callers saw: after a change of leader no entry led for as long as the cause lasted. Requests were refused or unanswered, no task was placed, and agents got no proof of leadership, so that leases ran out after 7 s.

Cause: a new leader read all stored jobs before its first renewal. Entries that can't follow it yet replace a leader whose row has been unchanged for 1.7 s. Where loading takes longer (many stored jobs behind a thin link, a small share of a processor, a table that needs 0.3 s for each of the reads), every new leader was replaced before it was ready, and the next one started the same reads again, without end.

A renewal that has begun is finished before the first other commit, so that the version of the row is known. A conflict ends the load. The load moves to a file of its own.

--- /dev/null
+++ b/io/leader/load.go
@@ -0,0 +1,166 @@
+package leader
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"oleandervalve"
+	"oleandervalve/core/dispatch"
+	"oleandervalve/core/work"
+)
+
+// loadWhileRenewing loads the jobs and renews the leader's row meanwhile: loading may take
+// longer than the row may stay unchanged before another entry takes over.
+func (l *Leader) loadWhileRenewing(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	renewing, stopRenewing := context.WithCancel(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		if err := l.renewLoop(ctx, renewing.Done()); err != nil {
+			cancel(err)
+		}
+	}()
+	if err := l.load(ctx); err != nil {
+		cancel(err)
+	}
+	stopRenewing()
+	<-stopped
+	return context.Cause(ctx)
+}
+
+// renewLoop renews the leader's row until leadership is lost or done is closed. It finishes a
+// renewal that it has begun, so that the version of the row is known.
+func (l *Leader) renewLoop(ctx context.Context, done <-chan struct{}) error {
+	averageTime := minCommitTimeout / commitTimeoutFactor
+	for {
+		t := l.options.Clock.NewTimer(l.untilRenewal())
+		select {
+		case <-done:
+			t.Stop()
+			return nil
+		case <-t.Chan():
+		}
+		took, err := l.commit(ctx, &dispatch.Batch{}, averageTime)
+		if err != nil {
+			return err
+		}
+		averageTime = (7*averageTime + took) / 8
+	}
+}
+
+// load reads all jobs and the learned model from the table into the dispatcher.
+func (l *Leader) load(ctx context.Context) error {
+	started := l.options.Clock.Now()
+	specs := map[oleandervalve.JobID]oleandervalve.Row{}
+	if err := l.scan(ctx, work.SpecPrefix, func(r oleandervalve.Row) {
+		specs[oleandervalve.JobID(r.Key[len(work.SpecPrefix):])] = r
+	}); err != nil {
+		return err
+	}
+	var stored []dispatch.StoredJob
+	err := l.scan(ctx, work.RecordPrefix, func(r oleandervalve.Row) {
+		s := dispatch.StoredJob{Job: oleandervalve.JobID(r.Key[len(work.RecordPrefix):]), Version: r.Version}
+		spec := specs[s.Job]
+		s.SpecVersion = spec.Version
+		err := work.Decode(r, &s.Record)
+		if err == nil && s.Record.State != work.Completed {
+			err = work.Decode(spec, &s.Spec)
+			if err == nil {
+				// A job that no leader can handle must not bring down one after the other.
+				err = s.Spec.Validate()
+			}
+		}
+		if err == nil {
+			err = s.Record.Validate(s.Spec)
+		}
+		if err != nil {
+			l.options.Log.WithField("job", s.Job).WithError(err).Error("stored job can't be decoded and is skipped")
+			l.skippedRows[r.Key] = true
+			return
+		}
+		stored = append(stored, s)
+	})
+	if err != nil {
+		return err
+	}
+	learned, err := l.get(ctx, dispatch.LearnedKey)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	if learned.Version > 0 {
+		if err := l.dispatcher.RestoreLearned(learned); err != nil {
+			l.options.Log.WithError(err).Warn("the last leader's learned model can't be decoded; starting with an empty one")
+		}
+	}
+	l.learnedWrittenAt = l.options.Clock.Now()
+	l.dispatcher.Load(l.options.Clock.Now(), stored)
+	l.loaded = true
+	term := l.row.Term
+	l.mu.Unlock()
+	l.readyOnce.Do(func() { close(l.ready) })
+	l.options.Log.WithFields(logrus.Fields{"term": term, "jobs": len(stored), "tookMs": l.options.Clock.Since(started).Milliseconds()}).Info("leading")
+	return nil
+}
+
+// retryRead runs a read of the table and repeats it up to maxReadRetries times if it
+// fails.
+func (l *Leader) retryRead(ctx context.Context, read func(context.Context) error) error {
+	for retries := 0; ; retries++ {
+		callCtx, cancel := context.WithTimeout(ctx, maxCommitTimeout)
+		err := read(callCtx)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil || retries >= maxReadRetries {
+			return errors.Wrap(err, "read the stored jobs")
+		}
+		l.options.Clock.Sleep(retryDelay)
+	}
+}
+
+// get reads one row. If the row is absent, its version is 0.
+func (l *Leader) get(ctx context.Context, key oleandervalve.Key) (row oleandervalve.Row, err error) {
+	err = l.retryRead(ctx, func(ctx context.Context) error {
+		rows, err := l.options.Table.Get(ctx, key)
+		if err == nil {
+			row = rows[0]
+		}
+		return err
+	})
+	return row, err
+}
+
+// scanPageSize is the number of rows requested for each page of a scan. The table
+// returns at most 500.
+const scanPageSize = 500
+
+// scan calls handleRow for each row whose key has the prefix.
+func (l *Leader) scan(ctx context.Context, prefix oleandervalve.Key, handleRow func(oleandervalve.Row)) error {
+	var after oleandervalve.Key
+	for {
+		var p oleandervalve.Page
+		err := l.retryRead(ctx, func(ctx context.Context) (err error) {
+			p, err = l.options.Table.Scan(ctx, prefix, after, scanPageSize)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		for _, r := range p.Rows {
+			handleRow(r)
+		}
+		if p.Next == "" {
+			return nil
+		}
+		after = p.Next
+	}
+}
+
+// maxReadRetries is how often a failed read is repeated before the term ends.
+const maxReadRetries = 5
