Admit agents while a new leader loads the jobs

What callers saw: after a change of leader under load, starts began late, and runs of a long takeover lost their leases. Requests on the first connections to the new leader ended with an unknown outcome.

Cause: a new leader answered joins only once it had loaded the jobs. Agents and entries give a join up after 0.7 s and connect again, so during a longer load 240 agents made some 300 connections a second to it, and got no proof of leadership. All connections that had been given up were then served beside the last one, in any order, and each replaced the one before: of each agent and entry mostly a dead connection remained, and the live one was closed. The agent then connected once more and sent its inventory again.

Change: an agent is admitted at once. Its pings are answered with proofs meanwhile, and all its messages are applied in order once the jobs are loaded. The admission then names no entries, as none is connected; the agent keeps those that it knows. Of an entry only the latest connection is served.

--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -97,8 +97,10 @@
 	compressed   map[oleandervalve.JobID][]byte
 	sessionCount uint64
 	agents       map[oleandervalve.AgentID]*session
-	followers    map[oleandervalve.EntryID]*follower
-	lastProofAt  oleandervalve.Instant
+	// joins counts the connections of each entry.
+	joins       map[oleandervalve.EntryID]int
+	followers   map[oleandervalve.EntryID]*follower
+	lastProofAt oleandervalve.Instant
 	// absenceReads limits the reads in flight that confirm that a job is not stored.
 	absenceReads chan struct{}
 	// renewedAt is when the last commit that renewed the leader's row was sent. Entries
@@ -153,7 +155,7 @@
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
-		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{},
+		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{}, joins: map[oleandervalve.EntryID]int{},
 		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, termStartedAt: started,
 		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}),
 	}, nil
--- a/io/leader/load.go
+++ b/io/leader/load.go
@@ -100,8 +100,10 @@
 	l.learnedWrittenAt = l.options.Clock.Now()
 	l.dispatcher.Load(l.options.Clock.Now(), stored)
 	l.loaded = true
+	l.applyDeferred(l.options.Clock.Now())
 	term := l.row.Term
 	l.mu.Unlock()
+	l.requestCommit()
 	l.readyOnce.Do(func() { close(l.ready) })
 	l.options.Log.WithFields(logrus.Fields{"term": term, "jobs": len(stored), "tookMs": l.options.Clock.Since(started).Milliseconds()}).Info("leading")
 	return nil
--- /dev/null
+++ b/io/leader/load_test.go
@@ -0,0 +1,129 @@
+package leader
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandervalve"
+	"oleandervalve/io/peer"
+)
+
+// heldTable is a fake table that answers scans only once released is closed.
+type heldTable struct {
+	*fakeTable
+	released chan struct{}
+}
+
+func (t *heldTable) Scan(ctx context.Context, prefix, after oleandervalve.Key, limit int) (oleandervalve.Page, error) {
+	select {
+	case <-t.released:
+		return t.fakeTable.Scan(ctx, prefix, after, limit)
+	case <-ctx.Done():
+		return oleandervalve.Page{}, &oleandervalve.UnavailableError{Service: "table", Cause: ctx.Err()}
+	}
+}
+
+// startLoading makes entry e-1 the leader on a table that holds back its jobs, and returns the
+// address at which the leader accepts connections.
+func startLoading(t *testing.T) (*Leader, *heldTable, string) {
+	t.Helper()
+	x := &heldTable{newFakeTable(), make(chan struct{})}
+	o := testOptions(x.fakeTable)
+	o.Table = x
+	l, err := Acquire(context.Background(), o, oleandervalve.Row{Key: Key}, Row{Entry: "e-1", Address: "e-1:1", Process: "p"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = l.Run(ctx) }()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, j, err := peer.AcceptDispatch(w, r, nil); err == nil {
+			l.Serve(c, j)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return l, x, server.Listener.Addr().String()
+}
+
+// dial joins the leader.
+func dial(t *testing.T, address string, j peer.Join) *peer.Conn {
+	t.Helper()
+	c, err := peer.DialDispatch(context.Background(), address, j, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Guards against agents that get no proof of leadership while a new leader loads many jobs, so
+// that leases expire, and that connect again and again meanwhile.
+func TestAgentsAreAdmittedWhileJobsAreLoaded(t *testing.T) {
+	is := is.New(t)
+	l, x, address := startLoading(t)
+	c := dial(t, address, peer.Join{Agent: "a-1"})
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	m, err := c.Receive(ctx)
+	is.NoErr(err)
+	admit, ok := m.(*peer.Admit)
+	is.True(ok)
+	is.Equal(len(admit.Entries), 0) // the agent keeps those that it knows
+	status := oleandervalve.ExecutorStatus{
+		Service: "s", Incarnation: oleandervalve.Incarnation{ID: "x-1", StartedAt: 1},
+		State: oleandervalve.ExecutorReady, Capacity: oleandervalve.Resources{CPU: 64000, Memory: 1 << 30},
+	}
+	is.NoErr(c.Send(&peer.ExecutorInventory{Status: status}))
+	is.NoErr(c.Send(&peer.Ping{Sequence: 1}))
+	m, err = c.Receive(ctx)
+	is.NoErr(err)
+	pong, ok := m.(*peer.Pong)
+	is.True(ok)
+	is.True(pong.ProofAge < RenewInterval*2)
+
+	close(x.released)
+	<-l.ready
+	is.Equal(submit(l).Reason, oleandervalve.Reason(""))
+	for {
+		m, err := c.Receive(context.Background())
+		is.NoErr(err)
+		if s, ok := m.(*peer.StartRun); ok {
+			is.Equal(s.Task.Job, oleandervalve.JobID("a"))
+			break
+		}
+	}
+}
+
+// Guards against an entry that loses its connection to a new leader once the jobs are loaded,
+// because connections that the entry has given up before replace it.
+func TestLastConnectionOfAnEntryIsServedOnceJobsAreLoaded(t *testing.T) {
+	is := is.New(t)
+	l, x, address := startLoading(t)
+	var last *peer.Conn
+	for n := 1; n <= 20; n++ {
+		last = dial(t, address, peer.Join{Entry: "e-2", Address: "e-2:1"})
+		for joined := 0; joined < n; time.Sleep(time.Millisecond) {
+			l.mu.Lock()
+			joined = l.joins["e-2"]
+			l.mu.Unlock()
+		}
+	}
+	close(x.released)
+	m, err := last.Receive(context.Background())
+	is.NoErr(err)
+	_, ok := m.(*peer.Admit)
+	is.True(ok)
+	for n := uint64(1); n <= 3; n++ {
+		is.NoErr(last.Send(&peer.Ping{Sequence: n}))
+		m, err := last.Receive(context.Background())
+		is.NoErr(err)
+		is.Equal(m.(*peer.Pong).Sequence, n)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,6 +32,8 @@
 	parts []*peer.InventoryPart
 	// payloads mirrors the agent's cache of payloads; nil if it has none.
 	payloads *peer.PayloadCache
+	// waiting holds the messages that have arrived before the jobs were loaded.
+	waiting []peer.Message
 }
 
 // follower is one connection from another entry, with what the entry reported.
@@ -101,12 +105,26 @@
 // connection ends.
 func (l *Leader) Serve(c *peer.Conn, j peer.Join) {
 	defer c.Close()
-	<-l.ready
 	if j.Agent != "" {
 		l.serveAgent(c, j)
 		return
 	}
-	l.serveEntry(c, j)
+	if l.awaitReady(j.Entry) {
+		l.serveEntry(c, j)
+	}
+}
+
+// awaitReady waits until the jobs are loaded. It returns false if the entry has connected again
+// since: it has given this connection up.
+func (l *Leader) awaitReady(id oleandervalve.EntryID) bool {
+	l.mu.Lock()
+	l.joins[id]++
+	n := l.joins[id]
+	l.mu.Unlock()
+	<-l.ready
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.joins[id] == n
 }
 
 // receive reads the next message. It fails if none arrives within HeartbeatTimeout.
@@ -117,7 +135,8 @@
 }
 
 // serveAgent handles the connection of an agent. A new connection replaces an
-// earlier one of the same agent.
+// earlier one of the same agent. An agent is admitted while the jobs are still loaded, so that
+// it gets proofs of leadership and doesn't connect again and again; its messages wait.
 func (l *Leader) serveAgent(c *peer.Conn, j peer.Join) {
 	id := j.Agent
 	l.mu.Lock()
@@ -135,8 +154,14 @@
 		l.dispatcher.AgentDisconnected(l.options.Clock.Now(), id)
 	}
 	l.agents[id] = s
+	loaded := l.loaded
 	l.mu.Unlock()
-	c.TrySend(&peer.Admit{Token: s.token, Entries: l.entries()})
+	admit := &peer.Admit{Token: s.token}
+	if loaded {
+		// Before that, no other entry is connected, and the agent knows some from earlier.
+		admit.Entries = l.entries()
+	}
+	c.TrySend(admit)
 	for {
 		m, err := receive(c)
 		if err != nil {
@@ -160,57 +185,108 @@
 // agent has begun.
 func (l *Leader) handleAgentMessage(id oleandervalve.AgentID, s *session, m peer.Message) {
 	if p, ok := m.(*peer.Ping); ok {
-		l.mu.Lock()
-		now := l.options.Clock.Now()
-		age := l.options.now().Sub(l.lastProofAt)
-		if !l.stopped && l.agents[id] == s {
-			s.conn.TrySend(&peer.Pong{Sequence: p.Sequence, ProofAge: age})
-			l.dispatcher.LeaseGranted(now, id)
-			l.dispatcher.LoadSampled(now, id, p.Sample)
-			l.dispatcher.RunsCheckpointed(now, id, p.Checkpoints)
-			if p.ListsDelayedStarts {
-				l.dispatcher.StartsDelayed(id, p.DelayedStarts)
-			}
-		}
-		l.mu.Unlock()
+		l.answerPing(id, s, p)
+		return
+	}
+	if l.deferMessage(id, s, m) {
 		return
 	}
 	l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) {
-		if l.agents[id] != s {
-			return
+		if l.agents[id] == s {
+			l.applyAgentMessage(d, now, id, s, m)
 		}
-		switch m := m.(type) {
-		case *peer.InventoryPart:
-			s.parts = append(s.parts, m)
-		case *peer.ExecutorInventory:
-			m.Append(s.parts...)
-			s.parts = nil
-			for _, r := range m.Lost {
-				d.ExecutorLost(now, id, r)
-			}
-			d.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended, Incomplete: m.Incomplete})
-		case *peer.ExecutorChange:
-			d.StatusChanged(id, m.Status)
-		case *peer.ExecutorTerminated:
-			if m.Lost.Executor == m.Incarnation {
-				d.ExecutorLost(now, id, m.Lost)
-			}
-			d.ExecutorTerminated(now, id, m.Incarnation, m.Lost.Crashed)
-		case *peer.RunsEnded:
-			for _, e := range m.Ends {
-				d.RunEnded(now, id, m.Incarnation, e)
-			}
-			if m.Complete {
-				d.InventoryCompleted(now, id, m.Incarnation)
+	})
+}
+
+// answerPing answers a ping of an agent and applies what it reports.
+func (l *Leader) answerPing(id oleandervalve.AgentID, s *session, p *peer.Ping) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped || l.agents[id] != s {
+		return
+	}
+	now := l.options.Clock.Now()
+	s.conn.TrySend(&peer.Pong{Sequence: p.Sequence, ProofAge: l.options.now().Sub(l.lastProofAt)})
+	if !l.loaded {
+		s.waiting = append(s.waiting, p)
+		return
+	}
+	l.applyPing(now, id, p)
+}
+
+// applyPing applies what an agent reports with a ping. The lock must be held.
+func (l *Leader) applyPing(now time.Time, id oleandervalve.AgentID, p *peer.Ping) {
+	l.dispatcher.LeaseGranted(now, id)
+	l.dispatcher.LoadSampled(now, id, p.Sample)
+	l.dispatcher.RunsCheckpointed(now, id, p.Checkpoints)
+	if p.ListsDelayedStarts {
+		l.dispatcher.StartsDelayed(id, p.DelayedStarts)
+	}
+}
+
+// deferMessage keeps a message until the jobs are loaded. It returns false if they are.
+func (l *Leader) deferMessage(id oleandervalve.AgentID, s *session, m peer.Message) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.loaded {
+		return false
+	}
+	if l.agents[id] == s {
+		s.waiting = append(s.waiting, m)
+	}
+	return true
+}
+
+// applyDeferred applies the messages that have arrived before the jobs were loaded. The lock
+// must be held.
+func (l *Leader) applyDeferred(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(l.agents)) {
+		s := l.agents[id]
+		for _, m := range s.waiting {
+			if p, ok := m.(*peer.Ping); ok {
+				l.applyPing(now, id, p)
+				continue
 			}
-		case *peer.RunOutlived:
-			d.RunOutlived(id, m.Task, m.Run)
-		case *peer.RunNeverStarted:
-			d.RunNeverStarted(now, id, m.NeverStarted)
-		default:
-			l.options.Log.WithFields(logrus.Fields{"agent": id, "type": m.Type()}).Warn("unexpected message ignored")
+			l.applyAgentMessage(l.dispatcher, now, id, s, m)
 		}
-	})
+		s.waiting = nil
+	}
+	l.executeActions(l.dispatcher.TakeActions())
+}
+
+// applyAgentMessage applies a message of an agent's current session. The lock must be held.
+func (l *Leader) applyAgentMessage(d *dispatch.Dispatcher, now time.Time, id oleandervalve.AgentID, s *session, m peer.Message) {
+	switch m := m.(type) {
+	case *peer.InventoryPart:
+		s.parts = append(s.parts, m)
+	case *peer.ExecutorInventory:
+		m.Append(s.parts...)
+		s.parts = nil
+		for _, r := range m.Lost {
+			d.ExecutorLost(now, id, r)
+		}
+		d.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended, Incomplete: m.Incomplete})
+	case *peer.ExecutorChange:
+		d.StatusChanged(id, m.Status)
+	case *peer.ExecutorTerminated:
+		if m.Lost.Executor == m.Incarnation {
+			d.ExecutorLost(now, id, m.Lost)
+		}
+		d.ExecutorTerminated(now, id, m.Incarnation, m.Lost.Crashed)
+	case *peer.RunsEnded:
+		for _, e := range m.Ends {
+			d.RunEnded(now, id, m.Incarnation, e)
+		}
+		if m.Complete {
+			d.InventoryCompleted(now, id, m.Incarnation)
+		}
+	case *peer.RunOutlived:
+		d.RunOutlived(id, m.Task, m.Run)
+	case *peer.RunNeverStarted:
+		d.RunNeverStarted(now, id, m.NeverStarted)
+	default:
+		l.options.Log.WithFields(logrus.Fields{"agent": id, "type": m.Type()}).Warn("unexpected message ignored")
+	}
 }
 
 // entries returns the addresses of this entry and the connected ones.
