Read the stored jobs in pages that follow the link

What callers saw: after a change of leader during a flood, behind a thin link, no entry became ready.

Cause: a new leader asks for 500 rows at a time, and the table sends up to a megabyte. On a link of 2 Mbit/s that takes 4 s, but a read is given up after 2 s and repeated in the same size. After six attempts the term ends, and the next leader begins again.

Change: core/paging decides the number of rows: 64 at first, up to four times as many after a read that took an eighth of the timeout or less, fewer after one that took more than half, and a quarter after a failed one. On a fast link 2,000 rows take six reads instead of four, and a row that alone takes 1.5 s is still read.

--- a/io/leader/load.go
+++ b/io/leader/load.go
@@ -8,6 +8,7 @@
 
 	"oleandervalve"
 	"oleandervalve/core/dispatch"
+	"oleandervalve/core/paging"
 	"oleandervalve/core/work"
 )
 
@@ -55,14 +56,15 @@
 // load reads all jobs and the learned model from the table into the dispatcher.
 func (l *Leader) load(ctx context.Context) error {
 	started := l.options.Clock.Now()
+	size := paging.New(paging.Limits{MaxRows: maxPageRows, Timeout: maxCommitTimeout})
 	specs := map[oleandervalve.JobID]oleandervalve.Row{}
-	if err := l.scan(ctx, work.SpecPrefix, func(r oleandervalve.Row) {
+	if err := l.scan(ctx, work.SpecPrefix, size, func(r oleandervalve.Row) {
 		specs[oleandervalve.JobID(r.Key[len(work.SpecPrefix):])] = r
 	}); err != nil {
 		return err
 	}
 	var stored []dispatch.StoredJob
-	err := l.scan(ctx, work.RecordPrefix, func(r oleandervalve.Row) {
+	err := l.scan(ctx, work.RecordPrefix, size, func(r oleandervalve.Row) {
 		s := dispatch.StoredJob{Job: oleandervalve.JobID(r.Key[len(work.RecordPrefix):]), Version: r.Version}
 		spec := specs[s.Job]
 		s.SpecVersion = spec.Version
@@ -138,18 +140,25 @@
 	return row, err
 }
 
-// scanPageSize is the number of rows requested for each page of a scan. The table
-// returns at most 500.
-const scanPageSize = 500
+// maxPageRows is the largest number of rows requested for a page of a scan. The table
+// returns at most as many.
+const maxPageRows = 500
 
-// scan calls handleRow for each row whose key has the prefix.
-func (l *Leader) scan(ctx context.Context, prefix oleandervalve.Key, handleRow func(oleandervalve.Row)) error {
+// scan calls handleRow for each row whose key has the prefix. The size of its pages follows
+// the time that reads take.
+func (l *Leader) scan(ctx context.Context, prefix oleandervalve.Key, size *paging.Size, handleRow func(oleandervalve.Row)) error {
 	var after oleandervalve.Key
 	for {
 		var p oleandervalve.Page
 		err := l.retryRead(ctx, func(ctx context.Context) (err error) {
-			p, err = l.options.Table.Scan(ctx, prefix, after, scanPageSize)
-			return err
+			started := l.options.Clock.Now()
+			p, err = l.options.Table.Scan(ctx, prefix, after, size.Rows())
+			if err != nil {
+				size.Failed()
+				return err
+			}
+			size.Read(l.options.Clock.Since(started))
+			return nil
 		})
 		if err != nil {
 			return err
--- a/io/leader/load_test.go
+++ b/io/leader/load_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"oleandervalve"
+	"oleandervalve/core/work"
 	"oleandervalve/io/peer"
 )
 
@@ -127,3 +130,39 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// Guards against a change of leader that never ends because a page of the stored jobs takes
+// longer than the timeout of a read on a thin link.
+func TestJobsAreLoadedBehindThinLink(t *testing.T) {
+	is := is.New(t)
+	thin := &link{rate: 2 * thinLinkRate}
+	x := &linkedTable{fakeTable: newFakeTable(), in: thin, out: &link{rate: thinLinkRate}}
+	const jobs = 200
+	for n := range jobs {
+		id := oleandervalve.JobID(fmt.Sprintf("job%03d", n))
+		spec := work.Spec{Payload: strings.Repeat("p", work.MaxPayload), Steps: []work.Step{{Count: 1, Estimate: time.Second}}}
+		record := work.Record{Queue: work.Queue{Name: "q", Service: "s"}, Tasks: make([]work.TaskRecord, 1)}
+		x.rows[work.SpecKey(id)] = oleandervalve.Row{Key: work.SpecKey(id), Value: work.Encode(spec), Version: 1}
+		x.rows[work.RecordKey(id)] = oleandervalve.Row{Key: work.RecordKey(id), Value: work.Encode(record), Version: 1}
+	}
+	o := testOptions(x.fakeTable)
+	o.Table = x
+	l, err := Acquire(context.Background(), o, oleandervalve.Row{Key: Key}, Row{Entry: "e-1", Process: "p"})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	started := time.Now()
+	<-l.ready
+	t.Logf("ready after %v, %d bytes read", time.Since(started), thin.sent)
+	select {
+	case err := <-ended:
+		is.NoErr(err)
+	default:
+	}
+	for n := range jobs {
+		_, ok := l.dispatcher.State(oleandervalve.JobID(fmt.Sprintf("job%03d", n)))
+		is.True(ok)
+	}
+}
