--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -97,8 +97,10 @@
 	compressed   map[oleandervalve.JobID][]byte
 	sessionCount uint64
 	agents       map[oleandervalve.AgentID]*session
-	followers    map[oleandervalve.EntryID]*follower
-	lastProofAt  oleandervalve.Instant
+	// joins counts the connections of each entry.
+	joins       map[oleandervalve.EntryID]int
+	followers   map[oleandervalve.EntryID]*follower
+	lastProofAt oleandervalve.Instant
 	// absenceReads limits the reads in flight that confirm that a job is not stored.
 	absenceReads chan struct{}
 	// renewedAt is when the last commit that renewed the leader's row was sent. Entries
@@ -153,7 +155,7 @@
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
-		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{},
+		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{}, joins: map[oleandervalve.EntryID]int{},
 		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, termStartedAt: started,
 		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}),
 	}, nil
@@ -195,7 +197,7 @@
 	defer l.stop()
 	defer l.readyOnce.Do(func() { close(l.ready) })
 	defer l.cancel()
-	if err := l.load(ctx); err != nil {
+	if err := l.loadWhileRenewing(ctx); err != nil {
 		return err
 	}
 	go l.tickLoop(ctx)
@@ -309,115 +311,3 @@
 			Histogram("job_time", durationBuckets).RecordDuration(time.Duration(age) * time.Millisecond)
 	}
 }
-
-// load reads all jobs and the learned model from the table into the dispatcher.
-func (l *Leader) load(ctx context.Context) error {
-	started := l.options.Clock.Now()
-	specs := map[oleandervalve.JobID]oleandervalve.Row{}
-	if err := l.scan(ctx, work.SpecPrefix, func(r oleandervalve.Row) {
-		specs[oleandervalve.JobID(r.Key[len(work.SpecPrefix):])] = r
-	}); err != nil {
-		return err
-	}
-	var stored []dispatch.StoredJob
-	err := l.scan(ctx, work.RecordPrefix, func(r oleandervalve.Row) {
-		s := dispatch.StoredJob{Job: oleandervalve.JobID(r.Key[len(work.RecordPrefix):]), Version: r.Version}
-		spec := specs[s.Job]
-		s.SpecVersion = spec.Version
-		err := work.Decode(r, &s.Record)
-		if err == nil && s.Record.State != work.Completed {
-			err = work.Decode(spec, &s.Spec)
-			if err == nil {
-				// A job that no leader can handle must not bring down one after the other.
-				err = s.Spec.Validate()
-			}
-		}
-		if err == nil {
-			err = s.Record.Validate(s.Spec)
-		}
-		if err != nil {
-			l.options.Log.WithField("job", s.Job).WithError(err).Error("stored job can't be decoded and is skipped")
-			l.skippedRows[r.Key] = true
-			return
-		}
-		stored = append(stored, s)
-	})
-	if err != nil {
-		return err
-	}
-	learned, err := l.get(ctx, dispatch.LearnedKey)
-	if err != nil {
-		return err
-	}
-	l.mu.Lock()
-	if learned.Version > 0 {
-		if err := l.dispatcher.RestoreLearned(learned); err != nil {
-			l.options.Log.WithError(err).Warn("the last leader's learned model can't be decoded; starting with an empty one")
-		}
-	}
-	l.learnedWrittenAt = l.options.Clock.Now()
-	l.dispatcher.Load(l.options.Clock.Now(), stored)
-	l.loaded = true
-	l.mu.Unlock()
-	l.readyOnce.Do(func() { close(l.ready) })
-	l.options.Log.WithFields(logrus.Fields{"term": l.row.Term, "jobs": len(stored), "tookMs": l.options.Clock.Since(started).Milliseconds()}).Info("leading")
-	return nil
-}
-
-// retryRead runs a read of the table and repeats it up to maxReadRetries times if it
-// fails.
-func (l *Leader) retryRead(ctx context.Context, read func(context.Context) error) error {
-	for retries := 0; ; retries++ {
-		callCtx, cancel := context.WithTimeout(ctx, maxCommitTimeout)
-		err := read(callCtx)
-		cancel()
-		if err == nil {
-			return nil
-		}
-		if ctx.Err() != nil || retries >= maxReadRetries {
-			return errors.Wrap(err, "read the stored jobs")
-		}
-		l.options.Clock.Sleep(retryDelay)
-	}
-}
-
-// get reads one row. If the row is absent, its version is 0.
-func (l *Leader) get(ctx context.Context, key oleandervalve.Key) (row oleandervalve.Row, err error) {
-	err = l.retryRead(ctx, func(ctx context.Context) error {
-		rows, err := l.options.Table.Get(ctx, key)
-		if err == nil {
-			row = rows[0]
-		}
-		return err
-	})
-	return row, err
-}
-
-// scanPageSize is the number of rows requested for each page of a scan. The table
-// returns at most 500.
-const scanPageSize = 500
-
-// scan calls handleRow for each row whose key has the prefix.
-func (l *Leader) scan(ctx context.Context, prefix oleandervalve.Key, handleRow func(oleandervalve.Row)) error {
-	var after oleandervalve.Key
-	for {
-		var p oleandervalve.Page
-		err := l.retryRead(ctx, func(ctx context.Context) (err error) {
-			p, err = l.options.Table.Scan(ctx, prefix, after, scanPageSize)
-			return err
-		})
-		if err != nil {
-			return err
-		}
-		for _, r := range p.Rows {
-			handleRow(r)
-		}
-		if p.Next == "" {
-			return nil
-		}
-		after = p.Next
-	}
-}
-
-// maxReadRetries is how often a failed read is repeated before the term ends.
-const maxReadRetries = 5
