Count the silence of agents across changes of leader

Callers saw long-running tasks that were not started again for as long as entries were restarted in turn: a task of a lost agent waits until the lease of its executor has certainly ended, 7.6 s, and each new leader counted these from its own start.

The leader's row now names the disconnected agents with assigned runs and for how long they have been silent; the next leader counts on from there. It also counts from its takeover instead of from the end of loading the jobs: no earlier leader can have given a proof of leadership after that.

So that the next leader may rely on the row, an agent that the stored row names, or one on its way to the table, gets only proofs from before its silence. Once it has connected, the leader writes its row at once without it. Leaders of earlier releases leave the field out, so counting starts anew.

--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -32,7 +32,7 @@
 		l.dispatcher.Schedule(l.options.Clock.Now())
 		l.executeActions(l.dispatcher.TakeActions())
 		b := l.dispatcher.Batch()
-		renewalDue := l.options.now().Sub(l.renewedAt) >= RenewInterval
+		renewalDue := l.isRenewalDue()
 		l.mu.Unlock()
 		if b == nil && !renewalDue {
 			renew.Reset(l.untilRenewal())
@@ -71,7 +71,11 @@
 	var renewal []byte
 	// With the leader's row in it, a conflict with a commit that was applied tells its version;
 	// a deleted row has none.
-	if len(t.Puts) == 0 || len(t.Deletes) > 0 || l.options.now().Sub(l.renewedAt) >= RenewInterval {
+	l.mu.Lock()
+	renewalDue := l.isRenewalDue()
+	l.mu.Unlock()
+	if len(t.Puts) == 0 || len(t.Deletes) > 0 || renewalDue {
+		next.Silences = l.nameSilences()
 		renewal = work.Encode(next)
 		t.Puts = append([]oleandervalve.Put{{Key: Key, Value: renewal}}, t.Puts...)
 	}
@@ -220,6 +224,7 @@
 	l.mu.Lock()
 	if renewed {
 		l.row, l.version, l.renewedAt = next, v, started
+		l.silences.stored(next.Silences)
 	}
 	l.lastProofAt = started
 	if !l.failingSince.IsZero() {
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -105,6 +105,9 @@
 	// without a connection judge the leader by that row alone.
 	renewedAt     oleandervalve.Instant
 	termStartedAt oleandervalve.Instant
+	// acquiredAt is when the leader's row had certainly replaced that of the previous leader.
+	acquiredAt oleandervalve.Instant
+	silences   silences
 	// tableTime is the time by the clock of the table at the local time tableTimeAt; zero
 	// before the first commit.
 	tableTime   time.Time
@@ -139,7 +142,7 @@
 	if err != nil {
 		o.Log.WithError(err).Warn("the leader's row can't be decoded and will be replaced")
 	}
-	own.Term = previous.Term + 1
+	own.Term, own.Silences = previous.Term+1, previous.Silences
 	started := o.now()
 	version, err := commitTakeover(ctx, o, oleandervalve.Transaction{
 		Conditions: []oleandervalve.Condition{{Key: Key, Version: current.Version}},
@@ -148,15 +151,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Leader{
-		options: o, row: own, version: version,
+	l := &Leader{
+		options: o, row: own, version: version, acquiredAt: o.now(),
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{},
 		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, termStartedAt: started,
 		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}),
-	}, nil
+	}
+	l.silences.add(l.acquiredAt, own.Silences)
+	return l, nil
 }
 
 // commitTakeover commits a takeover. A commit with an unknown outcome is repeated; a
@@ -357,6 +362,7 @@
 	}
 	l.learnedWrittenAt = l.options.Clock.Now()
 	l.dispatcher.Load(l.options.Clock.Now(), stored)
+	l.dispatcher.RestoreSilences(l.acquiredAt.Time, l.row.Silences)
 	l.loaded = true
 	l.mu.Unlock()
 	l.readyOnce.Do(func() { close(l.ready) })
--- a/io/leader/row.go
+++ b/io/leader/row.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleandervalve"
+	"oleandervalve/core/dispatch"
 	"oleandervalve/core/work"
 )
 
@@ -28,6 +29,8 @@
 	RenewedAt time.Time `cbor:"7,keyasint,omitzero"`
 	// Released is set when the leader has given up leadership in a planned stop.
 	Released bool `cbor:"6,keyasint,omitempty"`
+	// Silences names the silent agents with assigned runs at the time of the renewal.
+	Silences []dispatch.Silence `cbor:"8,keyasint,omitempty"`
 }
 
 // DecodeRow decodes the leader's row. It returns the zero Row for an absent one.
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -162,7 +162,7 @@
 	if p, ok := m.(*peer.Ping); ok {
 		l.mu.Lock()
 		now := l.options.Clock.Now()
-		age := l.options.now().Sub(l.lastProofAt)
+		age := l.proofAge(id)
 		if !l.stopped && l.agents[id] == s {
 			s.conn.TrySend(&peer.Pong{Sequence: p.Sequence, ProofAge: age})
 			l.dispatcher.LeaseGranted(now, id)
@@ -185,10 +185,7 @@
 		case *peer.ExecutorInventory:
 			m.Append(s.parts...)
 			s.parts = nil
-			for _, r := range m.Lost {
-				d.ExecutorLost(now, id, r)
-			}
-			d.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended, Incomplete: m.Incomplete})
+			l.agentConnected(now, id, m)
 		case *peer.ExecutorChange:
 			d.StatusChanged(id, m.Status)
 		case *peer.ExecutorTerminated:
@@ -213,6 +210,17 @@
 	})
 }
 
+// agentConnected handles the inventory of an agent. The lock must be held.
+func (l *Leader) agentConnected(now time.Time, id oleandervalve.AgentID, m *peer.ExecutorInventory) {
+	for _, r := range m.Lost {
+		l.dispatcher.ExecutorLost(now, id, r)
+	}
+	l.dispatcher.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended, Incomplete: m.Incomplete})
+	if l.silences.connected(id) {
+		l.requestCommit()
+	}
+}
+
 // entries returns the addresses of this entry and the connected ones.
 func (l *Leader) entries() []string {
 	l.mu.Lock()
