Group suspect tasks that were lost before they were suspect

With two losses each, none could be isolated in a group.

A task that has been lost twice is isolated alone because it may have crashed a group. But a run is isolated, alone or in a group, only if its task was suspect when it started. So only losses under suspicion count now. That adds tasks with two losses of which the first did not make them suspect. They have two crashes at most, which leaves one for the group and one for an isolation alone: one start after the third crash, where the platform allows two.

TestGroupsOfSuspects has the new case and keeps all earlier ones. A crashing task among such suspects is still found with four crashes at most, ten seeds.

--- a/core/crash/group.go
+++ b/core/crash/group.go
@@ -1,6 +1,10 @@
 package crash
 
-import "time"
+import (
+	"time"
+
+	"oleandervalve"
+)
 
 // A crash makes all tasks suspect that were started last on the executor. On an executor with
 // hundreds of small tasks these are hundreds, of which hardly more than one has crashed it.
@@ -28,15 +32,31 @@
 }
 
 // Groupable reports whether the next run of a suspect task may be isolated together with others:
-// the task has been lost at most once since it outlived an isolation, and in few crashes.
+// since the task outlived an isolation it has been lost at most once, or only in runs that were
+// not isolated as it was not suspect yet, and in few crashes.
 func (h History) Groupable() bool {
-	lost := 0
+	lost, lostAsSuspect := 0, false
 	for _, x := range h.Incidents {
 		if x.Run > h.OutlivedBy {
 			lost++
+			lostAsSuspect = lostAsSuspect || h.suspectBefore(x.Run)
+		}
+	}
+	return (lost <= 1 || !lostAsSuspect) && h.Crashes() <= maxCrashesBeforeGroup
+}
+
+// suspectBefore reports whether the incidents of earlier runs made the task suspect.
+func (h History) suspectBefore(run oleandervalve.RunNumber) bool {
+	earlier := 0
+	for _, x := range h.Incidents {
+		if x.Run >= run {
+			continue
+		}
+		if earlier++; earlier > 1 || x.Young && x.Run > h.OutlivedBy {
+			return true
 		}
 	}
-	return lost <= 1 && h.Crashes() <= maxCrashesBeforeGroup
+	return false
 }
 
 // Isolation tells how a run was isolated.
--- a/core/crash/group_test.go
+++ b/core/crash/group_test.go
@@ -31,6 +31,12 @@
 	h.Add(crash(1))
 	h.Add(Incident{Run: 2})
 	is.True(!h.Groupable())
+	h = History{}
+	h.Add(Incident{Run: 1})
+	h.Add(crash(2))
+	is.True(h.Suspect() && h.Groupable()) // it was not suspect when it started for the second time
+	h.Add(crash(3))
+	is.True(!h.Groupable())
 }
 
 // Guards against a crash in the isolation of a group that is held against other runs, or against
--- a/core/dispatch/crashgroup_test.go
+++ b/core/dispatch/crashgroup_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"oleandervalve"
+	"oleandervalve/core/crash"
 	"oleandervalve/core/work"
 )
 
@@ -74,6 +75,62 @@
 	}
 }
 
+// newTwiceLostCluster returns a cluster of six executors with a job of n tasks that have been lost
+// twice on the first one: first with its agent, so that nothing is known of a crash, and then in a
+// crash.
+func newTwiceLostCluster(t *testing.T, seed uint64, n int) *cluster {
+	c, a := newGroupCluster(t, seed, n)
+	for _, id := range c.order[1:] {
+		c.setState(c.agents[id], oleandervalve.ExecutorDraining)
+	}
+	a.crashes = crash.NewLog() // the new process of the agent knows nothing of the runs
+	c.crash(a)
+	c.step()
+	if len(a.running) != n {
+		t.Fatalf("%d tasks have started again", len(a.running))
+	}
+	c.crash(a)
+	for _, id := range c.order[1:] {
+		c.setState(c.agents[id], oleandervalve.ExecutorReady)
+	}
+	return c
+}
+
+// Guards against a large job that does not end beside idle executors, because each of hundreds of
+// tasks is isolated alone that were lost with an executor and its agent before a crash.
+func TestSuspectsLostWithAnAgentBeforeAreClearedTogether(t *testing.T) {
+	is := is.New(t)
+	c := newTwiceLostCluster(t, 1, 300)
+	is.Equal(c.suspects(), 300)
+	crashedAt := c.now
+	for c.suspects() > 0 && c.now.Sub(crashedAt) < time.Minute {
+		c.step()
+	}
+	t.Logf("the suspects are cleared after %s", c.now.Sub(crashedAt))
+	is.True(c.now.Sub(crashedAt) <= 3*time.Second)
+}
+
+// Guards against a task that crashes executors and is not found among tasks that were lost with an
+// agent before, or is started more often than the platform allows.
+func TestCrashingTaskIsFoundAmongSuspectsLostWithAnAgentBefore(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			is := is.New(t)
+			c := newTwiceLostCluster(t, seed, 300)
+			guilty := oleandervalve.TaskName{Job: "j", Index: c.rng.IntN(300)}
+			c.crashing[guilty], c.crashesUnder[guilty] = 10*time.Millisecond, 2
+			begin := c.now
+			state, _ := c.dispatcher.State("j")
+			for !state.Terminal() && c.now.Sub(begin) < time.Minute {
+				c.step()
+				state, _ = c.dispatcher.State("j")
+			}
+			is.Equal(state, work.Failed)
+			is.True(c.crashesUnder[guilty] <= 4)
+		})
+	}
+}
+
 // Guards against a task that crashes executors and is not found among the tasks that are isolated
 // together with it, or is started more often than the platform allows.
 func TestCrashingTaskIsFoundAmongManySuspects(t *testing.T) {
