--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -107,6 +107,13 @@
 	// without a connection judge the leader by that row alone.
 	renewedAt     oleandervalve.Instant
 	termStartedAt oleandervalve.Instant
+	// acquiredAt is when the leader's row had certainly replaced that of the previous leader.
+	acquiredAt oleandervalve.Instant
+	silences   silences
+	// inheritedSilences are those that the row of the previous leader named, as of acquiredAt.
+	inheritedSilences []dispatch.Silence
+	// grantedWhileLoading holds when agents were last given a proof before the jobs were loaded.
+	grantedWhileLoading map[oleandervalve.AgentID]time.Time
 	// tableTime is the time by the clock of the table at the local time tableTimeAt; zero
 	// before the first commit.
 	tableTime   time.Time
@@ -141,7 +148,7 @@
 	if err != nil {
 		o.Log.WithError(err).Warn("the leader's row can't be decoded and will be replaced")
 	}
-	own.Term = previous.Term + 1
+	own.Term, own.Silences = previous.Term+1, previous.Silences
 	started := o.now()
 	version, err := commitTakeover(ctx, o, oleandervalve.Transaction{
 		Conditions: []oleandervalve.Condition{{Key: Key, Version: current.Version}},
@@ -150,15 +157,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Leader{
-		options: o, row: own, version: version,
+	l := &Leader{
+		options: o, row: own, version: version, acquiredAt: o.now(), inheritedSilences: own.Silences, grantedWhileLoading: map[oleandervalve.AgentID]time.Time{},
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{}, joins: map[oleandervalve.EntryID]int{},
 		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, termStartedAt: started,
 		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}),
-	}, nil
+	}
+	l.silences.add(l.acquiredAt, own.Silences)
+	return l, nil
 }
 
 // commitTakeover commits a takeover. A commit with an unknown outcome is repeated; a
--- a/io/leader/load.go
+++ b/io/leader/load.go
@@ -101,6 +101,10 @@
 	}
 	l.learnedWrittenAt = l.options.Clock.Now()
 	l.dispatcher.Load(l.options.Clock.Now(), stored)
+	l.dispatcher.RestoreSilences(l.acquiredAt.Time, l.inheritedSilences)
+	for id, at := range l.grantedWhileLoading {
+		l.dispatcher.LeaseGranted(at, id)
+	}
 	l.loaded = true
 	l.applyDeferred(l.options.Clock.Now())
 	term := l.row.Term
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -206,8 +206,9 @@
 		return
 	}
 	now := l.options.Clock.Now()
-	s.conn.TrySend(&peer.Pong{Sequence: p.Sequence, ProofAge: l.options.now().Sub(l.lastProofAt)})
+	s.conn.TrySend(&peer.Pong{Sequence: p.Sequence, ProofAge: l.proofAge(id)})
 	if !l.loaded {
+		l.grantedWhileLoading[id] = now
 		s.waiting = append(s.waiting, p)
 		return
 	}
@@ -262,10 +263,7 @@
 	case *peer.ExecutorInventory:
 		m.Append(s.parts...)
 		s.parts = nil
-		for _, r := range m.Lost {
-			d.ExecutorLost(now, id, r)
-		}
-		d.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended, Incomplete: m.Incomplete})
+		l.agentConnected(now, id, m)
 	case *peer.ExecutorChange:
 		d.StatusChanged(id, m.Status)
 	case *peer.ExecutorTerminated:
@@ -289,6 +287,17 @@
 	}
 }
 
+// agentConnected handles the inventory of an agent. The lock must be held.
+func (l *Leader) agentConnected(now time.Time, id oleandervalve.AgentID, m *peer.ExecutorInventory) {
+	for _, r := range m.Lost {
+		l.dispatcher.ExecutorLost(now, id, r)
+	}
+	l.dispatcher.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended, Incomplete: m.Incomplete})
+	if l.silences.connected(id) {
+		l.requestCommit()
+	}
+}
+
 // entries returns the addresses of this entry and the connected ones.
 func (l *Leader) entries() []string {
 	l.mu.Lock()
