Log why tasks wait, what withholds starts, and slow commits, passes and locks

- The leader notes `taskWaits` for a long-running task, or a job of which nothing runs, that has waited for 2 s: what the task needs, and the number of executors of its service by the first reason that excludes them.
`startDelayed` names assigned runs that are not known to have started.
At most four waits are examined every 0.5 s, each step every 2 s; waits for capacity, which are usual under load, are noted every 10 s.
- An agent logs once what withholds a start order for over 1 s (the age of the proof of leadership, an unconfirmed executor, no start slot), and the largest age of the proofs of a session, at its end and after intervals of 10 s with a proof that was too old.
`proof_age` is the histogram of these ages.
- The leader logs commits, passes of the dispatcher and uses of its lock of over 0.3 s, with `pass_time` and `lock_time`.
All its log lines name the term.

No decision changes. Tests of core/dispatch, io/leader and io/executor pass, with the race detector too (-short).

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -41,6 +41,8 @@
 	// resumed means that the run started from a checkpoint.
 	resumed   bool
 	startedAt time.Time
+	// explainedAt is when it was last noted that the run is not known to have started.
+	explainedAt time.Time
 }
 
 // agent is the dispatcher's state of an agent and of the executor that it controls.
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -219,6 +219,10 @@
 	needsIsolation
 )
 
+func (n isolationNeed) String() string {
+	return []string{"none", "noIsolated", "isolation"}[n]
+}
+
 // isolationNeed returns what a task needs. Isolation does not hold up a job that has nothing
 // running, or a long-running task, for long while much of the fleet is idle; under load,
 // waiting is due to the load.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -78,6 +78,9 @@
 	// placementNeeded means that something relevant to placement has changed since the
 	// last scheduling pass.
 	placementNeeded bool
+	// nextExplanation is when waits are next explained, and nextFullExplanation when one for
+	// capacity is.
+	nextExplanation, nextFullExplanation time.Time
 	// sequence is the last Record.Sequence used.
 	sequence uint64
 }
@@ -394,6 +397,7 @@
 		a.lcUtilisation = nil
 	}
 	d.Schedule(now)
+	d.explainWaits(now)
 }
 
 // deleteExpiredJobs marks the jobs whose retention has passed for deletion.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -77,6 +77,8 @@
 	notBefore time.Time
 	// readyAt is when the step last became ready for placement.
 	readyAt time.Time
+	// explainedAt is when it was last looked into why a task of the step waits.
+	explainedAt time.Time
 	// cachedRank is the rank of the step, computed at rankedAt.
 	cachedRank int
 	rankedAt   time.Time
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -56,7 +56,8 @@
 	leaseDuration time.Duration
 	startLimits   startorder.Limits
 	// meter counts the bytes of messages to and from entries.
-	meter *peer.Meter
+	meter           *peer.Meter
+	proofAgeMetrics proofAgeMetrics
 
 	mu          sync.Mutex
 	status      oleandervalve.ExecutorStatus
@@ -87,7 +88,7 @@
 
 // New returns an agent. Run must be called to connect it to the leader.
 func New(o Options) *Agent {
-	return &Agent{options: o, meter: peer.NewMeter(o.Scope), leaseDuration: min(o.MaxLease, agentMaxLease), startLimits: newStartLimits(o), statusReceived: make(chan struct{}, 1), crashes: newCrashLog(o.Clock)}
+	return &Agent{options: o, meter: peer.NewMeter(o.Scope), proofAgeMetrics: newProofAgeMetrics(o.Scope), leaseDuration: min(o.MaxLease, agentMaxLease), startLimits: newStartLimits(o), statusReceived: make(chan struct{}, 1), crashes: newCrashLog(o.Clock)}
 }
 
 // StatusAnnounced handles an announced status of the executor. It ignores announcements that
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -51,14 +51,25 @@
 
 // acquireStartSlot waits until fewer than maxParallelStarts start orders are in flight. It returns
 // false if the run has to end or ctx is done first.
-func (s *session) acquireStartSlot(ctx context.Context, st *pendingStart) bool {
+func (s *session) acquireStartSlot(ctx context.Context, st *pendingStart, o dispatch.Start) bool {
 	select {
 	case s.startSlots <- struct{}{}:
 		return true
-	case <-st.stopped:
-		return false
-	case <-ctx.Done():
-		return false
+	default:
+	}
+	logged := s.agent.options.Clock.NewTimer(max(0, loggedWithholding-s.agent.options.now().Sub(st.receivedAt)))
+	defer logged.Stop()
+	for {
+		select {
+		case s.startSlots <- struct{}{}:
+			return true
+		case <-logged.Chan():
+			s.logWithheld(o, st, withheldBySlots)
+		case <-st.stopped:
+			return false
+		case <-ctx.Done():
+			return false
+		}
 	}
 }
 
@@ -111,6 +122,7 @@
 			}
 			return
 		case startorder.AwaitProof:
+			s.logWithheld(o, st, withheldByProof)
 			if !waited {
 				waited = true
 				s.logWaitingStart(o, unanswered)
@@ -118,10 +130,11 @@
 			s.waitForProof(ctx, st)
 			continue
 		case startorder.AwaitExecutor:
+			s.logWithheld(o, st, withheldByExecutor)
 			s.agent.waitRetryDelay(ctx)
 			continue
 		}
-		if !s.acquireStartSlot(ctx, st) {
+		if !s.acquireStartSlot(ctx, st, o) {
 			continue
 		}
 		attempt, ok := s.beginStart(st)
@@ -240,6 +253,7 @@
 // decideStartWith decides with what the session knows beside c. s.mu must be held.
 func (s *session) decideStartWith(now oleandervalve.Instant, c startorder.Circumstances, st *pendingStart) (startorder.Verdict, oleandervalve.StartRefusal) {
 	c.Stopped, c.Reserved, c.ProofAt, c.Unconfirmed = st.isStopped(), s.reserved(), s.proofAt, s.unconfirmed
+	s.recordProofAge(now)
 	return startorder.Decide(now, s.agent.startLimits, c)
 }
 
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -70,6 +70,7 @@
 	proofAt oleandervalve.Instant
 	// proofRenewed is closed and replaced when proofAt advances.
 	proofRenewed chan struct{}
+	proofAges    proofAges
 	pings        []sentPing
 	// clock is the executor's time as of clockAt on the agent's clock.
 	clock   oleandervalve.ExecutorTime
@@ -128,6 +129,8 @@
 	done, stopped chan struct{}
 	// void means, once done is closed, that the run has been reported as never started.
 	void bool
+	// withholdingLogged means that it has been logged what withholds the order.
+	withholdingLogged bool
 }
 
 // stop requests the end of the run. The mutex of the session must be held.
@@ -207,7 +210,7 @@
 		agent: a, conn: c, address: address, token: admit.Token, cancel: cancel, startSlots: make(chan struct{}, maxParallelStarts), stopSlots: make(chan struct{}, maxParallelStops),
 		acknowledgedEnds: map[uint64]bool{}, hints: map[runKey]dispatch.RunHints{}, running: map[runKey]bool{},
 		pendingStarts: map[runKey]*pendingStart{}, confirmedStops: map[runKey]time.Time{}, listedEnds: map[runKey]bool{},
-		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*runProgress{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1), wakePing: make(chan struct{}, 1), proofRenewed: make(chan struct{}),
+		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*runProgress{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1), wakePing: make(chan struct{}, 1), proofRenewed: make(chan struct{}), proofAges: proofAges{startedAt: a.options.Clock.Now()},
 	}
 	a.mu.Lock()
 	s.status, a.token = a.status, max(a.token, admit.Token)
@@ -232,6 +235,9 @@
 	}
 	a.mu.Unlock()
 	defer func() {
+		s.mu.Lock()
+		s.logProofAges(a.options.now())
+		s.mu.Unlock()
 		state := s.throttleState()
 		a.mu.Lock()
 		a.session, a.lastThrottleState = nil, state
@@ -391,6 +397,7 @@
 		}
 		s.pings = s.pings[1:]
 		if first.sequence == p.Sequence {
+			s.recordPong(s.agent.options.now())
 			if at := first.at.Add(-p.ProofAge); at.After(s.proofAt) {
 				s.proofAt = at
 				close(s.proofRenewed)
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -29,7 +29,9 @@
 		case <-renew.Chan():
 		}
 		l.mu.Lock()
-		l.dispatcher.Schedule(l.options.Clock.Now())
+		now := l.options.Clock.Now()
+		l.dispatcher.Schedule(now)
+		l.slowness.passEnded("schedule", now)
 		l.executeActions(l.dispatcher.TakeActions())
 		b := l.dispatcher.Batch()
 		renewalDue := l.options.now().Sub(l.renewedAt) >= RenewInterval
@@ -81,6 +83,7 @@
 	timeout := min(max(minCommitTimeout, commitTimeoutFactor*averageTime), maxCommitTimeout)
 	// mayApply is set when an earlier attempt may still take effect.
 	mayApply := false
+	began := l.options.Clock.Now()
 	for attempt := 1; ; attempt++ {
 		started := l.options.now()
 		commitCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -89,6 +92,7 @@
 		took := l.options.Clock.Since(started.Time)
 		if err == nil {
 			l.recordTableTime(c.At)
+			l.slowness.commitEnded(began, attempt, t)
 			l.commitSucceeded(b, t, c.Versions[0], renewal != nil, next, started)
 			return took, nil
 		}
@@ -98,6 +102,7 @@
 		var conflict *oleandervalve.ConflictError
 		if errors.As(err, &conflict) {
 			if isOwnCommit(t, conflict) {
+				l.slowness.commitEnded(began, attempt, t)
 				l.commitSucceeded(b, t, conflict.Current.Version, renewal != nil, next, started)
 				return took, nil
 			}
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -89,7 +89,8 @@
 	row     Row
 	version oleandervalve.Version
 
-	mu         sync.Mutex
+	mu         timedMutex
+	slowness   slowness
 	dispatcher *dispatch.Dispatcher
 	replies    map[dispatch.Token]func(dispatch.Reply)
 	nextToken  dispatch.Token
@@ -148,8 +149,10 @@
 	if err != nil {
 		return nil, err
 	}
+	o.Log = o.Log.WithField("term", own.Term)
+	slow := newSlowness(o)
 	return &Leader{
-		options: o, row: own, version: version,
+		options: o, row: own, version: version, slowness: slow, mu: timedMutex{clock: o.Clock, report: slow.lockReleased},
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
@@ -232,7 +235,10 @@
 			return
 		case <-t.Chan():
 		}
-		l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.Tick(now) })
+		l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) {
+			d.Tick(now)
+			l.slowness.passEnded("tick", now)
+		})
 	}
 }
 
