--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -89,7 +89,8 @@
 	row     Row
 	version oleandervalve.Version
 
-	mu         sync.Mutex
+	mu         timedMutex
+	slowness   slowness
 	dispatcher *dispatch.Dispatcher
 	replies    map[dispatch.Token]func(dispatch.Reply)
 	nextToken  dispatch.Token
@@ -157,8 +158,11 @@
 	if err != nil {
 		return nil, err
 	}
+	o.Log = o.Log.WithField("term", own.Term)
+	slow := newSlowness(o)
 	l := &Leader{
-		options: o, row: own, version: version, acquiredAt: o.now(), inheritedSilences: own.Silences, grantedWhileLoading: map[oleandervalve.AgentID]time.Time{},
+		options: o, row: own, version: version, slowness: slow, mu: timedMutex{clock: o.Clock, report: slow.lockReleased},
+		acquiredAt: o.now(), inheritedSilences: own.Silences, grantedWhileLoading: map[oleandervalve.AgentID]time.Time{},
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
@@ -243,7 +247,10 @@
 			return
 		case <-t.Chan():
 		}
-		l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.Tick(now) })
+		l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) {
+			d.Tick(now)
+			l.slowness.passEnded("tick", now)
+		})
 	}
 }
 
