Report the end of an executor to a leader that the agent joins later

Callers saw long-running tasks that were not started again for as long as entries were restarted in turn (LOST), though their executors had gone and nothing listened at their addresses any more.

Cause: an agent reported the end of its executor only within a session, and a session began with the executor's lists.

TestEndOfExecutorIsReportedToNextLeader failed before: ended_test.go:65: the agent has not joined the leader

Change: three refused connections in a row at the beginning of a session show the end as they do later. The session begins with empty lists, and the end is reported in it. An agent whose executor has deregistered joins too.

--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -227,7 +227,7 @@
 	address := ""
 	for ctx.Err() == nil {
 		a.mu.Lock()
-		available := a.statusKnown && !a.deregistered
+		available := a.statusKnown
 		a.mu.Unlock()
 		if !available {
 			select {
--- /dev/null
+++ b/io/executor/ended_test.go
@@ -0,0 +1,79 @@
+package executor
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandervalve"
+	"oleandervalve/io/peer"
+)
+
+// restartedExecutor names its start when it is asked who it is.
+type restartedExecutor struct {
+	crashingExecutor
+	startedAt atomic.Int64
+}
+
+func (x *restartedExecutor) Identify(context.Context, oleandervalve.ExecutorID, oleandervalve.FencingToken) (oleandervalve.ExecutorTime, int64, error) {
+	return oleandervalve.ExecutorTime(time.Second), x.startedAt.Load(), nil
+}
+
+// Guards against tasks of an executor that ended while its agent had no session: they would wait
+// until its lease has certainly ended.
+func TestEndOfExecutorIsReportedToNextLeader(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		state        oleandervalve.ExecutorState
+		deregistered bool
+		crashed      bool
+	}{
+		{"crashed", oleandervalve.ExecutorReady, false, true},
+		{"left as planned", oleandervalve.ExecutorDraining, false, false},
+		{"deregistered", oleandervalve.ExecutorDraining, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := &restartedExecutor{}
+			x.startedAt.Store(1)
+			a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second})
+			status := statusWith(16, 1)
+			is.NoErr(a.StatusAnnounced(status))
+			status.State, status.Sequence = tt.state, 2
+			is.NoErr(a.StatusAnnounced(status))
+			if tt.deregistered {
+				a.ExecutorDeregistered(status.Incarnation.ID)
+			}
+			x.fail(&oleandervalve.UnavailableError{Service: "executor", NotListening: true})
+			inventory, terminated := make(chan *peer.ExecutorInventory, 10), make(chan *peer.ExecutorTerminated, 10)
+			leadAgent(t, a, func(_ *peer.Conn, m peer.Message) {
+				switch m := m.(type) {
+				case *peer.ExecutorInventory:
+					inventory <- m
+				case *peer.ExecutorTerminated:
+					terminated <- m
+				}
+			})
+			select {
+			case m := <-inventory:
+				is.Equal(len(m.Running)+len(m.Ended), 0)
+			case <-time.After(10 * time.Second):
+				t.Fatal("the agent has not joined the leader")
+			}
+			m := <-terminated
+			is.Equal(m.Incarnation, status.Incarnation)
+			is.Equal(m.Lost.Crashed, tt.crashed)
+			// The next life of the executor gets a session.
+			x.fail(nil)
+			status.Incarnation.StartedAt++
+			x.startedAt.Store(status.Incarnation.StartedAt)
+			status.State, status.Sequence = oleandervalve.ExecutorReady, 1
+			is.NoErr(a.StatusAnnounced(status))
+			is.Equal((<-inventory).Status.Incarnation, status.Incarnation)
+		})
+	}
+}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -221,7 +221,8 @@
 		a.entries = admit.Entries
 	}
 	a.mu.Unlock()
-	if err := s.sendInventory(ctx); err != nil {
+	ended, err := s.sendInventory(ctx)
+	if err != nil {
 		return address, err
 	}
 	a.mu.Lock()
@@ -233,7 +234,13 @@
 	if changesPlacement(s.status, a.status) {
 		s.reportStatus(a.status)
 	}
+	if a.deregistered {
+		s.reportTerminated()
+	}
 	a.mu.Unlock()
+	if ended && !s.executorEnded() {
+		return address, errors.New("executor got a new incarnation while the session was being set up")
+	}
 	defer func() {
 		s.mu.Lock()
 		s.logProofAges(a.options.now())
@@ -245,7 +252,9 @@
 	}()
 	s.log().WithField("entry", address).Info("session started")
 	go s.pingLoop(ctx)
-	go s.pollLoop(ctx)
+	if !ended {
+		go s.pollLoop(ctx)
+	}
 	go func() {
 		<-ctx.Done()
 		c.Close()
@@ -262,18 +271,21 @@
 }
 
 // sendInventory fences off all earlier sessions with the executor, and sends its lists
-// of running and ended runs to the leader.
-func (s *session) sendInventory(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, inventoryTimeout)
-	defer cancel()
+// of running and ended runs to the leader. If nothing listens at the executor's address any
+// more, the lists are empty, and ended is true.
+func (s *session) sendInventory(ctx context.Context) (ended bool, err error) {
 	sent := s.agent.options.Clock.Now()
-	result, err := s.agent.options.Executor.Poll(call, s.status.Incarnation.ID, oleandervalve.PollRequest{Token: s.token})
+	result, err := s.firstPoll(ctx)
+	if isNotListening(err) {
+		inventory := peer.ExecutorInventory{Status: s.status, Lost: s.agent.crashes.reports()}
+		return true, s.conn.Send(&inventory)
+	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	if result.StartedAt != 0 && result.StartedAt != s.status.Incarnation.StartedAt {
 		s.agent.recordPolledStart(result.StartedAt)
-		return &oleandervalve.WrongIncarnationError{ID: s.status.Incarnation.ID}
+		return false, &oleandervalve.WrongIncarnationError{ID: s.status.Incarnation.ID}
 	}
 	s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Answered(now, s.status.Incarnation, result) })
 	earlierLease := s.agent.earlierLease(s.status.Incarnation)
@@ -301,10 +313,24 @@
 	inventory := peer.ExecutorInventory{Status: s.status, Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), Incomplete: result.Incomplete}
 	for _, m := range peer.SplitInventory(inventory) {
 		if err := s.conn.Send(m); err != nil {
-			return err
+			return false, err
+		}
+	}
+	return false, nil
+}
+
+// firstPoll polls the executor for the inventory. It repeats a refused poll as often as is needed
+// to tell that nothing listens any more.
+func (s *session) firstPoll(ctx context.Context) (oleandervalve.PollResult, error) {
+	call, cancel := context.WithTimeout(ctx, inventoryTimeout)
+	defer cancel()
+	for refusals := 1; ; refusals++ {
+		result, err := s.agent.options.Executor.Poll(call, s.status.Incarnation.ID, oleandervalve.PollRequest{Token: s.token})
+		if !isNotListening(err) || refusals >= refusalsOfEnded {
+			return result, err
 		}
+		s.agent.waitRetryDelay(call)
 	}
-	return nil
 }
 
 // earlierLease returns the longest lease that an earlier session may have requested of an
