Bound how long isolations hold up long-running tasks under load

Callers may count on a long-running task starting again within a few seconds if there is room for it, however full the service is. Isolations of suspect tasks held such tasks up for at most 2.5 s only while less than 0.65 of the processors were in use. Above that, a suspect long-running task waited for a settled executor and for a turn among the isolations, at most a third of the executors at a time, and an innocent one for an executor that was not kept free for them. Both took as long as there were others to isolate, hundreds after a large crash.

The limit now holds for long-running tasks at any load. So that suspects that wait for room are not started beside others as soon as there is some, it counts only the time in which the task fits on an executor but for isolations, without a break.

TestLongRunningTasksAreNotHeldUpByIsolationsUnderLoad failed before, at a utilisation of 0.70 beside 200 suspects: suspect: 4 tasks run after 15.25s innocent: 4 tasks run after 30.1s Both take 2.55 s now. The tests of tasks that crash executors pass.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -220,8 +221,8 @@
 )
 
 // isolationNeed returns what a task needs. Isolation does not hold up a job that has nothing
-// running, or a long-running task, for long while much of the fleet is idle; under load,
-// waiting is due to the load.
+// running for long while much of the fleet is idle; under load, waiting is due to the load. It
+// never holds up a long-running task for long that could start but for isolations.
 func (d *Dispatcher) isolationNeed(s *step, index int, now time.Time) isolationNeed {
 	need := needsNoIsolated
 	if s.history(index).Suspect() {
@@ -231,9 +232,50 @@
 		d.utilisation(s.job.rec.Queue.Service, now) < starvationMaxUtilisation {
 		return needsNone
 	}
+	if since, ok := s.heldUpSince[s.heldUpKey(index)]; ok && now.Sub(since) >= isolationWait {
+		return needsNone
+	}
 	return need
 }
 
+// innocentTasks is the key of the tasks in step.heldUpSince that are not suspect.
+const innocentTasks = -1
+
+// heldUpKey returns the key of a task in step.heldUpSince.
+func (s *step) heldUpKey(index int) int {
+	if s.history(index).Suspect() {
+		return index
+	}
+	return innocentTasks
+}
+
+// recordHeldUp records whether a waiting task could start but for isolations.
+func (s *step) recordHeldUp(now time.Time, index int, heldUp bool) {
+	k := s.heldUpKey(index)
+	if !heldUp {
+		delete(s.heldUpSince, k)
+		return
+	}
+	if s.heldUpSince == nil {
+		s.heldUpSince = map[int]time.Time{}
+	}
+	if _, ok := s.heldUpSince[k]; !ok {
+		s.heldUpSince[k] = now
+	}
+}
+
+// forgetHeldUp forgets the tasks that don't wait any more.
+func (s *step) forgetHeldUp(waiting []int) {
+	if len(s.heldUpSince) == 0 {
+		return
+	}
+	kept := make(map[int]bool, len(waiting))
+	for _, i := range waiting {
+		kept[s.heldUpKey(i)] = true
+	}
+	maps.DeleteFunc(s.heldUpSince, func(k int, _ time.Time) bool { return !kept[k] })
+}
+
 // admitsIsolated reports whether a task may run on an executor as far as isolation goes.
 func (d *Dispatcher) admitsIsolated(need isolationNeed, a *agent, now time.Time) bool {
 	switch need {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -85,6 +85,9 @@
 	avoidedAgents map[int]oleandervalve.AgentID
 	// suspectSince holds, by task index, since when a suspect task waits.
 	suspectSince map[int]time.Time
+	// heldUpSince holds, by the index of a suspect task or innocentTasks, since when tasks of a
+	// long-running step could start but for isolations.
+	heldUpSince map[int]time.Time
 }
 
 func newJob(id oleandervalve.JobID, spec work.Spec, rec work.Record) *job {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -80,13 +80,14 @@
 }
 
 // choose returns the best executor for a task of a step, or nil if none fits. If the task
-// is suspect and an executor would be better once it is settled, that is the second result.
+// is suspect or long-running, the second result is the best of the executors that it fits on
+// but for isolations.
 func (d *Dispatcher) choose(s *step, index int, now time.Time) (best, unsettled *agent) {
 	var bestScore, unsettledScore float64
 	need := d.isolationNeed(s, index, now)
 	for _, a := range d.sortedAgents {
 		admitted := d.admitsIsolated(need, a, now) || need == needsIsolation && d.joinsGroup(s, index, a, now)
-		if !admitted && need != needsIsolation || !d.fits(s, a, now) {
+		if !admitted && need != needsIsolation && !s.spec.LongRunning || !d.fits(s, a, now) {
 			continue
 		}
 		var score float64
--- a/core/dispatch/schedule.go
+++ b/core/dispatch/schedule.go
@@ -86,6 +86,9 @@
 	var left []int
 	for n, i := range s.waiting {
 		a, unsettled := d.choose(s, i, now)
+		if s.spec.LongRunning && a == nil {
+			s.recordHeldUp(now, i, unsettled != nil)
+		}
 		if a != nil {
 			d.assign(now, s, i, a)
 			placed++
@@ -102,6 +105,7 @@
 		left = append(left, i)
 	}
 	s.waiting = left
+	s.forgetHeldUp(left)
 	return placed
 }
 
