Report the end of a lease before the session ends

Once an executor has given no answer for as long as its lease may last, its agent tells the leader that nothing runs there any more, and ends the session. Ending it closes the connection at once, and the report, which had only been queued, was lost with it.

The agent now closes the connection with a handshake after the report.

TestEndOfLeaseIsReportedBeforeTheSessionEnds failed before: the leader is not told that the runs have ended after 20 s; now the report comes with the end of the lease.

--- a/io/executor/lease_test.go
+++ b/io/executor/lease_test.go
@@ -61,3 +61,53 @@
 		t.Fatal("the run is not started")
 	}
 }
+
+// silentExecutor answers polls until it falls silent, and runs everything.
+type silentExecutor struct {
+	crashingExecutor
+	silent atomic.Bool
+}
+
+func (x *silentExecutor) Poll(ctx context.Context, e oleandervalve.ExecutorID, p oleandervalve.PollRequest) (oleandervalve.PollResult, error) {
+	if x.silent.Load() {
+		<-ctx.Done()
+		return oleandervalve.PollResult{}, &oleandervalve.UnknownOutcomeError{Operation: "poll"}
+	}
+	return x.crashingExecutor.Poll(ctx, e, p)
+}
+
+// awaitLossOfSilentExecutor waits until an agent reports that the runs of its executor have ended,
+// which gives no more answers.
+func awaitLossOfSilentExecutor(t *testing.T, maxLease time.Duration) {
+	t.Helper()
+	x := &silentExecutor{}
+	x.start = x.run
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: maxLease, ProofLifetime: 7 * time.Second})
+	if err := a.StatusAnnounced(statusWith(16, 1)); err != nil {
+		t.Fatal(err)
+	}
+	started, terminated := make(chan bool, 1), make(chan bool, 1)
+	leadAgent(t, a, func(c *peer.Conn, m peer.Message) {
+		switch m := m.(type) {
+		case *peer.ExecutorInventory:
+			c.TrySend(&peer.StartRun{Start: dispatch.Start{Executor: m.Status.Incarnation, Task: oleandervalve.TaskName{Job: "j"}, Run: 1, Hints: dispatch.RunHints{Isolation: time.Millisecond}}})
+		case *peer.RunOutlived:
+			started <- true
+		case *peer.ExecutorTerminated:
+			terminated <- true
+		}
+	})
+	<-started
+	x.silent.Store(true)
+	select {
+	case <-terminated:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the leader is not told that the runs have ended")
+	}
+}
+
+// Guards against a report of the end of a lease that is lost as the session ends with it.
+func TestEndOfLeaseIsReportedBeforeTheSessionEnds(t *testing.T) {
+	t.Parallel()
+	awaitLossOfSilentExecutor(t, 500*time.Millisecond) // ends during the first unanswered poll
+}
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -67,6 +67,7 @@
 			if s.leaseExpired() {
 				s.log().Warn("executor is unreachable and its lease has expired; reporting its runs as terminated")
 				s.reportLost()
+				s.conn.Shutdown() // the end of the session must not overtake the report
 				s.end("executor has been unreachable until its lease expired")
 				return
 			}
