End the lease of executors that give no answer

Callers may see a long-running task that has ended at its executor and is not started again, without any limit: if the polls of an agent get no answers, it hears neither of that end nor of any other. Its way out was the end of the executor's lease, after which the leader moves the tasks. But each poll asked for an extension, and since it might have reached the executor, the agent moved the end of the lease that it waits for. While the leader went on proving its leadership, that end never came.

Polls now extend the lease no further once the executor has given no answer for 2 s; they go on otherwise, and one answer suffices to extend it again.

--- a/io/executor/lease_test.go
+++ b/io/executor/lease_test.go
@@ -111,3 +111,10 @@
 	t.Parallel()
 	awaitLossOfSilentExecutor(t, 500*time.Millisecond) // ends during the first unanswered poll
 }
+
+// Guards against tasks that are never started elsewhere, because polls extend the lease of an
+// executor without end that gives no answer: its runs may have ended long ago.
+func TestLeaseOfSilentExecutorEnds(t *testing.T) {
+	t.Parallel()
+	awaitLossOfSilentExecutor(t, 3*time.Second)
+}
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -29,6 +29,11 @@
 	pollTimeoutMargin = 700 * time.Millisecond
 )
 
+// maxSilence is how long an executor may give no answer until polls extend its lease no further.
+// Each of them may reach it, so the lease of one whose answers don't arrive would never certainly
+// end, and no task of it could start elsewhere.
+const maxSilence = 2 * time.Second
+
 // pollLoop polls the executor until the session ends. Each poll extends the lease,
 // reports ended runs and updates the speed limits of best-effort tasks.
 func (s *session) pollLoop(ctx context.Context) {
@@ -43,7 +48,10 @@
 		if s.proofAt.IsZero() || s.unconfirmed {
 			wait = initialPollWait
 		}
-		request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: s.lastAcknowledgedEnd, LeaseUntil: s.leaseUntil(s.agent.options.now()), Wait: wait}
+		request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: s.lastAcknowledgedEnd, Wait: wait}
+		if now.Sub(s.clockAt) < maxSilence {
+			request.LeaseUntil = s.leaseUntil(s.agent.options.now())
+		}
 		s.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, wait+pollTimeoutMargin)
 		result, err := s.agent.options.Executor.Poll(call, s.status.Incarnation.ID, request)
