Let the size and timeout of commits follow the link

What callers saw: a burst of jobs at a leader behind a thin link was refused as if the table were out of reach, and the leader gave up its leadership.

Cause: a commit took as many jobs as the table accepts, up to 500 KB, but its timeout depended on the usual time of commits alone, 150 ms if those were small. On a link of 2 Mbit/s, 31 new jobs need 0.7 s. The commit was given up and sent again, while the first copy was still on the link. After 0.3 s the jobs that waited were refused, after 1.2 s the leader resigned, although the table was sound. A commit of more than 2 s on the link could not end at all, and no renewal of leadership is sent meanwhile.

Change: core/batching measures the rate at which commits are sent. On a link of 20 Mbit/s commits grow to the former limit. The calls of commit in a test of the leader lose a parameter and a result; what it checks is unchanged.

--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -18,7 +18,6 @@
 // commitLoop commits one batch after another until leadership is lost. Changes
 // that accumulate during a commit go into the next one.
 func (l *Leader) commitLoop(ctx context.Context) error {
-	averageTime := minCommitTimeout / commitTimeoutFactor
 	renew := l.options.Clock.NewTimer(RenewInterval)
 	defer renew.Stop()
 	for {
@@ -31,7 +30,7 @@
 		l.mu.Lock()
 		l.dispatcher.Schedule(l.options.Clock.Now())
 		l.executeActions(l.dispatcher.TakeActions())
-		b := l.dispatcher.Batch()
+		b := l.dispatcher.BatchWithin(l.pace.MaxBytes())
 		renewalDue := l.options.now().Sub(l.renewedAt) >= RenewInterval
 		l.mu.Unlock()
 		if b == nil && !renewalDue {
@@ -41,11 +40,9 @@
 		if b == nil {
 			b = &dispatch.Batch{}
 		}
-		took, err := l.commit(ctx, b, averageTime)
-		if err != nil {
+		if err := l.commit(ctx, b); err != nil {
 			return err
 		}
-		averageTime = (7*averageTime + took) / 8
 		renew.Reset(l.untilRenewal())
 		if l.tryHandover() {
 			return ErrHandedOver
@@ -59,10 +56,8 @@
 }
 
 // commit commits a batch and repeats that until the outcome is known. A batch that
-// the table refuses goes back to the dispatcher. The timeout is derived from
-// averageTime, the average duration of commits. commit returns the duration of the
-// last call, or averageTime if the table refused it.
-func (l *Leader) commit(ctx context.Context, b *dispatch.Batch, averageTime time.Duration) (time.Duration, error) {
+// the table refuses goes back to the dispatcher.
+func (l *Leader) commit(ctx context.Context, b *dispatch.Batch) error {
 	t := b.Transaction
 	t.Conditions = append([]oleandervalve.Condition{{Key: Key, Version: l.version}}, t.Conditions...)
 	next := l.row
@@ -78,7 +73,8 @@
 	if value := l.dueLearnedRow(); value != nil && len(t.Puts) > 0 {
 		t.Puts = append(slices.Clip(t.Puts), oleandervalve.Put{Key: dispatch.LearnedKey, Value: value})
 	}
-	timeout := min(max(minCommitTimeout, commitTimeoutFactor*averageTime), maxCommitTimeout)
+	size := valueBytes(t)
+	timeout := l.pace.Timeout(size)
 	// mayApply is set when an earlier attempt may still take effect.
 	mayApply := false
 	for attempt := 1; ; attempt++ {
@@ -89,50 +85,64 @@
 		took := l.options.Clock.Since(started.Time)
 		if err == nil {
 			l.recordTableTime(c.At)
+			l.pace.Answered(size, took)
 			l.commitSucceeded(b, t, c.Versions[0], renewal != nil, next, started)
-			return took, nil
+			return nil
 		}
 		if ctx.Err() != nil {
-			return 0, nil //nolint:nilerr // the term has been cancelled; the next leader resolves the commit
+			return nil //nolint:nilerr // the term has been cancelled; the next leader resolves the commit
 		}
 		var conflict *oleandervalve.ConflictError
 		if errors.As(err, &conflict) {
 			if isOwnCommit(t, conflict) {
+				l.pace.Answered(size, took)
 				l.commitSucceeded(b, t, conflict.Current.Version, renewal != nil, next, started)
-				return took, nil
+				return nil
 			}
 			if l.skippedRows[conflict.Key] {
 				l.rejectBatch(b, len(t.Puts), err)
-				return averageTime, nil
+				return nil
 			}
 			l.options.Log.WithFields(logrus.Fields{"row": conflict.Key, "expected": conflict.Expected, "found": conflict.Current.Version}).Warn("commit conflicts with that of another leader")
-			return 0, ErrFenced
+			return ErrFenced
 		}
 		var invalid *oleandervalve.InvalidError
 		if errors.As(err, &invalid) && !b.Empty() {
 			l.rejectBatch(b, len(t.Puts), err)
-			return averageTime, nil
+			return nil
 		}
 		var unavailable *oleandervalve.UnavailableError
 		if !errors.As(err, &unavailable) {
 			mayApply = true
+			if took >= timeout {
+				l.pace.Unanswered(size)
+			}
 			timeout = min(2*timeout, maxCommitTimeout)
 		}
 		l.options.Log.WithFields(logrus.Fields{"attempt": attempt, "rows": len(t.Puts), "tookMs": took.Milliseconds(), "mayApply": mayApply}).WithError(err).Warn("commit failed")
 		if l.commitFailed(started) {
-			return 0, ErrResigned
+			return ErrResigned
 		}
 		if !mayApply {
 			l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.CommitRefused(now, b) })
 			l.options.Clock.Sleep(retryDelay)
 			l.requestCommit()
-			return averageTime, nil
+			return nil
 		}
 		l.refuseUnsent()
 		l.options.Clock.Sleep(repeatDelay(attempt, took, errors.As(err, &unavailable)))
 	}
 }
 
+// valueBytes returns the total size of the values that a transaction writes.
+func valueBytes(t oleandervalve.Transaction) int {
+	n := 0
+	for _, p := range t.Puts {
+		n += len(p.Value)
+	}
+	return n
+}
+
 // rejectBatch returns a batch that the table will never accept to the dispatcher.
 func (l *Leader) rejectBatch(b *dispatch.Batch, rows int, err error) {
 	l.options.Log.WithField("rows", rows).WithError(err).Error("table has rejected a commit; its jobs are committed one by one")
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
+	"oleandervalve/core/batching"
 	"oleandervalve/core/dispatch"
 	"oleandervalve/core/work"
 	"oleandervalve/io/peer"
@@ -35,9 +36,6 @@
 	// maxCommitTimeout is also the timeout of a read and of a takeover commit.
 	minCommitTimeout = 150 * time.Millisecond
 	maxCommitTimeout = 2 * time.Second
-	// commitTimeoutFactor is the ratio of the timeout of a commit to the average
-	// duration of commits.
-	commitTimeoutFactor = 8
 	// retryDelay is the pause before a refused commit or a failed read is repeated.
 	retryDelay = 100 * time.Millisecond
 	// maxActiveJobs limits the memory use of the leader: a job takes about 10 KB.
@@ -88,6 +86,8 @@
 	options Options
 	row     Row
 	version oleandervalve.Version
+	// pace decides on the size and the timeout of commits, of which there is one at a time.
+	pace *batching.Pace
 
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
@@ -152,6 +152,7 @@
 	}
 	return &Leader{
 		options: o, row: own, version: version,
+		pace: batching.New(batching.Limits{MinTimeout: minCommitTimeout, MaxTimeout: maxCommitTimeout, MaxBytes: dispatch.MaxBatchBytes}),
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -189,20 +189,17 @@
 	l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.Tick(now.Add(time.Millisecond)) })
 	submitted := call(peer.JobCall{ID: 1, Kind: peer.CallSubmit, Job: "new", Spec: work.Spec{Steps: []work.Step{{Count: 1}}}})
 	x.lostAnswers = 1
-	_, err = l.commit(context.Background(), l.dispatcher.Batch(), time.Millisecond)
-	is.NoErr(err)
+	is.NoErr(l.commit(context.Background(), l.dispatcher.Batch()))
 	is.Equal((<-submitted).Verdict, dispatch.Accepted)
 	_, kept := x.rows[work.RecordKey("old")]
 	is.True(!kept)
 	// The cancellation's commit is refused for now, which must not discard the stored job.
 	cancelled := call(peer.JobCall{ID: 2, Kind: peer.CallCancel, Job: "new"})
 	x.commitError = &oleandervalve.UnavailableError{Service: "table"}
-	_, err = l.commit(context.Background(), l.dispatcher.Batch(), time.Millisecond)
-	is.NoErr(err)
+	is.NoErr(l.commit(context.Background(), l.dispatcher.Batch()))
 	is.Equal(len(cancelled), 0)
 	x.commitError = nil
-	_, err = l.commit(context.Background(), l.dispatcher.Batch(), time.Millisecond)
-	is.NoErr(err)
+	is.NoErr(l.commit(context.Background(), l.dispatcher.Batch()))
 	is.Equal((<-cancelled).Verdict, dispatch.Accepted)
 	is.Equal((<-call(peer.JobCall{ID: 3, Kind: peer.CallStatus, Job: "new"})).State, work.Cancelled)
 }
--- a/io/leader/load.go
+++ b/io/leader/load.go
@@ -36,7 +36,6 @@
 // renewLoop renews the leader's row until leadership is lost or done is closed. It finishes a
 // renewal that it has begun, so that the version of the row is known.
 func (l *Leader) renewLoop(ctx context.Context, done <-chan struct{}) error {
-	averageTime := minCommitTimeout / commitTimeoutFactor
 	for {
 		t := l.options.Clock.NewTimer(l.untilRenewal())
 		select {
@@ -45,11 +44,9 @@
 			return nil
 		case <-t.Chan():
 		}
-		took, err := l.commit(ctx, &dispatch.Batch{}, averageTime)
-		if err != nil {
+		if err := l.commit(ctx, &dispatch.Batch{}); err != nil {
 			return err
 		}
-		averageTime = (7*averageTime + took) / 8
 	}
 }
 
