--- a/io/leader/loading_test.go
+++ b/io/leader/loading_test.go
@@ -46,7 +46,7 @@
 	s.acquire()
 	for range 4 {
 		s.clock.Advance(RenewInterval)
-		_, err := s.leader.commit(context.Background(), &dispatch.Batch{}, time.Millisecond)
+		err := s.leader.commit(context.Background(), &dispatch.Batch{})
 		is.NoErr(err)
 	}
 	row, err := DecodeRow(s.table.rows[Key])
@@ -66,7 +66,7 @@
 	x := &session{conn: dial(t, address, peer.Join{Agent: "a-1"})}
 	s.leader.agents["a-1"] = x
 	s.clock.Advance(5 * time.Second)
-	_, err := s.leader.commit(context.Background(), &dispatch.Batch{}, time.Millisecond)
+	err := s.leader.commit(context.Background(), &dispatch.Batch{})
 	is.NoErr(err)
 	s.leader.answerPing("a-1", x, &peer.Ping{Sequence: 1})
 	delete(s.leader.agents, "a-1")
--- a/io/leader/silence_test.go
+++ b/io/leader/silence_test.go
@@ -82,7 +82,7 @@
 		if b == nil {
 			b = &dispatch.Batch{}
 		}
-		if _, err := s.leader.commit(context.Background(), b, time.Millisecond); err != nil {
+		if err := s.leader.commit(context.Background(), b); err != nil {
 			s.t.Fatal(err)
 		}
 	}
--- a/io/leader/slowness_test.go
+++ b/io/leader/slowness_test.go
@@ -56,8 +56,7 @@
 			}
 			x.takes = tt.takes
 			for range 2 {
-				_, err := l.commit(context.Background(), &dispatch.Batch{}, time.Second)
-				is.NoErr(err)
+				is.NoErr(l.commit(context.Background(), &dispatch.Batch{}))
 			}
 			is.Equal(lines("commit is slow"), tt.want)
 			l.withDispatcher(func(*dispatch.Dispatcher, time.Time) { clock.Advance(tt.takes) })
