Set up signals before the settings are read

A process on the users' platform ended when its settings changed, or a planned stop began, while it was starting.

Cause: SIGHUP was caught by a goroutine that was started after the settings had been read, and SIGTERM after that as well. Until then the default action of both signals ends the process. With a tenth of a core a start takes long enough for a series of changes and restarts to hit it.

Both signals are now set up before anything else is done. A SIGTERM that comes early begins a planned stop as soon as the process listens.

--- a/cmd/oleandervalve/platform.go
+++ b/cmd/oleandervalve/platform.go
@@ -4,10 +4,8 @@
 	"context"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -49,6 +47,7 @@
 // startHosted loads the settings file that the platform provides, starts logging,
 // sets the memory limit and watches for changes of the file.
 func startHosted(role string) (platform.Settings, *process.Process, *process.LogWriter, error) {
+	hangups := process.Hangups()
 	path := os.Getenv(platform.SettingsVariable)
 	s, err := platform.LoadSettings(path)
 	if err != nil {
@@ -58,15 +57,13 @@
 	p := process.New(s.Name, "info", out)
 	p.Log().WithFields(logrus.Fields{"role": role, "address": s.IP, "settings": path, "table": s.TableAddress}).Info("started")
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
-	go watchReload(path, p.Log())
+	go watchReload(hangups, path, p.Log())
 	return s, p, out, nil
 }
 
 // watchReload validates the settings file on SIGHUP, which the platform sends when
 // the file has changed. A running process keeps its addresses and limits.
-func watchReload(path string, log *logrus.Entry) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func watchReload(hangups <-chan os.Signal, path string, log *logrus.Entry) {
 	for range hangups {
 		if _, err := platform.LoadSettings(path); err != nil {
 			log.WithError(err).Error("changed settings file is invalid and was ignored")
@@ -78,12 +75,12 @@
 
 // Execute runs an entry on the hosting platform until it is stopped.
 func (c *hostedEntryCommand) Execute([]string) error {
+	signals := process.Signals()
 	s, p, out, err := startHosted("entry")
 	if err != nil {
 		return err
 	}
 	defer out.Close()
-	signals := process.Signals()
 	var permits oleandervalve.PermitService
 	if s.PermitAddress != "" {
 		permits = platform.NewPermitClient(s.PermitAddress)
@@ -117,12 +114,12 @@
 
 // Execute runs the agent of an executor on the hosting platform until it is stopped.
 func (c *hostedAgentCommand) Execute([]string) error {
+	signals := process.Signals()
 	s, p, out, err := startHosted("agent")
 	if err != nil {
 		return err
 	}
 	defer out.Close()
-	signals := process.Signals()
 	store := platform.NewTableClient(s.TableAddress)
 	a := executor.New(executor.Options{
 		ID: oleandervalve.AgentID(s.Name), Seeds: s.PeerSeeds,
--- a/io/process/signals.go
+++ b/io/process/signals.go
@@ -22,3 +22,11 @@
 	}()
 	return notifications
 }
+
+// Hangups returns a channel that receives a value for SIGHUP, which does not end the process any
+// more.
+func Hangups() <-chan os.Signal {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGHUP)
+	return received
+}
