Ignore a repeated stop signal on the users' platform

Requests in flight were cut when the platform sent SIGTERM twice to an entry, as planned stops and replacements that overlap do.

Cause: a second signal ends a planned stop at once. That is meant for an operator at a terminal; the platform ends a process with SIGKILL.

The commands for the platform ignore a repeated signal. The settings-file commands keep the behaviour that their page describes.

--- a/cmd/oleandervalve/platform.go
+++ b/cmd/oleandervalve/platform.go
@@ -106,7 +106,7 @@
 		}
 	}
 	go g.Run(ctx)
-	return p.Run(signals, process.StopOptions{Timeout: s.StopGrace - killMargin, Notice: min(maxNotice, s.StopGrace/2), Drain: func(ctx context.Context) bool {
+	return p.Run(signals, process.StopOptions{IgnoreRepeated: true, Timeout: s.StopGrace - killMargin, Notice: min(maxNotice, s.StopGrace/2), Drain: func(ctx context.Context) bool {
 		g.Stop(ctx)
 		return true
 	}})
@@ -139,7 +139,7 @@
 		}
 	}
 	go a.Run(ctx)
-	return p.Run(signals, process.StopOptions{Timeout: s.StopGrace - killMargin})
+	return p.Run(signals, process.StopOptions{IgnoreRepeated: true, Timeout: s.StopGrace - killMargin})
 }
 
 func metricsAddress(s platform.Settings) string { return s.IP + ":" + strconv.Itoa(s.FirstPort) }
--- a/cmd/oleandervalve/signals_test.go
+++ b/cmd/oleandervalve/signals_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -105,3 +107,26 @@
 		}
 	}
 }
+
+// Guards against a planned stop that cuts a request because the platform asks for it twice.
+func TestRepeatedStopSignalCutsNoRequest(t *testing.T) {
+	is := is.New(t)
+	p := startHostedProcess(t, "hosted-entry")
+	p.passSettings()
+	p.waitUntilListening(t)
+	c, err := net.Dial("tcp", p.address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET /q/0000000000000001 HTTP/1.1\r\n")
+	is.NoErr(err)
+	is.NoErr(p.command.Process.Signal(syscall.SIGTERM))
+	time.Sleep(100 * time.Millisecond)
+	is.NoErr(p.command.Process.Signal(syscall.SIGTERM))
+	time.Sleep(100 * time.Millisecond)
+	_, _ = io.WriteString(c, "Host: x\r\n\r\n") // the answer shows whether it was read
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable) // no configuration yet
+	is.NoErr(p.wait())
+}
--- a/io/process/process.go
+++ b/io/process/process.go
@@ -188,10 +188,13 @@
 	// Drain refuses new work and waits until the work in flight has completed or
 	// the context is done. It reports whether all work completed.
 	Drain func(context.Context) bool
+	// IgnoreRepeated keeps a second signal from ending the stop at once, for a platform that
+	// may ask twice and has another signal to end a process.
+	IgnoreRepeated bool
 }
 
 // Run waits for a signal and then performs a planned stop. A second signal ends
-// the stop immediately with ErrForcedStop. If the timeout expires with work in
+// the stop immediately with ErrForcedStop, unless it is to be ignored. If the timeout expires with work in
 // flight, Run returns an *oleandervalve.UnknownOutcomeError. If a listener fails
 // before the first signal, Run returns its error immediately.
 func (p *Process) Run(signals <-chan struct{}, options StopOptions) error {
@@ -202,13 +205,19 @@
 		return err
 	}
 	p.stopping.Store(true)
-	p.log.Info("planned stop has begun; a second signal ends the process at once")
+	repeated := signals
+	if options.IgnoreRepeated {
+		repeated = nil
+		p.log.Info("planned stop has begun")
+	} else {
+		p.log.Info("planned stop has begun; a second signal ends the process at once")
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), options.Timeout)
 	defer cancel()
 	done := make(chan bool, 1)
 	go func() { done <- p.stop(ctx, options) }()
 	select {
-	case <-signals:
+	case <-repeated:
 		return ErrForcedStop
 	case complete := <-done:
 		if !complete {
