Release a leadership that a planned stop meets in its takeover

An entry that was stopped as planned while it took over led on until its process ended, and requests waited for the next leader without notice. A stop between the takeover and the start of the term ended the process at once: requests in flight were cut.

Cause: the stop released only a term that had begun, and a takeover whose commit was on its way began a term all the same. Release called a function that only Run set.

The stop now waits for a takeover that has begun and releases it; none begins after the stop. A term can be ended before Run.

--- a/io/gateway/follow.go
+++ b/io/gateway/follow.go
@@ -164,15 +164,13 @@
 // until leadership is lost. It returns the address of the next leader, or "" if that
 // is unknown.
 func (g *Gateway) lead(ctx context.Context, current oleandervalve.Row) string {
+	done := make(chan struct{})
 	g.mu.Lock()
-	stopping := g.stopping
-	g.mu.Unlock()
-	if stopping {
+	if g.stopping {
+		g.mu.Unlock()
 		g.pause(ctx, tableRetryDelay)
 		return ""
 	}
-	done := make(chan struct{})
-	g.mu.Lock()
 	g.takeoverDone = done
 	// The attempt fulfils the request. If the request stayed, it would depose a healthy
 	// leader as soon as this entry follows one.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -131,10 +131,19 @@
 }
 
 // Stop prepares a planned stop. It makes the entry report that it is not ready, and
-// gives up leadership if the entry leads.
+// gives up leadership if the entry leads or is taking over.
 func (g *Gateway) Stop(ctx context.Context) {
 	g.mu.Lock()
 	g.stopping = true
+	taking := g.takeoverDone
+	g.mu.Unlock()
+	if taking != nil {
+		select {
+		case <-taking:
+		case <-ctx.Done():
+		}
+	}
+	g.mu.Lock()
 	l := g.ownTerm
 	g.mu.Unlock()
 	if l != nil {
--- a/io/leader/handover_test.go
+++ b/io/leader/handover_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -41,3 +42,20 @@
 		})
 	}
 }
+
+// Guards against a process that crashes because its planned stop begins between the takeover and
+// the start of the term.
+func TestReleaseBeforeTermBegins(t *testing.T) {
+	is := is.New(t)
+	x := newFakeTable()
+	l, err := Acquire(context.Background(), testOptions(x), oleandervalve.Row{Key: Key}, Row{Entry: "e-1", Process: "p"})
+	is.NoErr(err)
+	released := make(chan struct{})
+	go func() { defer close(released); l.Release(context.Background()) }()
+	time.Sleep(20 * time.Millisecond)
+	is.NoErr(l.Run(context.Background()))
+	<-released
+	row, err := DecodeRow(x.rows[Key])
+	is.NoErr(err)
+	is.True(row.Released)
+}
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -139,7 +139,9 @@
 
 	commitRequests chan struct{}
 	done           chan struct{}
-	cancel         context.CancelFunc
+	// cancelled is closed when the term is to end, which may be before it begins.
+	cancelled  chan struct{}
+	cancelOnce sync.Once
 }
 
 // Acquire tries to become the leader by replacing the given leader's row with own,
@@ -169,7 +171,7 @@
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{}, joins: map[oleandervalve.EntryID]int{},
 		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, termStartedAt: started,
-		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}),
+		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}), cancelled: make(chan struct{}),
 	}
 	l.silences.add(l.acquiredAt, own.Silences)
 	return l, nil
@@ -206,11 +208,18 @@
 
 // Run loads the jobs and leads until the context ends or leadership is lost.
 func (l *Leader) Run(ctx context.Context) error {
-	ctx, l.cancel = context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(ctx)
 	defer close(l.done)
 	defer l.stop()
 	defer l.readyOnce.Do(func() { close(l.ready) })
-	defer l.cancel()
+	defer cancel()
+	go func() {
+		select {
+		case <-l.cancelled:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	if err := l.loadWhileRenewing(ctx); err != nil {
 		return err
 	}
@@ -219,6 +228,9 @@
 	return l.commitLoop(ctx)
 }
 
+// cancel ends the term.
+func (l *Leader) cancel() { l.cancelOnce.Do(func() { close(l.cancelled) }) }
+
 // stop ends all connections. It answers pending requests with an unknown outcome, since
 // their changes may or may not have been committed.
 func (l *Leader) stop() {
--- a/io/leader/load.go
+++ b/io/leader/load.go
@@ -15,22 +15,28 @@
 // loadWhileRenewing loads the jobs and renews the leader's row meanwhile: loading may take
 // longer than the row may stay unchanged before another entry takes over.
 func (l *Leader) loadWhileRenewing(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	renewing, stopRenewing := context.WithCancel(ctx)
+	defer stopRenewing()
+	var renewalErr error
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		if err := l.renewLoop(ctx, renewing.Done()); err != nil {
-			cancel(err)
+		if renewalErr = l.renewLoop(ctx, renewing.Done()); renewalErr != nil {
+			cancel()
 		}
 	}()
-	if err := l.load(ctx); err != nil {
-		cancel(err)
+	err := l.load(ctx)
+	if err != nil {
+		cancel()
 	}
 	stopRenewing()
 	<-stopped
-	return context.Cause(ctx)
+	if renewalErr != nil {
+		return renewalErr
+	}
+	return err
 }
 
 // renewLoop renews the leader's row until leadership is lost or done is closed. It finishes a
