Limit the release of leadership in a planned stop to the notice

While the table was slow or silent, an entry that led and was stopped as planned kept callers' connections until 0.7 s before the platform's kill: what they sent in the last seconds was cut.

Cause: the listeners were shut down only after the release of leadership, which waits for the table for the whole time of the stop.

The release now ends with the notice. Other entries notice the end of the process in any case.

Without the change the test, a real process with a grace of 600 s whose table falls silent, fails after a minute ("the process waits for the table"); with it, the process ends after the notice.

--- a/cmd/oleandervalve/platform.go
+++ b/cmd/oleandervalve/platform.go
@@ -106,7 +106,12 @@
 		}
 	}
 	go g.Run(ctx)
-	return p.Run(signals, process.StopOptions{IgnoreRepeated: true, Timeout: s.StopGrace - killMargin, Notice: min(maxNotice, s.StopGrace/2), Drain: func(ctx context.Context) bool {
+	notice := min(maxNotice, s.StopGrace/2)
+	return p.Run(signals, process.StopOptions{IgnoreRepeated: true, Timeout: s.StopGrace - killMargin, Notice: notice, Drain: func(ctx context.Context) bool {
+		// Requests need the time after the notice. Other entries notice the end of this one
+		// even if the table doesn't answer to the release of leadership.
+		ctx, cancel := context.WithTimeout(ctx, notice)
+		defer cancel()
 		g.Stop(ctx)
 		return true
 	}})
--- a/cmd/oleandervalve/signals_test.go
+++ b/cmd/oleandervalve/signals_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +19,7 @@
 	"github.com/matryer/is"
 
 	"oleandervalve/platform"
+	"oleandervalve/platform/emulator"
 )
 
 // hostedProcess is a process that waits for its settings.
@@ -130,3 +133,47 @@
 	is.Equal(response.StatusCode, http.StatusServiceUnavailable) // no configuration yet
 	is.NoErr(p.wait())
 }
+
+// Guards against a planned stop that keeps callers' connections open until the platform ends the
+// process, because the table doesn't answer to the release of leadership.
+func TestPlannedStopWhileTableIsSilent(t *testing.T) {
+	is := is.New(t)
+	table := emulator.NewTable(1)
+	table.Put("op", "", "config", emulator.RouteConfig(1, "x.example", "/q/", "s"))
+	var silent atomic.Bool
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if silent.Load() {
+			<-release
+			return
+		}
+		table.Handler().ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { close(release) })
+	p := startHostedProcess(t, "hosted-entry")
+	p.text = strings.ReplaceAll(p.text, "platform.address=127.0.0.1:1", "platform.address="+server.Listener.Addr().String())
+	p.text = strings.ReplaceAll(p.text, "bounds.graceS=6", "bounds.graceS=600")
+	p.passSettings()
+	p.waitUntilListening(t)
+	for {
+		request, err := http.NewRequest(http.MethodGet, "http://"+p.address+"/q/", nil)
+		is.NoErr(err)
+		request.Host = "x.example"
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		if response.StatusCode == http.StatusOK {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	silent.Store(true)
+	is.NoErr(p.command.Process.Signal(syscall.SIGTERM))
+	select {
+	case <-p.ended:
+		is.NoErr(p.err)
+	case <-time.After(time.Minute):
+		t.Fatal("the process waits for the table")
+	}
+}
