Don't count the loading of jobs into the time for which lost machines are waited for

Cause: a new leader waits for 7.64 s before it starts the tasks of an agent that doesn't connect, in which the executor's lease certainly ends. It counted them from the end of loading the jobs. The former leader's agents can't extend a lease any more once its row is replaced, and a weak entry behind a thin link takes seconds to load: its answers then come on top of the 7.64 s and of the time of the change.

The time is counted from the answer to the takeover commit, which every proof of the former leader precedes. The margins stay. An agent that connects later than that had no lease left either.

--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -149,12 +149,13 @@
 	if err != nil {
 		return nil, err
 	}
+	replacedAt := o.Clock.Now()
 	o.Log = o.Log.WithField("term", own.Term)
 	slow := newSlowness(o)
 	return &Leader{
 		options: o, row: own, version: version, slowness: slow, mu: timedMutex{clock: o.Clock, report: slow.lockReleased},
 		dispatcher: dispatch.New(dispatch.Options{
-			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
+			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, ReplacedAt: replacedAt, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{},
 		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, termStartedAt: started,
