Remove a second count of the time since the previous leader was replaced

The silences that a leader inherits are restored as of its takeover, which covers the agents that none names; TestLoadingDoesNotProlongLeasesOfLostMachines passes with it alone.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -14,9 +14,6 @@
 	// TakeoverAfter is how long after the last lease grant to a disconnected agent its
 	// executor's lease has certainly expired.
 	TakeoverAfter time.Duration
-	// ReplacedAt is a time at which the previous leader had certainly been replaced, so that its
-	// agents were not allowed to extend leases any more; zero means that it is when Load is called.
-	ReplacedAt time.Time
 	// Retention is how long jobs are kept after their end.
 	Retention time.Duration
 	// EarlyStart is how long before its release time an occurrence may start.
@@ -170,10 +167,7 @@
 			if a == nil {
 				a = d.addAgent(ref.Agent)
 				a.status.Incarnation = ref.Executor
-				a.grantedAt = d.options.ReplacedAt
-				if a.grantedAt.IsZero() {
-					a.grantedAt = now
-				}
+				a.grantedAt = now
 				a.unheard = true
 			}
 			// If the reference differs from the agent's newest known one, it names an
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -160,7 +160,6 @@
 	if err != nil {
 		return nil, err
 	}
-	replacedAt := o.Clock.Now()
 	o.Log = o.Log.WithField("term", own.Term)
 	slow := newSlowness(o)
 	l := &Leader{
@@ -168,7 +167,7 @@
 		acquiredAt: o.now(), inheritedSilences: own.Silences, grantedWhileLoading: map[oleandervalve.AgentID]time.Time{},
 		pace: batching.New(batching.Limits{MinTimeout: minCommitTimeout, MaxTimeout: maxCommitTimeout, MaxBytes: dispatch.MaxBatchBytes}),
 		dispatcher: dispatch.New(dispatch.Options{
-			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, ReplacedAt: replacedAt, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
+			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{}, joins: map[oleandervalve.EntryID]int{},
 		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, termStartedAt: started,
