--- a/io/leader/loading_test.go
+++ b/io/leader/loading_test.go
@@ -56,6 +56,20 @@
 	is.True(row.Silences[0].For >= 2*time.Second+4*RenewInterval)
 }
 
+// Guards against tasks of a lost agent that wait longer with each planned stop of a leader.
+func TestReleasedRowNamesSilencesUpToTheStop(t *testing.T) {
+	is := is.New(t)
+	s := newLostAgentTerms(t, 2*time.Second)
+	s.clock.Advance(5 * time.Second) // without a renewal
+	close(s.leader.done)
+	s.leader.Release(context.Background())
+	row, err := DecodeRow(s.table.rows[Key])
+	is.NoErr(err)
+	is.True(row.Released)
+	is.Equal(len(row.Silences), 1)
+	is.True(row.Silences[0].For >= 7*time.Second)
+}
+
 // Guards against a second run of a task beside an executor whose agent got a proof while the jobs
 // were loaded, and then was lost.
 func TestProofGivenWhileLoadingDelaysTakeover(t *testing.T) {
