Search a full fleet once for tasks that reserve processors

What callers saw: at a flood of jobs on 240 executors, answers, proofs and starts waited while the leader was busy.

Cause: a scheduling pass remembered which best-effort tasks had found no executor, but not tasks that reserve processors. Each waiting step of those searched all executors in each pass, under the lock, and there is a pass before each commit.

Change: failures are remembered for all tasks, up to eight for each service and label (and image, for best-effort tasks). A step is passed over if a task that needs no more has found none, unless one of its tasks may run where that one might not: suspects, and tasks that may run beside isolated ones.

--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -56,3 +56,18 @@
 		d.Schedule(now)
 	}
 }
+
+// BenchmarkScheduleFullFleet measures one scheduling pass over waiting tasks that reserve
+// processors while nothing fits.
+func BenchmarkScheduleFullFleet(b *testing.B) {
+	for _, jobs := range []int{1000, 2000, 5000} {
+		b.Run(fmt.Sprintf("%d jobs", jobs), func(b *testing.B) {
+			d, now := newFullFleet(jobs)
+			b.ReportAllocs()
+			for b.Loop() {
+				d.placementNeeded = true
+				d.Schedule(now)
+			}
+		})
+	}
+}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -50,9 +50,10 @@
 	// serviceUtilisation caches the estimated CPU utilisation of each service's executors
 	// for the current scheduling pass.
 	serviceUtilisation map[oleandervalve.ServiceName]float64
-	// placementFailures holds, by group, the best-effort demand for which the current pass
-	// has found no executor.
-	placementFailures map[beGroup]placementFailure
+	// placementFailures holds, by group, the tasks for which the current pass has found no
+	// executor, and searches is the number of searches for one in that pass.
+	placementFailures map[placementGroup][]placementFailure
+	searches          int
 	// runTimeModels holds the learned run times by queue.
 	runTimeModels map[work.QueueName]*runTimeModel
 	// sortSteps sorts the waiting steps into the order of placement.
@@ -87,7 +88,7 @@
 	if o.MaxRow == 0 {
 		o.MaxRow = defaultMaxRow
 	}
-	d := &Dispatcher{options: o, serviceUtilisation: map[oleandervalve.ServiceName]float64{}, placementFailures: map[beGroup]placementFailure{}, jobs: map[oleandervalve.JobID]*job{}, agents: map[oleandervalve.AgentID]*agent{}, ready: map[*step]bool{}, contention: contention.New(), runTimeModels: map[work.QueueName]*runTimeModel{}, beImages: map[oleandervalve.KindName]bool{}}
+	d := &Dispatcher{options: o, serviceUtilisation: map[oleandervalve.ServiceName]float64{}, placementFailures: map[placementGroup][]placementFailure{}, jobs: map[oleandervalve.JobID]*job{}, agents: map[oleandervalve.AgentID]*agent{}, ready: map[*step]bool{}, contention: contention.New(), runTimeModels: map[work.QueueName]*runTimeModel{}, beImages: map[oleandervalve.KindName]bool{}}
 	d.sortSteps = d.defaultOrder
 	return d
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -46,42 +46,92 @@
 	return d.pausedExecutors >= d.maxPausedExecutors() || a.admits(now) && !a.isSlow(now)
 }
 
-// beGroup is the key of best-effort steps that are eligible for the same executors.
-type beGroup struct {
-	service oleandervalve.ServiceName
-	label   string
-	image   oleandervalve.KindName
+// placementGroup is the key of steps that are eligible for the same executors. Only best-effort
+// steps differ by image.
+type placementGroup struct {
+	service    oleandervalve.ServiceName
+	label      string
+	bestEffort bool
+	image      oleandervalve.KindName
 }
 
-// placementFailure is the demand and the required speed of a best-effort task for which
-// the current pass has found no executor.
+func groupOf(s *step) placementGroup {
+	g := placementGroup{service: s.job.rec.Queue.Service, label: s.spec.Label, bestEffort: s.spec.BestEffort}
+	if s.spec.BestEffort {
+		g.image = s.spec.Image
+	}
+	return g
+}
+
+// placementFailure is the demand and, of a best-effort task, the required speed of a task for
+// which the current pass has found no executor.
 type placementFailure struct {
 	demand   oleandervalve.Resources
 	minSpeed float64
 }
 
+// covers reports whether a task that f stands for is at least as easy to place as one of g.
+func (f placementFailure) covers(g placementFailure) bool {
+	return f.demand.Fits(g.demand) && f.minSpeed <= g.minSpeed
+}
+
+// maxPlacementFailures limits the failures that are kept for each group.
+const maxPlacementFailures = 8
+
+// placementFailureOf returns the failure to record, or to look for, if a task of a step finds no
+// executor. It returns false if the step may use executors that others of its group may not.
+func (d *Dispatcher) placementFailureOf(s *step, now time.Time) (placementFailure, bool) {
+	f := placementFailure{demand: s.spec.Demand}
+	if s.spec.BestEffort {
+		f.minSpeed = d.requiredSpeed(s, now)
+		return f, !d.isStarved(s, now)
+	}
+	waiting := s.waiting
+	if len(s.job.rec.Crashes) == 0 && len(s.suspectSince) == 0 {
+		waiting = waiting[:min(len(waiting), 1)] // the tasks don't differ
+	}
+	for _, i := range waiting {
+		if d.isolationNeed(s, i, now) != needsNoIsolated {
+			return f, false
+		}
+	}
+	return f, true
+}
+
 // knownUnplaceable reports whether a task of the same group that needs no more resources and
 // accepts as low a speed has found no executor in this pass, during which free capacity
 // only shrinks. Without this check, most of a pass under overload would be spent on steps
 // that don't fit.
 func (d *Dispatcher) knownUnplaceable(s *step, now time.Time) bool {
-	if !s.spec.BestEffort || d.isStarved(s, now) {
+	failures := d.placementFailures[groupOf(s)]
+	if len(failures) == 0 {
 		return false
 	}
-	r, ok := d.placementFailures[beGroup{s.job.rec.Queue.Service, s.spec.Label, s.spec.Image}]
-	return ok && r.demand.Fits(s.spec.Demand) && r.minSpeed <= d.requiredSpeed(s, now)
+	f, ok := d.placementFailureOf(s, now)
+	return ok && slices.ContainsFunc(failures, func(g placementFailure) bool { return g.covers(f) })
 }
 
 // recordPlacementFailure records that a task of a step has found no executor in this pass.
 func (d *Dispatcher) recordPlacementFailure(s *step, now time.Time) {
-	if s.spec.BestEffort && s.spec.MaxPerExecutor == 0 && !s.needsPermits() && !d.isStarved(s, now) {
-		d.placementFailures[beGroup{s.job.rec.Queue.Service, s.spec.Label, s.spec.Image}] = placementFailure{s.spec.Demand, d.requiredSpeed(s, now)}
+	if s.spec.MaxPerExecutor > 0 || s.needsPermits() {
+		return
+	}
+	f, ok := d.placementFailureOf(s, now)
+	if !ok {
+		return
+	}
+	g := groupOf(s)
+	failures := slices.DeleteFunc(d.placementFailures[g], f.covers)
+	if len(failures) == maxPlacementFailures {
+		failures = slices.Delete(failures, 0, 1)
 	}
+	d.placementFailures[g] = append(failures, f)
 }
 
 // choose returns the best executor for a task of a step, or nil if none fits. If the task
 // is suspect and an executor would be better once it is settled, that is the second result.
 func (d *Dispatcher) choose(s *step, index int, now time.Time) (best, unsettled *agent) {
+	d.searches++
 	var bestScore, unsettledScore float64
 	need := d.isolationNeed(s, index, now)
 	for _, a := range d.sortedAgents {
