Hand leadership over when the leader's link is full

What callers saw: in a flood on a large fleet, answers took seconds and tasks waited although four fifths of the fleet were idle.

Cause: a leader behind a link of 20 Mbit/s can send about 1,500 start orders a second, 1.3 KB each with the payload, which goes once to each agent that runs the job. 240 executors can take over 5,000. The start orders fill the link, and commits, answers and proofs of leadership share it with 240 connections. The other entries have up to 200 Mbit/s, but only the processor counted for who leads.

Change: entries tell the rate of their link, as their settings name it. Each second a leader adds up what it has sent.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -32,8 +32,10 @@
 	Seeds []string
 	// CPUShare is the entry's processor share, in processors.
 	CPUShare float64
-	Table    Table
-	Clock    oleandervalve.Clock
+	// Link is the rate of the entry's link; 0 means that it is unknown.
+	Link  oleandervalve.BitsPerSecond
+	Table Table
+	Clock oleandervalve.Clock
 	// Uptime may be nil if the instance is never suspended.
 	Uptime oleandervalve.Uptime
 	Log    *logrus.Entry
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -269,6 +269,9 @@
 
 // countCommitBytes counts the bytes of the written values by table.
 func (l *Leader) countCommitBytes(t oleandervalve.Transaction) {
+	l.mu.Lock()
+	l.committedBytes += oleandervalve.Bytes(valueBytes(t))
+	l.mu.Unlock()
 	for _, p := range t.Puts {
 		table, _, _ := strings.Cut(string(p.Key), "/")
 		l.options.Scope.Tagged(map[string]string{"table": table}).Counter("commit_bytes").Inc(int64(len(p.Value)))
--- a/io/leader/handover.go
+++ b/io/leader/handover.go
@@ -7,22 +7,18 @@
 	"github.com/sirupsen/logrus"
 
 	"oleandervalve"
+	"oleandervalve/core/handover"
 	"oleandervalve/core/work"
+	"oleandervalve/io/peer"
 )
 
 // maxSuccessorTableAge is the maximum time since a successor's last successful call
 // to the table.
 const maxSuccessorTableAge = 3 * time.Second
 
-const (
-	// handoverShareFactor is the minimum ratio of another entry's processor share to
-	// this entry's share for a handover. Placement for a large fleet takes a fifth
-	// of a processor, which the weakest entries don't have.
-	handoverShareFactor = 2
-	// handoverDelay is the time from the start of a term until the leader looks for a
-	// stronger entry. It gives the other entries time to connect.
-	handoverDelay = 700 * time.Millisecond
-)
+// handoverDelay is the time from the start of a term until the leader looks for a
+// stronger entry. It gives the other entries time to connect.
+const handoverDelay = 700 * time.Millisecond
 
 // tryHandover asks a much stronger entry to lead, if there is one, and reports
 // whether it did.
@@ -33,7 +29,9 @@
 	if f == nil {
 		return false
 	}
-	l.options.Log.WithFields(logrus.Fields{"successor": f.id, "share": f.cpuShare, "ownShare": l.options.CPUShare, "tableAgeMs": f.tableAge.Milliseconds()}).Info("handing leadership to a stronger entry")
+	l.options.Log.WithFields(logrus.Fields{
+		"successor": f.id, "share": f.CPUShare, "ownShare": l.options.CPUShare, "link": f.Link, "ownLink": l.options.Link, "linkFull": l.outflow.Full(), "tableAgeMs": f.tableAge.Milliseconds(),
+	}).Info("handing leadership to a stronger entry")
 	l.successor = f.address
 	f.conn.TrySend(takeOverRequest(f.address))
 	return true
@@ -45,10 +43,34 @@
 	if l.options.DisableHandover || now.Sub(l.termStartedAt) < handoverDelay {
 		return nil
 	}
-	if f := l.strongestFollower(maxSuccessorTableAge); f != nil && f.cpuShare >= handoverShareFactor*l.options.CPUShare {
+	own := handover.Entry{CPUShare: l.options.CPUShare, Link: l.options.Link}
+	if f := l.strongestFollower(maxSuccessorTableAge); f != nil && handover.HasStrongerProcessor(own, f.Entry) {
 		return f
 	}
-	return nil
+	if !l.outflow.Full() {
+		return nil
+	}
+	return l.bestFollower(maxSuccessorTableAge, func(f, best *follower) bool {
+		return handover.HasWiderLink(own, f.Entry) && (best == nil || f.Link > best.Link || f.Link == best.Link && f.id < best.id)
+	})
+}
+
+// observeOutflow records the bytes sent since the last call. The lock must be held.
+func (l *Leader) observeOutflow(now time.Time) {
+	sent := l.committedBytes
+	l.committedBytes = 0
+	count := func(c *peer.Conn, counted *int64) {
+		_, total := c.Traffic()
+		sent += oleandervalve.Bytes(total - *counted)
+		*counted = total
+	}
+	for _, s := range l.agents {
+		count(s.conn, &s.countedBytes)
+	}
+	for _, f := range l.followers {
+		count(f.conn, &f.countedBytes)
+	}
+	l.outflow.Sent(now, sent)
 }
 
 // Successor returns the address of the entry that was asked to lead next, or "" if
@@ -63,13 +85,18 @@
 // among those that have reached the table within maxTableAge, or nil. The lock must
 // be held.
 func (l *Leader) strongestFollower(maxTableAge time.Duration) *follower {
+	return l.bestFollower(maxTableAge, func(f, best *follower) bool {
+		return best == nil || f.CPUShare > best.CPUShare || f.CPUShare == best.CPUShare && f.id < best.id
+	})
+}
+
+// bestFollower returns the connected entry that no other one replaces, among those that have
+// reached the table within maxTableAge, or nil. The lock must be held.
+func (l *Leader) bestFollower(maxTableAge time.Duration, replaces func(f, best *follower) bool) *follower {
 	var best *follower
 	now := l.options.Clock.Now()
 	for _, f := range l.followers {
-		if f.tableAge+now.Sub(f.heartbeatAt) > maxTableAge {
-			continue
-		}
-		if best == nil || f.cpuShare > best.cpuShare || f.cpuShare == best.cpuShare && f.id < best.id {
+		if f.tableAge+now.Sub(f.heartbeatAt) <= maxTableAge && replaces(f, best) {
 			best = f
 		}
 	}
--- a/io/leader/handover_test.go
+++ b/io/leader/handover_test.go
@@ -1,12 +1,21 @@
 package leader
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"oleandervalve"
+	"oleandervalve/core/handover"
+	"oleandervalve/core/work"
+	"oleandervalve/io/peer"
 )
 
 // Guards against a weak entry that keeps leading a large fleet although its
@@ -34,10 +43,56 @@
 			o := testOptions(newFakeTable())
 			o.CPUShare, o.DisableHandover = c.ownShare, c.handoverDisabled
 			now := o.Clock.Now()
-			l := &Leader{options: o, termStartedAt: oleandervalve.Instant{Time: now.Add(-c.termAge)}, followers: map[oleandervalve.EntryID]*follower{
-				"e-2": {id: "e-2", cpuShare: c.share, tableAge: c.tableAge, heartbeatAt: now},
+			l := &Leader{options: o, outflow: handover.NewOutflow(0), termStartedAt: oleandervalve.Instant{Time: now.Add(-c.termAge)}, followers: map[oleandervalve.EntryID]*follower{
+				"e-2": {Entry: handover.Entry{CPUShare: c.share}, id: "e-2", tableAge: c.tableAge, heartbeatAt: now},
 			}}
 			is.Equal(l.handoverTarget(oleandervalve.Instant{Time: now}) != nil, c.wantHandover)
 		})
 	}
 }
+
+// Guards against a leader that keeps leading although its link can't carry the start orders of
+// the fleet, while another entry has a wider one.
+func TestLeaderBehindFullLinkHandsOver(t *testing.T) {
+	is := is.New(t)
+	o := testOptions(newFakeTable())
+	o.CPUShare, o.Link = 0.8, 100_000
+	l, err := Acquire(context.Background(), o, oleandervalve.Row{Key: Key}, Row{Entry: "e-1", Process: "p"})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	<-l.ready
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, j, err := peer.AcceptDispatch(w, r, nil); err == nil {
+			l.Serve(c, j)
+		}
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	a := joinAgent(t, address, 0)
+	go a.run(func(oleandervalve.JobID) string { return "" }, func() {})
+	for id, e := range map[oleandervalve.EntryID]handover.Entry{"thin": {CPUShare: 0.8, Link: 100_000}, "wide": {CPUShare: 0.6, Link: 10_000_000}, "weak": {CPUShare: 0.1, Link: 20_000_000}} {
+		c := dial(t, address, peer.Join{Entry: id, Address: string(id), CPUShare: e.CPUShare, Link: e.Link})
+		go func() {
+			for n := uint64(1); c.Send(&peer.Ping{Sequence: n}) == nil; n++ {
+				time.Sleep(200 * time.Millisecond)
+			}
+		}()
+	}
+	for n := range 500 {
+		select {
+		case err := <-ended:
+			is.True(errors.Is(err, ErrHandedOver))
+			is.Equal(l.Successor(), "wide")
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		l.Call(peer.JobCall{
+			Kind: peer.CallSubmit, Job: oleandervalve.JobID(fmt.Sprintf("job%04d", n)), Queue: work.Queue{Name: "q", Service: "s"},
+			Spec: work.Spec{Payload: strings.Repeat("p", 1000), Steps: []work.Step{{Count: 10, Estimate: time.Second, Demand: oleandervalve.Resources{CPU: 1000}}}},
+		}, func(peer.JobReply) {})
+	}
+	t.Error("the leader has not handed leadership over")
+}
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -13,6 +13,7 @@
 	"oleandervalve"
 	"oleandervalve/core/batching"
 	"oleandervalve/core/dispatch"
+	"oleandervalve/core/handover"
 	"oleandervalve/core/work"
 	"oleandervalve/io/peer"
 )
@@ -20,6 +21,8 @@
 const (
 	// tickInterval is the interval between calls of the dispatcher's Tick.
 	tickInterval = 100 * time.Millisecond
+	// outflowInterval is the interval between measurements of what the leader sends.
+	outflowInterval = time.Second
 	// RenewInterval is the maximum time between two renewals of leadership. A renewal
 	// is a commit to the leader's row, which proves that no other entry leads.
 	RenewInterval = 700 * time.Millisecond
@@ -59,6 +62,8 @@
 type Options struct {
 	// CPUShare is the entry's processor share, in processors.
 	CPUShare float64
+	// Link is the rate of the entry's link; 0 means that it is unknown.
+	Link oleandervalve.BitsPerSecond
 	// DisableHandover keeps the leader from handing leadership to a stronger entry.
 	DisableHandover bool
 	Table           oleandervalve.Table
@@ -121,6 +126,10 @@
 	// skippedRows holds the keys of the job records that were skipped when the jobs were loaded.
 	skippedRows map[oleandervalve.Key]bool
 	successor   string
+	// outflow tells whether the link is full, and committedBytes is what commits have sent since
+	// it was last told.
+	outflow        *handover.Outflow
+	committedBytes oleandervalve.Bytes
 
 	// permitRequests queues requests to the permit service.
 	permitRequests chan dispatch.RequestPermits
@@ -151,7 +160,7 @@
 		return nil, err
 	}
 	return &Leader{
-		options: o, row: own, version: version,
+		options: o, row: own, version: version, outflow: handover.NewOutflow(o.Link),
 		pace: batching.New(batching.Limits{MinTimeout: minCommitTimeout, MaxTimeout: maxCommitTimeout, MaxBytes: dispatch.MaxBatchBytes}),
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
@@ -229,13 +238,20 @@
 func (l *Leader) tickLoop(ctx context.Context) {
 	t := l.options.Clock.NewTicker(tickInterval)
 	defer t.Stop()
+	var observedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.Chan():
 		}
-		l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.Tick(now) })
+		l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) {
+			d.Tick(now)
+			if now.Sub(observedAt) >= outflowInterval {
+				observedAt = now
+				l.observeOutflow(now)
+			}
+		})
 	}
 }
 
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -10,6 +10,7 @@
 
 	"oleandervalve"
 	"oleandervalve/core/dispatch"
+	"oleandervalve/core/handover"
 	"oleandervalve/io/peer"
 )
 
@@ -34,16 +35,20 @@
 	payloads *peer.PayloadCache
 	// waiting holds the messages that have arrived before the jobs were loaded.
 	waiting []peer.Message
+	// countedBytes is what observeOutflow has counted.
+	countedBytes int64
 }
 
 // follower is one connection from another entry, with what the entry reported.
 type follower struct {
+	handover.Entry
 	id          oleandervalve.EntryID
 	address     string
 	conn        *peer.Conn
-	cpuShare    float64
 	tableAge    time.Duration
 	heartbeatAt time.Time
+	// countedBytes is what observeOutflow has counted.
+	countedBytes int64
 }
 
 // sessionsPerTerm is the size of each term's range of fencing tokens, so that the
@@ -303,7 +308,7 @@
 // serveEntry handles the connection of another entry, which forwards callers'
 // requests.
 func (l *Leader) serveEntry(c *peer.Conn, j peer.Join) {
-	f := &follower{id: j.Entry, address: j.Address, conn: c, cpuShare: j.CPUShare, tableAge: time.Hour, heartbeatAt: l.options.Clock.Now()}
+	f := &follower{Entry: handover.Entry{CPUShare: j.CPUShare, Link: j.Link}, id: j.Entry, address: j.Address, conn: c, tableAge: time.Hour, heartbeatAt: l.options.Clock.Now()}
 	l.mu.Lock()
 	if l.stopped {
 		l.mu.Unlock()
--- a/io/peer/dispatch.go
+++ b/io/peer/dispatch.go
@@ -28,6 +28,8 @@
 	CPUShare float64 `cbor:"5,keyasint,omitempty"`
 	// CachesPayloads means that the sending agent keeps a PayloadCache.
 	CachesPayloads bool `cbor:"6,keyasint,omitempty"`
+	// Link is the rate of the sending entry's link.
+	Link oleandervalve.BitsPerSecond `cbor:"7,keyasint,omitempty"`
 }
 
 // Admit accepts a connection to the leader.
--- a/units.go
+++ b/units.go
@@ -6,6 +6,9 @@
 // Bytes is a size in bytes.
 type Bytes int64
 
+// BitsPerSecond is the rate of a network link.
+type BitsPerSecond int64
+
 // Accelerators is a count of accelerators.
 type Accelerators int32
 
