--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -13,6 +13,7 @@
 	"oleandervalve"
 	"oleandervalve/core/batching"
 	"oleandervalve/core/dispatch"
+	"oleandervalve/core/handover"
 	"oleandervalve/core/work"
 	"oleandervalve/io/peer"
 )
@@ -20,6 +21,8 @@
 const (
 	// tickInterval is the interval between calls of the dispatcher's Tick.
 	tickInterval = 100 * time.Millisecond
+	// outflowInterval is the interval between measurements of what the leader sends.
+	outflowInterval = time.Second
 	// RenewInterval is the maximum time between two renewals of leadership. A renewal
 	// is a commit to the leader's row, which proves that no other entry leads.
 	RenewInterval = 700 * time.Millisecond
@@ -59,6 +62,8 @@
 type Options struct {
 	// CPUShare is the entry's processor share, in processors.
 	CPUShare float64
+	// Link is the rate of the entry's link; 0 means that it is unknown.
+	Link oleandervalve.BitsPerSecond
 	// DisableHandover keeps the leader from handing leadership to a stronger entry.
 	DisableHandover bool
 	Table           oleandervalve.Table
@@ -129,6 +134,10 @@
 	// skippedRows holds the keys of the job records that were skipped when the jobs were loaded.
 	skippedRows map[oleandervalve.Key]bool
 	successor   string
+	// outflow tells whether the link is full, and committedBytes is what commits have sent since
+	// it was last told.
+	outflow        *handover.Outflow
+	committedBytes oleandervalve.Bytes
 
 	// permitRequests queues requests to the permit service.
 	permitRequests chan dispatch.RequestPermits
@@ -163,7 +172,7 @@
 	o.Log = o.Log.WithField("term", own.Term)
 	slow := newSlowness(o)
 	l := &Leader{
-		options: o, row: own, version: version, slowness: slow, mu: timedMutex{clock: o.Clock, report: slow.lockReleased},
+		options: o, row: own, version: version, outflow: handover.NewOutflow(o.Link), slowness: slow, mu: timedMutex{clock: o.Clock, report: slow.lockReleased},
 		acquiredAt: o.now(), inheritedSilences: own.Silences, grantedWhileLoading: map[oleandervalve.AgentID]time.Time{},
 		pace: batching.New(batching.Limits{MinTimeout: minCommitTimeout, MaxTimeout: maxCommitTimeout, MaxBytes: dispatch.MaxBatchBytes}),
 		dispatcher: dispatch.New(dispatch.Options{
@@ -254,6 +263,7 @@
 func (l *Leader) tickLoop(ctx context.Context) {
 	t := l.options.Clock.NewTicker(tickInterval)
 	defer t.Stop()
+	var observedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -263,6 +273,10 @@
 		l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) {
 			d.Tick(now)
 			l.slowness.passEnded("tick", now)
+			if now.Sub(observedAt) >= outflowInterval {
+				observedAt = now
+				l.observeOutflow(now)
+			}
 		})
 	}
 }
