Search for an executor for each waiting long-running step

A step that is passed over because a task that needs less has found no executor is not searched, so the time for which only isolations hold up a long-running task would not begin. Long-running steps are few; they are always searched. The new case of TestLongRunningTasksAreNotHeldUpByIsolationsUnderLoad, with smaller tasks before them, passes with and without the change.

--- a/core/dispatch/liveness_test.go
+++ b/core/dispatch/liveness_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -19,7 +20,9 @@
 		suspect bool
 		// executors is the number of executors that have the label of the long-running tasks.
 		executors int
-	}{{"suspect", true, 6}, {"innocent", false, 1}} {
+		// beside means that jobs whose tasks need less, and find no executor, come first.
+		beside bool
+	}{{"suspect", true, 6, false}, {"innocent", false, 1, false}, {"innocent, beside smaller tasks", false, 1, true}} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			c := newCluster(t, 1, 6)
@@ -57,7 +60,10 @@
 				c.setState(c.agents[id], oleandervalve.ExecutorReady)
 			}
 			readyAt := c.now
-			for c.runningTasks("watch") < own.Count && c.now.Sub(readyAt) < time.Minute {
+			for n := 0; c.runningTasks("watch") < own.Count && c.now.Sub(readyAt) < time.Minute; n++ {
+				if tc.beside {
+					c.submit(oleandervalve.JobID(fmt.Sprintf("small%d", n)), work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{{Count: 1, Label: "own", Demand: oleandervalve.Resources{CPU: 5}}}})
+				}
 				c.step()
 			}
 			t.Logf("utilisation %.2f, %d tasks run after %s", c.dispatcher.utilisation("press", c.now), c.runningTasks("watch"), c.now.Sub(readyAt))
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -86,6 +86,9 @@
 		f.minSpeed = d.requiredSpeed(s, now)
 		return f, !d.isStarved(s, now)
 	}
+	if s.spec.LongRunning {
+		return f, false // a search tells whether only isolations hold it up
+	}
 	waiting := s.waiting
 	if len(s.job.rec.Crashes) == 0 && len(s.suspectSince) == 0 {
 		waiting = waiting[:min(len(waiting), 1)] // the tasks don't differ
