Report a crash as the same one in each session after it

Callers saw nothing of their own; leaders lost what they know of crashes: which runs an executor had, so that tasks that crash executors start without isolation.

Cause: since the end of an executor is reported to later leaders too, each session recorded a crash anew. From the second on, the record named no executor and no runs, and after eight sessions such records had replaced those of all crashes. The metric of crashes counted each.

Evidence: TestCrashIsReportedOnceToEachLeader failed before: ended_test.go:103: { 0} != {x-1 1}

Change: a crash that is recorded already gives its first report again, and is logged and counted once.

--- a/core/crash/log.go
+++ b/core/crash/log.go
@@ -90,8 +90,11 @@
 }
 
 // Crashed records that the executor has crashed and has no new incarnation yet. It returns
-// the report of the crashed one.
+// the report of the crashed one, and the same report if it is called again.
 func (l *Log) Crashed(now time.Time) Report {
+	if l.executor.ID == "" && len(l.reports) > 0 {
+		return l.reports[len(l.reports)-1].Report
+	}
 	r := Report{Executor: l.executor, Runs: l.lostRuns(now), Crashed: true}
 	l.executor, l.runs = oleandervalve.Incarnation{}, map[runKey]runLog{}
 	l.keep(now, r)
--- a/io/executor/crashes.go
+++ b/io/executor/crashes.go
@@ -84,6 +84,7 @@
 	a.mu.Lock()
 	replaced := a.status.Incarnation != s.status.Incarnation
 	planned := a.deregistered || a.status.State == oleandervalve.ExecutorDraining
+	known := a.ended
 	a.ended = !replaced
 	a.mu.Unlock()
 	if replaced {
@@ -93,7 +94,9 @@
 	if !planned {
 		a.crashes.update(func(l *crash.Log, now time.Time) {
 			m.Lost = l.Crashed(now)
-			a.logCrash(m.Lost)
+			if !known {
+				a.logCrash(m.Lost)
+			}
 		})
 	}
 	s.log().WithField("planned", planned).Info("executor has ended: nothing listens at its address")
--- a/io/executor/ended_test.go
+++ b/io/executor/ended_test.go
@@ -77,3 +77,29 @@
 		})
 	}
 }
+
+// Guards against a crash that each new session reports as that of another executor, so that
+// leaders don't learn which runs were lost and forget earlier crashes.
+func TestCrashIsReportedOnceToEachLeader(t *testing.T) {
+	is := is.New(t)
+	x := &restartedExecutor{}
+	x.startedAt.Store(1)
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second})
+	status := statusWith(16, 1)
+	is.NoErr(a.StatusAnnounced(status))
+	x.fail(&oleandervalve.UnavailableError{Service: "executor", NotListening: true})
+	inventory, terminated := make(chan *peer.ExecutorInventory, 10), make(chan *peer.ExecutorTerminated, 10)
+	leadAgent(t, a, func(c *peer.Conn, m peer.Message) {
+		switch m := m.(type) {
+		case *peer.ExecutorInventory:
+			inventory <- m
+		case *peer.ExecutorTerminated:
+			terminated <- m
+			c.Close() // the next leader
+		}
+	})
+	for n := range 3 {
+		is.Equal(len((<-inventory).Lost), min(n, 1))
+		is.Equal((<-terminated).Lost.Executor, status.Incarnation)
+	}
+}
