--- a/io/leader/load_test.go
+++ b/io/leader/load_test.go
@@ -6,10 +6,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"oleandervalve"
 	"oleandervalve/core/work"
@@ -166,3 +169,43 @@
 		is.True(ok)
 	}
 }
+
+// oddTable is a fake table with more and more records that can't be decoded, and a leader's row
+// that another leader has written.
+type oddTable struct {
+	*fakeTable
+	acquired atomic.Bool
+	n        int
+}
+
+func (t *oddTable) Scan(ctx context.Context, prefix, _ oleandervalve.Key, _ int) (oleandervalve.Page, error) {
+	if prefix != work.RecordPrefix {
+		return oleandervalve.Page{}, nil
+	}
+	if ctx.Err() != nil {
+		return oleandervalve.Page{}, &oleandervalve.UnavailableError{Service: "table", Cause: ctx.Err()}
+	}
+	t.n++
+	key := work.RecordKey(oleandervalve.JobID(fmt.Sprintf("job%d", t.n)))
+	return oleandervalve.Page{Rows: []oleandervalve.Row{{Key: key, Value: []byte("odd"), Version: 1}}, Next: key}, nil
+}
+
+func (t *oddTable) Commit(ctx context.Context, x oleandervalve.Transaction) (oleandervalve.Committed, error) {
+	if t.acquired.Swap(true) {
+		return oleandervalve.Committed{}, &oleandervalve.ConflictError{Key: Key, Current: oleandervalve.Row{Key: Key, Version: 99}}
+	}
+	return t.fakeTable.Commit(ctx, x)
+}
+
+// Guards against a process that ends by a concurrent use of a map when a leader is replaced while
+// it loads rows that can't be decoded.
+func TestLeaderIsReplacedWhileItSkipsRows(t *testing.T) {
+	is := is.New(t)
+	x := &oddTable{fakeTable: newFakeTable()}
+	o := testOptions(x.fakeTable)
+	o.Table = x
+	o.Log.Logger.SetLevel(logrus.PanicLevel) // the locks of the log would hide the race
+	l, err := Acquire(context.Background(), o, oleandervalve.Row{Key: Key}, Row{Entry: "e-1", Process: "p"})
+	is.NoErr(err)
+	is.True(errors.Is(l.Run(context.Background()), ErrFenced))
+}
