Tell the leader of a crash before the empty lists of the executor

Callers could see executors crash one after the other under the same task.

Cause: an agent that joins after its executor has ended sent its empty lists, and the crash after them. With the lists the leader forgets the runs, and their tasks may start again; when it learns of the crash it can't tell any more which of the runs were isolated, and a task that crashed in its isolation counts as one of many suspects. This follows from the code of AgentConnected and ExecutorLost; no run has shown it.

Evidence: TestCrashIsReportedOnceToEachLeader, which now asks for the crash in the first lists, failed before: ended_test.go:102: 0 != 1 // before the leader forgets the runs

Change: the end is recorded before the lists are sent, so that they contain the crash. A session that was set up so isn't used if the executor has announced itself meanwhile.

--- a/io/executor/crashes.go
+++ b/io/executor/crashes.go
@@ -70,16 +70,26 @@
 }
 
 // executorEnded tells the leader that the executor of the session has ended, as no process
-// listens at its address. It has crashed unless it was leaving as planned. The session goes
-// on until the executor announces itself again. executorEnded reports false if the executor
-// has a new incarnation already, or may have one that has received a start order.
+// listens at its address. The session goes on until the executor announces itself again.
+// executorEnded reports false if the executor has a new incarnation already, or may have one
+// that has received a start order.
 func (s *session) executorEnded() bool {
+	m, ok := s.recordEnd()
+	if ok {
+		s.report(m)
+	}
+	return ok
+}
+
+// recordEnd records that the executor has ended, and returns the report for the leader. It has
+// crashed unless it was leaving as planned.
+func (s *session) recordEnd() (*peer.ExecutorTerminated, bool) {
 	a := s.agent
 	s.mu.Lock()
 	starting := s.startsInFlight > 0
 	s.mu.Unlock()
 	if starting {
-		return false
+		return nil, false
 	}
 	a.mu.Lock()
 	replaced := a.status.Incarnation != s.status.Incarnation
@@ -88,7 +98,7 @@
 	a.ended = !replaced
 	a.mu.Unlock()
 	if replaced {
-		return false
+		return nil, false
 	}
 	m := &peer.ExecutorTerminated{Incarnation: s.status.Incarnation}
 	if !planned {
@@ -100,8 +110,7 @@
 		})
 	}
 	s.log().WithField("planned", planned).Info("executor has ended: nothing listens at its address")
-	s.report(m)
-	return true
+	return m, true
 }
 
 // watchIsolation tells the leader when a run has outlived its isolation. It does nothing
--- a/io/executor/ended_test.go
+++ b/io/executor/ended_test.go
@@ -98,8 +98,8 @@
 			c.Close() // the next leader
 		}
 	})
-	for n := range 3 {
-		is.Equal(len((<-inventory).Lost), min(n, 1))
+	for range 3 {
+		is.Equal(len((<-inventory).Lost), 1) // before the leader forgets the runs
 		is.Equal((<-terminated).Lost.Executor, status.Incarnation)
 	}
 }
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -226,9 +226,9 @@
 		return address, err
 	}
 	a.mu.Lock()
-	if a.status.Incarnation != s.status.Incarnation {
+	if a.status.Incarnation != s.status.Incarnation || ended && !a.ended {
 		a.mu.Unlock()
-		return address, errors.New("executor got a new incarnation while the session was being set up")
+		return address, errors.New("executor has announced itself while the session was being set up")
 	}
 	a.session = s
 	if changesPlacement(s.status, a.status) {
@@ -238,9 +238,6 @@
 		s.reportTerminated()
 	}
 	a.mu.Unlock()
-	if ended && !s.executorEnded() {
-		return address, errors.New("executor got a new incarnation while the session was being set up")
-	}
 	defer func() {
 		s.mu.Lock()
 		s.logProofAges(a.options.now())
@@ -277,8 +274,17 @@
 	sent := s.agent.options.Clock.Now()
 	result, err := s.firstPoll(ctx)
 	if isNotListening(err) {
+		m, ok := s.recordEnd()
+		if !ok {
+			return false, &oleandervalve.WrongIncarnationError{ID: s.status.Incarnation.ID}
+		}
+		// The leader is told of the crash before the lists: later it can't tell which of the
+		// lost runs were isolated.
 		inventory := peer.ExecutorInventory{Status: s.status, Lost: s.agent.crashes.reports()}
-		return true, s.conn.Send(&inventory)
+		if err := s.conn.Send(&inventory); err != nil {
+			return false, err
+		}
+		return true, s.conn.Send(m)
 	}
 	if err != nil {
 		return false, err
