Handle the end of an agent's connection in one critical section

Callers would see tasks wait although a connected executor has room: it gets no tasks, and its changes of status are ignored, until its agent connects again. Its pings keep it from counting as lost.

Cause: the end of a connection removed the session in one critical section and marked the agent as disconnected in another. An agent that joined and sent its inventory between the two was marked as disconnected until it connected again.

Change: one critical section does both. If a newer session is there, the end changes nothing; otherwise the newer one joins after the end was handled.

--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -175,15 +175,22 @@
 		}
 		l.handleAgentMessage(id, s, m)
 	}
+	l.agentSessionEnded(id, s)
+}
+
+// agentSessionEnded handles the end of an agent's connection, unless a newer one has replaced it.
+func (l *Leader) agentSessionEnded(id oleandervalve.AgentID, s *session) {
 	l.mu.Lock()
-	current := l.agents[id] == s
-	if current {
-		delete(l.agents, id)
+	defer l.mu.Unlock()
+	if l.agents[id] != s {
+		return
 	}
-	l.mu.Unlock()
-	if current {
-		l.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.AgentDisconnected(now, id) })
+	delete(l.agents, id)
+	if l.stopped || !l.loaded {
+		return
 	}
+	l.dispatcher.AgentDisconnected(l.options.Clock.Now(), id)
+	l.executeActions(l.dispatcher.TakeActions())
 }
 
 // handleAgentMessage handles one message from an agent, unless a newer session of the
