Take back the size and timeout of commits that follow the link

Cause: the rate of the link was measured by the time that a commit takes. On a leader that is busy with scheduling that time is its own, so the rate was taken for low, commits became small, changed jobs queued up for several of them, and there were more passes.

--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -12,9 +12,9 @@
 	// maxBatchOperations limits the conditions, writes and deletions of a commit. The
 	// table accepts 100 per call, and the update of the leader's own row needs two.
 	maxBatchOperations = 95
-	// MaxBatchBytes limits the total size of the values of a commit; the table accepts a
+	// maxBatchBytes limits the total size of the values of a commit; the table accepts a
 	// megabyte per call.
-	MaxBatchBytes = 500_000
+	maxBatchBytes = 500_000
 	// unavailableRetryAfter is the retry delay sent to callers after the table refused a write.
 	unavailableRetryAfter = time.Second
 )
@@ -51,13 +51,9 @@
 // Pending reports whether there are changes to commit or tasks to place.
 func (d *Dispatcher) Pending() bool { return len(d.dirtyJobs) > 0 || d.placementNeeded }
 
-// Batch returns the next commit of any size that the table accepts, as BatchWithin does.
-func (d *Dispatcher) Batch() *Batch { return d.BatchWithin(MaxBatchBytes) }
-
-// BatchWithin returns the next commit, or nil if nothing has changed. It takes as many changed
-// jobs as fit into one commit, the most urgent ones first, up to the first one with which the
-// values exceed maxBytes. Only one batch may be in flight at a time.
-func (d *Dispatcher) BatchWithin(maxBytes int) *Batch {
+// Batch returns the next commit, or nil if nothing has changed. It takes as many changed
+// jobs as fit into one commit, the most urgent ones first. Only one batch may be in flight at a time.
+func (d *Dispatcher) Batch() *Batch {
 	if len(d.dirtyJobs) == 0 {
 		return nil
 	}
@@ -65,7 +61,7 @@
 	b := &Batch{}
 	size, n := 0, 0
 	for _, j := range d.dirtyJobs {
-		if b.operationCount()+maxOperationsPerJob > maxBatchOperations || size > maxBytes || n > 0 && (j.alone || d.dirtyJobs[0].alone) {
+		if b.operationCount()+maxOperationsPerJob > maxBatchOperations || size > maxBatchBytes || n > 0 && (j.alone || d.dirtyJobs[0].alone) {
 			break
 		}
 		n++
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -32,7 +32,7 @@
 		l.dispatcher.Schedule(now)
 		l.slowness.passEnded("schedule", now)
 		l.executeActions(l.dispatcher.TakeActions())
-		b := l.dispatcher.BatchWithin(l.pace.MaxBytes())
+		b := l.dispatcher.Batch()
 		renewalDue := l.isRenewalDue()
 		l.mu.Unlock()
 		if b == nil && !renewalDue {
@@ -79,8 +79,7 @@
 	if value := l.dueLearnedRow(); value != nil && len(t.Puts) > 0 {
 		t.Puts = append(slices.Clip(t.Puts), oleandervalve.Put{Key: dispatch.LearnedKey, Value: value})
 	}
-	size := valueBytes(t)
-	timeout := l.pace.Timeout(size)
+	timeout := min(max(minCommitTimeout, commitTimeoutFactor*l.averageCommitTime), maxCommitTimeout)
 	// mayApply is set when an earlier attempt may still take effect.
 	mayApply := false
 	began := l.options.Clock.Now()
@@ -93,7 +92,7 @@
 		if err == nil {
 			l.recordTableTime(c.At)
 			l.slowness.commitEnded(began, attempt, t)
-			l.pace.Answered(size, took)
+			l.recordCommitTime(took)
 			l.commitSucceeded(b, t, c.Versions[0], renewal != nil, next, started)
 			return nil
 		}
@@ -104,7 +103,7 @@
 		if errors.As(err, &conflict) {
 			if isOwnCommit(t, conflict) {
 				l.slowness.commitEnded(began, attempt, t)
-				l.pace.Answered(size, took)
+				l.recordCommitTime(took)
 				l.commitSucceeded(b, t, conflict.Current.Version, renewal != nil, next, started)
 				return nil
 			}
@@ -123,9 +122,6 @@
 		var unavailable *oleandervalve.UnavailableError
 		if !errors.As(err, &unavailable) {
 			mayApply = true
-			if took >= timeout {
-				l.pace.Unanswered(size)
-			}
 			timeout = min(2*timeout, maxCommitTimeout)
 		}
 		l.options.Log.WithFields(logrus.Fields{"attempt": attempt, "rows": len(t.Puts), "tookMs": took.Milliseconds(), "mayApply": mayApply}).WithError(err).Warn("commit failed")
@@ -150,6 +146,11 @@
 	return l.skippedRows[key]
 }
 
+// recordCommitTime records the duration of a commit for the timeout of the next ones.
+func (l *Leader) recordCommitTime(took time.Duration) {
+	l.averageCommitTime = (7*l.averageCommitTime + took) / 8
+}
+
 // valueBytes returns the total size of the values that a transaction writes.
 func valueBytes(t oleandervalve.Transaction) int {
 	n := 0
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -11,7 +11,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
-	"oleandervalve/core/batching"
 	"oleandervalve/core/dispatch"
 	"oleandervalve/core/handover"
 	"oleandervalve/core/work"
@@ -39,6 +38,9 @@
 	// maxCommitTimeout is also the timeout of a read and of a takeover commit.
 	minCommitTimeout = 150 * time.Millisecond
 	maxCommitTimeout = 2 * time.Second
+	// commitTimeoutFactor is the ratio of the timeout of a commit to the average
+	// duration of commits.
+	commitTimeoutFactor = 8
 	// retryDelay is the pause before a refused commit or a failed read is repeated.
 	retryDelay = 100 * time.Millisecond
 	// maxActiveJobs limits the memory use of the leader: a job takes about 10 KB.
@@ -91,8 +93,8 @@
 	options Options
 	row     Row
 	version oleandervalve.Version
-	// pace decides on the size and the timeout of commits, of which there is one at a time.
-	pace *batching.Pace
+	// averageCommitTime is the average duration of commits, of which there is one at a time.
+	averageCommitTime time.Duration
 
 	mu         timedMutex
 	slowness   slowness
@@ -174,7 +176,7 @@
 	l := &Leader{
 		options: o, row: own, version: version, outflow: handover.NewOutflow(o.Link), slowness: slow, mu: timedMutex{clock: o.Clock, report: slow.lockReleased},
 		acquiredAt: o.now(), inheritedSilences: own.Silences, grantedWhileLoading: map[oleandervalve.AgentID]time.Time{},
-		pace: batching.New(batching.Limits{MinTimeout: minCommitTimeout, MaxTimeout: maxCommitTimeout, MaxBytes: dispatch.MaxBatchBytes}),
+		averageCommitTime: minCommitTimeout / commitTimeoutFactor,
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
