Place long-running tasks before others of their rank

Callers saw a long-running task that failed at its executor and did not run again for over 13 s, with capacity for it and without a change of leader (LOST).

Cause: waiting steps of a priority and rank are placed by least remaining work. In a flood, smaller jobs of the same priority come first in each pass and take all capacity that has become free, for as long as they arrive.

TestFailedLongRunningTaskStartsAgainInAFlood failed before: longrunning_test.go:51: the task runs again after 30s which is where it gave up; with the change it runs again after 50 ms.

Change: long-running steps come first in their rank. They are few, and each task of them that waits is missed at once.

--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -73,7 +73,8 @@
 }
 
 // defaultOrder sorts the waiting steps by priority, then by rank, then by least remaining
-// work, so that as many jobs as possible meet their objectives under overload.
+// work, so that as many jobs as possible meet their objectives under overload. Long-running
+// steps come first in their rank: they are few, and each task that waits is missed at once.
 func (d *Dispatcher) defaultOrder(steps []*step, now time.Time) {
 	type key struct {
 		priority, rank int
@@ -81,7 +82,11 @@
 	}
 	keys := make(map[*step]key, len(steps))
 	for _, s := range steps {
-		keys[s] = key{s.job.rec.Queue.Priority, d.rank(s, now), d.remainingWork(s)}
+		k := key{priority: s.job.rec.Queue.Priority, rank: d.rank(s, now)}
+		if !s.spec.LongRunning {
+			k.work = d.remainingWork(s)
+		}
+		keys[s] = k
 	}
 	sort.SliceStable(steps, func(i, j int) bool {
 		a, b := keys[steps[i]], keys[steps[j]]
