Hold an executor for a long-running task that fits on none

Cause: the tasks of a flood need less. As soon as a part of what a long-running task needs is free on an executor, they take it, so its whole need is never free.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -99,6 +99,8 @@
 	// quietUntil is until when no other run is started on the executor, so that a suspect
 	// task finds it settled.
 	quietUntil time.Time
+	// hold keeps the executor free for a long-running task.
+	hold hold
 	// crashExplained means that a task was given up for the last crash of the executor.
 	crashExplained bool
 	// reported holds the last incarnations of the executor of which the agent has reported
--- a/core/dispatch/explain.go
+++ b/core/dispatch/explain.go
@@ -32,6 +32,7 @@
 	excludedLabel        exclusion = "label"
 	excludedSpread       exclusion = "spread"
 	excludedCapacity     exclusion = "capacity"
+	excludedHeld         exclusion = "held"
 	excludedPaused       exclusion = "paused"
 	excludedSlow         exclusion = "slow"
 	excludedIsolation    exclusion = "isolation"
@@ -58,6 +59,8 @@
 		return excludedSpread, hasCapacity
 	case !hasCapacity:
 		return excludedCapacity, false
+	case a.isHeldForOther(s, now):
+		return excludedHeld, true
 	case mayPause && !a.admits(now):
 		return excludedPaused, true
 	case mayPause && a.isSlow(now):
--- a/core/dispatch/liveness_test.go
+++ b/core/dispatch/liveness_test.go
@@ -60,24 +60,24 @@
 				c.setState(c.agents[id], oleandervalve.ExecutorReady)
 			}
 			readyAt := c.now
-			for n := 0; c.runningTasks("watch") < own.Count && c.now.Sub(readyAt) < time.Minute; n++ {
+			for n := 0; c.runningLongTasks() < own.Count && c.now.Sub(readyAt) < time.Minute; n++ {
 				if tc.beside {
 					c.submit(oleandervalve.JobID(fmt.Sprintf("small%d", n)), work.Queue{Name: "q", Service: "press"}, work.Spec{Steps: []work.Step{{Count: 1, Label: "own", Demand: oleandervalve.Resources{CPU: 5}}}})
 				}
 				c.step()
 			}
-			t.Logf("utilisation %.2f, %d tasks run after %s", c.dispatcher.utilisation("press", c.now), c.runningTasks("watch"), c.now.Sub(readyAt))
+			t.Logf("utilisation %.2f, %d tasks run after %s", c.dispatcher.utilisation("press", c.now), c.runningLongTasks(), c.now.Sub(readyAt))
 			is.True(c.now.Sub(readyAt) <= 3*time.Second)
 		})
 	}
 }
 
-// runningTasks returns the number of runs of a job on executors.
-func (c *cluster) runningTasks(id oleandervalve.JobID) int {
+// runningLongTasks returns the number of runs of the long-running job "watch" on executors.
+func (c *cluster) runningLongTasks() int {
 	n := 0
 	for _, a := range c.agents {
 		for _, r := range a.running {
-			if r.key.task.Job == id {
+			if r.key.task.Job == "watch" {
 				n++
 			}
 		}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -34,16 +34,18 @@
 // fitsWithoutPermit reports whether one more task of a step may run on an executor, apart
 // from permits.
 func (d *Dispatcher) fitsWithoutPermit(s *step, a *agent, now time.Time) bool {
-	if !a.usable() || a.unsizedRuns > 0 || a.status.Service != s.job.rec.Queue.Service || !a.hasLabel(s.spec.Label) {
-		return false
-	}
-	if s.spec.MaxPerExecutor > 0 && s.runsByAgent[a.id] >= s.spec.MaxPerExecutor {
+	if !d.isEligible(s, a) || a.isHeldForOther(s, now) || !a.reserved.Add(s.spec.Reserved()).Fits(a.status.Capacity) {
 		return false
 	}
-	if !a.reserved.Add(s.spec.Reserved()).Fits(a.status.Capacity) {
+	return d.pausedExecutors >= d.maxPausedExecutors() || a.admits(now) && !a.isSlow(now)
+}
+
+// isEligible reports whether tasks of a step may run on an executor, whatever its free capacity.
+func (d *Dispatcher) isEligible(s *step, a *agent) bool {
+	if !a.usable() || a.unsizedRuns > 0 || a.status.Service != s.job.rec.Queue.Service || !a.hasLabel(s.spec.Label) {
 		return false
 	}
-	return d.pausedExecutors >= d.maxPausedExecutors() || a.admits(now) && !a.isSlow(now)
+	return s.spec.MaxPerExecutor == 0 || s.runsByAgent[a.id] < s.spec.MaxPerExecutor
 }
 
 // placementGroup is the key of steps that are eligible for the same executors. Only best-effort
--- a/core/dispatch/schedule.go
+++ b/core/dispatch/schedule.go
@@ -89,6 +89,9 @@
 		a, unsettled := d.choose(s, i, now)
 		if s.spec.LongRunning && a == nil {
 			s.recordHeldUp(now, i, unsettled != nil)
+			if unsettled == nil {
+				d.holdExecutor(now, s)
+			}
 		}
 		if a != nil {
 			d.assign(now, s, i, a)
@@ -125,6 +128,9 @@
 	}
 	r := &run{step: s, index: index, size: s.spec.Reserved(), resumed: t.Checkpoint != "", startedAt: now}
 	d.isolate(now, a, r, lostIn, &hints)
+	if a.hold.step == s {
+		a.hold = hold{}
+	}
 	a.allocate(k, r)
 	s.job.effects = append(s.job.effects, Start{
 		Agent: a.id, Executor: a.status.Incarnation, Task: k.task, Run: k.run,
