--- a/io/executor/proofage.go
+++ b/io/executor/proofage.go
@@ -17,8 +17,8 @@
 	loggedWithholding = time.Second
 )
 
-// proofAgeBuckets are dense around the age from which on starts are withheld, which is 1.8 s at
-// most, and end beyond the time for which leases are extended.
+// proofAgeBuckets cover the ages from which on starts are withheld, which follow from the bounds of
+// the deployment, and end beyond the time for which leases are extended.
 var proofAgeBuckets = tally.DurationBuckets{
 	100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond, time.Second, 1200 * time.Millisecond, 1400 * time.Millisecond,
 	1600 * time.Millisecond, 1800 * time.Millisecond, 2 * time.Second, 2500 * time.Millisecond, 3 * time.Second, 4 * time.Second, 5 * time.Second, 7 * time.Second, 10 * time.Second,
