--- a/io/leader/burst_test.go
+++ b/io/leader/burst_test.go
@@ -66,7 +66,7 @@
 	x.statsMu.Lock()
 	failed := x.failed
 	x.statsMu.Unlock()
-	t.Logf("%d refused, %d commits failed, %d bytes sent in %v", refused, failed, thin.sent, time.Since(started))
+	t.Logf("%d refused, %d commits failed, %d bytes sent in %v", refused, failed, thin.total(), time.Since(started))
 	select {
 	case err := <-ended:
 		t.Errorf("leadership ended: %v", err)
--- a/io/leader/fleetbench_test.go
+++ b/io/leader/fleetbench_test.go
@@ -215,7 +215,7 @@
 			b.Logf("%s %d", k, c.Value())
 		}
 	}
-	b.Logf("link out %d in %d bytes", bed.out.sent, bed.in.sent)
+	b.Logf("link out %d in %d bytes", bed.out.total(), bed.in.total())
 }
 
 // BenchmarkLargeFleet measures a leader at several loads. Its figures are in the log (-v).
@@ -260,7 +260,7 @@
 			bed := newFleetBed(b, c.agents, c.mbit*1e6/8, c.delay)
 			time.Sleep(time.Second)
 			bed.play(b, c.jobs, 6*time.Second)
-			sent, received := bed.out.sent, bed.in.sent
+			sent, received := bed.out.total(), bed.in.total()
 			before := bed.scope.Snapshot().Counters()
 			sessions := map[*simulatedAgent]int{}
 			for _, a := range bed.fleet.agents {
@@ -324,7 +324,7 @@
 				a.mu.Unlock()
 			}
 			rows := len(bed.table.rows)
-			b.Logf("rows %d: acquired %v ready %v all joined %v started %v, sessions for %d agents: %d; out %d in %d", rows, acquired, ready, all, started, c.agents, more, bed.out.sent-sent, bed.in.sent-received)
+			b.Logf("rows %d: acquired %v ready %v all joined %v started %v, sessions for %d agents: %d; out %d in %d", rows, acquired, ready, all, started, c.agents, more, bed.out.total()-sent, bed.in.total()-received)
 			for k, x := range bed.scope.Snapshot().Counters() {
 				n := x.Value()
 				if y := before[k]; y != nil {
--- a/io/leader/link_test.go
+++ b/io/leader/link_test.go
@@ -18,6 +18,13 @@
 	sent int64
 }
 
+// total returns the number of bytes carried so far.
+func (l *link) total() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent
+}
+
 // packet is the number of bytes that a link carries for one sender before it serves the next.
 const packet = 1500
 
--- a/io/leader/load_test.go
+++ b/io/leader/load_test.go
@@ -155,7 +155,7 @@
 	go func() { ended <- l.Run(ctx) }()
 	started := time.Now()
 	<-l.ready
-	t.Logf("ready after %v, %d bytes read", time.Since(started), thin.sent)
+	t.Logf("ready after %v, %d bytes read", time.Since(started), thin.total())
 	select {
 	case err := <-ended:
 		is.NoErr(err)
