--- /dev/null
+++ b/review/stage/cases.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// cases are the cases by name.
+var cases = map[string]func(*deployment) error{
+	"late-leave": lateLeave,
+	"slow-pool":  slowPool,
+}
+
+const testJob = "5c0e7a21d94b36f8"
+
+// submit hands in a job and fails unless it is accepted.
+func (d *deployment) submit(job, steps string) error {
+	status, body := d.call(http.MethodPost, job, []byte(`{"spec":"text","steps":[`+steps+`]}`))
+	d.rec.logf("POST %s: %d %s", job, status, body)
+	if status != http.StatusOK {
+		return fmt.Errorf("the job was not accepted: %d %s", status, body)
+	}
+	return nil
+}
+
+// await asks for the job until it has the state.
+func (d *deployment) await(job, state string, timeout time.Duration) bool {
+	last := ""
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		status, body := d.call(http.MethodGet, job, nil)
+		if answer := fmt.Sprint(status, " ", body); answer != last {
+			last = answer
+			d.rec.logf("GET %s: %s", job, answer)
+		}
+		if status == http.StatusOK && body == `{"state":"`+state+`"}` {
+			return true
+		}
+	}
+	return false
+}
+
+// lateLeave plays the planned restart of an executor under its id. The path to its agent is cut for
+// three seconds as it says that it leaves, so that this call arrives after the next life has
+// registered and works.
+func lateLeave(d *deployment) error {
+	const (
+		cut = 3200 * time.Millisecond
+		// retransmission is when TCP repeats for the fifth time what was sent as the cut began.
+		retransmission = 6200 * time.Millisecond
+		runTime        = 9 * time.Second
+	)
+	if err := d.start(2, 3, func(string) time.Duration { return runTime }); err != nil {
+		return err
+	}
+	x := d.executors[0]
+	x.drain(2500 * time.Millisecond)
+	if d.trouble {
+		x.path.cut(cut, retransmission)
+		d.rec.logf("the path from %s to its agent is cut", x.id)
+	}
+	began := time.Now()
+	status, err := x.post(context.Background(), "/Instances.Deregister/"+x.id, nil)
+	d.rec.logf("%s life 1 says that it leaves: %d %v", x.id, status, err)
+	x.end("planned")
+	time.Sleep(1500 * time.Millisecond)
+	if err := x.begin(); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(began.Add(4500 * time.Millisecond)))
+	if err := d.submit(testJob, `{"count":9,"cpu":2000,"memMb":64,"estimateMs":9000}`); err != nil {
+		return err
+	}
+	if !d.await(testJob, "completed", 40*time.Second) {
+		d.rec.logf("the job has not been completed")
+	}
+	return nil
+}
+
+// poolLabels gives the first three executors a kind of their own, in a rack of their own.
+func poolLabels(i int) []string {
+	if i < poolSize {
+		return []string{poolKind, "r1"}
+	}
+	return []string{"a", fmt.Sprintf("r%d", 1+i/3)}
+}
+
+const (
+	// executors is the number of executors of the smallest deployment in force.
+	executors = 11
+	poolSize  = 3
+	poolKind  = "b"
+)
+
+// slowPool plays jobs that run six times as long as declared on the executors of one kind. A
+// long-running job is handed in that needs this kind, for which there is capacity.
+func slowPool(d *deployment) error {
+	const (
+		declared = 4300 * time.Millisecond
+		factor   = 6
+		usual    = 1700 * time.Millisecond
+		traffic  = 30 * time.Second
+	)
+	d.labels = poolLabels
+	if err := d.start(2, executors, func(task string) time.Duration {
+		switch {
+		case task[0] == 'a' && d.trouble:
+			return factor * declared
+		case task[0] == 'a':
+			return declared
+		case task[0] == 'c':
+			return time.Hour
+		}
+		return usual
+	}); err != nil {
+		return err
+	}
+	began := time.Now()
+	done := make(chan struct{})
+	defer func() { <-done }()
+	go func() {
+		defer close(done)
+		for i := 0; time.Since(began) < traffic; i++ {
+			_ = d.submit(fmt.Sprintf("b%015x", i), `{"count":2,"cpu":960,"memMb":1900,"estimateMs":1700,"requirements":"a"}`) // the answer is recorded
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+	time.Sleep(2 * time.Second)
+	// Two of these fit on an executor beside the long-running task.
+	for i := range 2 * poolSize {
+		if err := d.submit(fmt.Sprintf("a%015x", i), `{"count":1,"cpu":2000,"memMb":24000,"estimateMs":4300,"requirements":"b"}`); err != nil {
+			return err
+		}
+	}
+	time.Sleep(4 * time.Second)
+	const job = "c000000000000000"
+	if err := d.submit(job, `{"count":1,"cpu":1000,"memMb":1000,"estimateMs":1000,"requirements":"b","longRunning":true,"image":"w"}`); err != nil {
+		return err
+	}
+	d.watchIdle(job, lastingGrace, began.Add(traffic))
+	return nil
+}
+
+const (
+	// idleLimit is how long a job may have nothing running although there is capacity.
+	idleLimit = 3 * time.Second
+	// lastingGrace is how long after its last run a task that lasts may wait before that.
+	lastingGrace = 6 * time.Second
+)
+
+// watchIdle checks until a time that a job that has just been handed in and has not ended doesn't
+// have nothing running for longer than idleLimit, which counts from the grace after its last run.
+func (d *deployment) watchIdle(job string, grace time.Duration, until time.Time) {
+	handedIn := time.Now()
+	since := handedIn.Add(grace)
+	state := ""
+	for time.Now().Before(until) {
+		time.Sleep(100 * time.Millisecond)
+		status, body := d.call(http.MethodGet, job, nil)
+		if body != state {
+			state = body
+			d.rec.logf("GET %s: %d %s", job, status, body)
+		}
+		if status == http.StatusOK && body != `{"state":"pending"}` && body != `{"state":"running"}` {
+			return
+		}
+		last := d.rec.lastRunning(job)
+		if last.Before(handedIn) {
+			last = handedIn
+		}
+		if from := last.Add(grace); from.After(since) {
+			since = from
+		}
+		if idle := time.Since(since); idle > idleLimit {
+			d.rec.fail("LOST: job %s has had nothing running for %.1f s, and %s", job, time.Since(last).Seconds(), d.poolUse())
+			return
+		}
+	}
+}
+
+// poolUse tells what the executors of the pool run.
+func (d *deployment) poolUse() string {
+	use := "the executors of its kind run"
+	for _, x := range d.executors[:poolSize] {
+		use += fmt.Sprintf(" %d", x.count())
+	}
+	return use + " tasks of 2 of 8 cores and 24 of 64 GB each"
+}
