--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -11,6 +14,7 @@
 var cases = map[string]func(*deployment) error{
 	"late-leave": lateLeave,
 	"slow-pool":  slowPool,
+	"lost-side":  lostSide,
 }
 
 const testJob = "5c0e7a21d94b36f8"
@@ -187,3 +191,65 @@
 	}
 	return use + " tasks of 2 of 8 cores and 24 of 64 GB each"
 }
+
+// waitingAge is how long after its acceptance a job that has not begun must be counted as waiting.
+const waitingAge = 5 * time.Second
+
+// lostSide plays the loss of an instance with an executor while jobs arrive. Callers ask how many
+// jobs wait.
+func lostSide(d *deployment) error {
+	const (
+		runTime  = 4 * time.Second
+		interval = 50 * time.Millisecond
+		traffic  = 4 * time.Second
+	)
+	if err := d.start(2, executors, func(string) time.Duration { return runTime }); err != nil {
+		return err
+	}
+	var accepted sync.Map
+	began := time.Now()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := 0; time.Since(began) < traffic; i++ {
+			job := fmt.Sprintf("b%015x", i)
+			if d.submit(job, `{"count":1,"cpu":500,"memMb":500,"estimateMs":4000}`) == nil {
+				accepted.Store(job, time.Now())
+			}
+			time.Sleep(interval)
+		}
+	}()
+	time.Sleep(10 * interval)
+	if d.trouble {
+		// Without power nothing of the instance answers any more.
+		d.agents[0].signal(syscall.SIGSTOP)
+		d.executors[0].end("no power")
+	}
+	for time.Since(began) < traffic+2*waitingAge {
+		time.Sleep(100 * time.Millisecond)
+		asked := time.Now()
+		status, body := d.call(http.MethodGet, "", nil)
+		var answer struct {
+			Waiting int `json:"waiting"`
+		}
+		if status != http.StatusOK || json.Unmarshal([]byte(body), &answer) != nil {
+			d.rec.logf("GET of the queue: %d %s", status, body)
+			continue
+		}
+		waiting := 0
+		accepted.Range(func(job, at any) bool {
+			if asked.Sub(at.(time.Time)) > waitingAge && !d.rec.begun(job.(string)) { //nolint:forcetypeassert // the types stored above
+				waiting++
+			}
+			return true
+		})
+		if waiting > 0 {
+			d.rec.logf("GET of the queue: %d %s; %d jobs of over %s have not begun", status, body, waiting, waitingAge)
+		}
+		if 2*answer.Waiting < waiting {
+			d.rec.fail("MIXED: %d jobs are given as waiting, and %d that were accepted over %s before have not begun", answer.Waiting, waiting, waitingAge)
+		}
+	}
+	<-done
+	return nil
+}
--- a/review/stage/executor.go
+++ b/review/stage/executor.go
@@ -429,6 +429,18 @@
 	r.runs[task][executor] = run
 }
 
+// begun reports whether a task of a job has ever started.
+func (r *record) begun(job string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for task := range r.runs {
+		if strings.HasPrefix(task, job) {
+			return true
+		}
+	}
+	return false
+}
+
 // fail records a broken rule.
 func (r *record) fail(format string, args ...any) {
 	r.mu.Lock()
