Add review case 9: a job with invalid starts blocks a pool

Cause: a start that an executor refuses as invalid is repeated at once and without limit, and its capacity is allocated before work of lower priority. Change: the case; its code is in review/stage.

--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -14,14 +14,15 @@
 var cases = map[string]func(*deployment) error{
 	"late-leave": lateLeave,
 	"slow-pool":  slowPool,
+	"bad-spec":   badSpec,
 	"lost-side":  lostSide,
 }
 
 const testJob = "5c0e7a21d94b36f8"
 
-// submit hands in a job and fails unless it is accepted.
-func (d *deployment) submit(job, steps string) error {
-	status, body := d.call(http.MethodPost, job, []byte(`{"spec":"text","steps":[`+steps+`]}`))
+// submit hands in a job at a queue and fails unless it is accepted.
+func (d *deployment) submit(queue, job, steps string) error {
+	status, body := d.call(http.MethodPost, queue+job, []byte(`{"spec":"text","steps":[`+steps+`]}`))
 	d.rec.logf("POST %s: %d %s", job, status, body)
 	if status != http.StatusOK {
 		return fmt.Errorf("the job was not accepted: %d %s", status, body)
@@ -33,7 +34,7 @@
 func (d *deployment) await(job, state string, timeout time.Duration) bool {
 	last := ""
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		status, body := d.call(http.MethodGet, job, nil)
+		status, body := d.call(http.MethodGet, urgent+job, nil)
 		if answer := fmt.Sprint(status, " ", body); answer != last {
 			last = answer
 			d.rec.logf("GET %s: %s", job, answer)
@@ -55,7 +56,7 @@
 		retransmission = 6200 * time.Millisecond
 		runTime        = 9 * time.Second
 	)
-	if err := d.start(2, 3, func(string) time.Duration { return runTime }); err != nil {
+	if err := d.start(3, func(string) time.Duration { return runTime }); err != nil {
 		return err
 	}
 	x := d.executors[0]
@@ -73,7 +74,7 @@
 		return err
 	}
 	time.Sleep(time.Until(began.Add(4500 * time.Millisecond)))
-	if err := d.submit(testJob, `{"count":9,"cpu":2000,"memMb":64,"estimateMs":9000}`); err != nil {
+	if err := d.submit(urgent, testJob, `{"count":9,"cpu":2000,"memMb":64,"estimateMs":9000}`); err != nil {
 		return err
 	}
 	if !d.await(testJob, "completed", 40*time.Second) {
@@ -107,7 +108,7 @@
 		traffic  = 30 * time.Second
 	)
 	d.labels = poolLabels
-	if err := d.start(2, executors, func(task string) time.Duration {
+	if err := d.start(executors, func(task string) time.Duration {
 		switch {
 		case task[0] == 'a' && d.trouble:
 			return factor * declared
@@ -126,20 +127,20 @@
 	go func() {
 		defer close(done)
 		for i := 0; time.Since(began) < traffic; i++ {
-			_ = d.submit(fmt.Sprintf("b%015x", i), `{"count":2,"cpu":960,"memMb":1900,"estimateMs":1700,"requirements":"a"}`) // the answer is recorded
+			_ = d.submit(urgent, fmt.Sprintf("b%015x", i), `{"count":2,"cpu":960,"memMb":1900,"estimateMs":1700,"requirements":"a"}`) // the answer is recorded
 			time.Sleep(200 * time.Millisecond)
 		}
 	}()
 	time.Sleep(2 * time.Second)
 	// Two of these fit on an executor beside the long-running task.
 	for i := range 2 * poolSize {
-		if err := d.submit(fmt.Sprintf("a%015x", i), `{"count":1,"cpu":2000,"memMb":24000,"estimateMs":4300,"requirements":"b"}`); err != nil {
+		if err := d.submit(urgent, fmt.Sprintf("a%015x", i), `{"count":1,"cpu":2000,"memMb":24000,"estimateMs":4300,"requirements":"b"}`); err != nil {
 			return err
 		}
 	}
 	time.Sleep(4 * time.Second)
 	const job = "c000000000000000"
-	if err := d.submit(job, `{"count":1,"cpu":1000,"memMb":1000,"estimateMs":1000,"requirements":"b","longRunning":true,"image":"w"}`); err != nil {
+	if err := d.submit(urgent, job, `{"count":1,"cpu":1000,"memMb":1000,"estimateMs":1000,"requirements":"b","longRunning":true,"image":"w"}`); err != nil {
 		return err
 	}
 	d.watchIdle(job, lastingGrace, began.Add(traffic))
@@ -153,15 +154,15 @@
 	lastingGrace = 6 * time.Second
 )
 
-// watchIdle checks until a time that a job that has just been handed in and has not ended doesn't
-// have nothing running for longer than idleLimit, which counts from the grace after its last run.
+// watchIdle checks until a time that a job that has not ended doesn't have nothing running for longer
+// than idleLimit, which counts from now on and from the grace after its last run.
 func (d *deployment) watchIdle(job string, grace time.Duration, until time.Time) {
-	handedIn := time.Now()
-	since := handedIn.Add(grace)
+	began := time.Now()
+	since := began.Add(grace)
 	state := ""
 	for time.Now().Before(until) {
 		time.Sleep(100 * time.Millisecond)
-		status, body := d.call(http.MethodGet, job, nil)
+		status, body := d.call(http.MethodGet, urgent+job, nil)
 		if body != state {
 			state = body
 			d.rec.logf("GET %s: %d %s", job, status, body)
@@ -170,26 +171,26 @@
 			return
 		}
 		last := d.rec.lastRunning(job)
-		if last.Before(handedIn) {
-			last = handedIn
+		if last.Before(began) {
+			last = began
 		}
 		if from := last.Add(grace); from.After(since) {
 			since = from
 		}
 		if idle := time.Since(since); idle > idleLimit {
-			d.rec.fail("LOST: job %s has had nothing running for %.1f s, and %s", job, time.Since(last).Seconds(), d.poolUse())
+			d.rec.fail("LOST: job %s has had nothing running for %.1f s, and the executors of its kind run%s tasks", job, time.Since(last).Seconds(), d.poolUse())
 			return
 		}
 	}
 }
 
-// poolUse tells what the executors of the pool run.
+// poolUse tells how many tasks the executors of the pool run.
 func (d *deployment) poolUse() string {
-	use := "the executors of its kind run"
+	use := ""
 	for _, x := range d.executors[:poolSize] {
 		use += fmt.Sprintf(" %d", x.count())
 	}
-	return use + " tasks of 2 of 8 cores and 24 of 64 GB each"
+	return use
 }
 
 // waitingAge is how long after its acceptance a job that has not begun must be counted as waiting.
@@ -203,7 +204,7 @@
 		interval = 50 * time.Millisecond
 		traffic  = 4 * time.Second
 	)
-	if err := d.start(2, executors, func(string) time.Duration { return runTime }); err != nil {
+	if err := d.start(executors, func(string) time.Duration { return runTime }); err != nil {
 		return err
 	}
 	var accepted sync.Map
@@ -213,7 +214,7 @@
 		defer close(done)
 		for i := 0; time.Since(began) < traffic; i++ {
 			job := fmt.Sprintf("b%015x", i)
-			if d.submit(job, `{"count":1,"cpu":500,"memMb":500,"estimateMs":4000}`) == nil {
+			if d.submit(urgent, job, `{"count":1,"cpu":500,"memMb":500,"estimateMs":4000}`) == nil {
 				accepted.Store(job, time.Now())
 			}
 			time.Sleep(interval)
@@ -228,7 +229,7 @@
 	for time.Since(began) < traffic+2*waitingAge {
 		time.Sleep(100 * time.Millisecond)
 		asked := time.Now()
-		status, body := d.call(http.MethodGet, "", nil)
+		status, body := d.call(http.MethodGet, urgent, nil)
 		var answer struct {
 			Waiting int `json:"waiting"`
 		}
@@ -253,3 +254,60 @@
 	<-done
 	return nil
 }
+
+// finishTime is when after the end of the traffic jobs are asked for.
+const finishTime = 14 * time.Second
+
+// badSpec plays a job that can never be done: the executors refuse its starts as invalid. Others that
+// need executors of the same kind are handed in after it.
+func badSpec(d *deployment) error {
+	const (
+		runTime  = time.Second
+		interval = 150 * time.Millisecond
+		usual    = 20
+		good     = 5
+	)
+	d.labels = poolLabels
+	if err := d.start(executors, func(string) time.Duration { return runTime }); err != nil {
+		return err
+	}
+	const bad = "a000000000000000"
+	if d.trouble {
+		for _, x := range d.executors {
+			x.refuse(bad)
+		}
+	}
+	for i := range usual {
+		if i == usual/2 {
+			if err := d.submit(urgent, bad, `{"count":24,"cpu":960,"memMb":1900,"estimateMs":1000,"requirements":"b"}`); err != nil {
+				return err
+			}
+		}
+		if err := d.submit(urgent, fmt.Sprintf("b%015x", i), `{"count":6,"cpu":960,"memMb":1900,"estimateMs":1000,"requirements":"a"}`); err != nil {
+			return err
+		}
+		time.Sleep(interval)
+	}
+	for i := range good {
+		if err := d.submit(batch, fmt.Sprintf("c%015x", i), `{"count":2,"cpu":2000,"memMb":1900,"estimateMs":1000,"requirements":"b"}`); err != nil {
+			return err
+		}
+	}
+	d.rec.logf("the traffic ends")
+	time.Sleep(finishTime)
+	var watches sync.WaitGroup
+	for i := range good {
+		watches.Add(1)
+		go func() {
+			defer watches.Done()
+			d.watchIdle(fmt.Sprintf("c%015x", i), 0, time.Now().Add(10*time.Second))
+		}()
+	}
+	watches.Wait()
+	refused := 0
+	for _, x := range d.executors {
+		refused += x.refusals()
+	}
+	d.rec.logf("starts refused with 400: %d", refused)
+	return nil
+}
--- a/review/stage/executor.go
+++ b/review/stage/executor.go
@@ -43,23 +43,26 @@
 	runTime func(task string) time.Duration
 	client  *http.Client
 
-	mu       sync.Mutex
-	life     int
-	up       bool
-	state    string
-	born     time.Time
-	sequence uint64
-	fence    uint64
-	running  map[string]*execution
-	ended    []endedRun
-	lastEnd  uint64
-	highest  map[string]uint64
-	leaseEnd time.Time
-	lease    *time.Timer
-	changed  chan struct{}
-	server   *http.Server
-	stop     context.CancelFunc
-	drained  chan struct{}
+	mu sync.Mutex
+	// refusedJob is a job whose starts are invalid for the executor, and refusedStarts their number.
+	refusedJob    string
+	refusedStarts int
+	life          int
+	up            bool
+	state         string
+	born          time.Time
+	sequence      uint64
+	fence         uint64
+	running       map[string]*execution
+	ended         []endedRun
+	lastEnd       uint64
+	highest       map[string]uint64
+	leaseEnd      time.Time
+	lease         *time.Timer
+	changed       chan struct{}
+	server        *http.Server
+	stop          context.CancelFunc
+	drained       chan struct{}
 }
 
 // begin begins a new life: the executor listens, knows nothing of before, and announces itself.
@@ -111,6 +114,20 @@
 	return len(x.running)
 }
 
+// refuse makes the executor refuse the starts of a job as invalid.
+func (x *executor) refuse(job string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.refusedJob = job
+}
+
+// refusals returns how many starts the executor has refused as invalid.
+func (x *executor) refusals() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.refusedStarts
+}
+
 // wake wakes the calls that wait for an end; the lock must be held.
 func (x *executor) wake() {
 	close(x.changed)
@@ -263,6 +280,10 @@
 	case o.DeadlineMs <= x.clock():
 		return http.StatusConflict, "late"
 	}
+	if job, _, _ := strings.Cut(o.Task, "."); job == x.refusedJob {
+		x.refusedStarts++
+		return http.StatusBadRequest, ""
+	}
 	life := x.life
 	e := &execution{run: o.Run, started: time.Now()}
 	x.running[o.Task] = e
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -17,14 +17,26 @@
 )
 
 const (
-	host        = "stage.example"
-	prefix      = "/press/"
+	host = "stage.example"
+	// urgent and batch are the prefixes of two queues, of priority 0 and 2.
+	urgent      = "/heat/"
+	batch       = "/press/"
 	service     = "press"
 	executorCPU = 8000
 	// heartbeatInterval is the time between two heartbeats of an executor.
 	heartbeatInterval = 1500 * time.Millisecond
 )
 
+// configuration is the operator's configuration.
+const configuration = `{"version":1,"routes":[
+{"name":"r-1","host":"stage.example","pathPrefix":"/heat/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":250,"priority":0,"service":"press","maxAttempts":3,"stretch":1.5},
+{"name":"r-2","host":"stage.example","pathPrefix":"/press/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":1000,"priority":2,"service":"press","maxAttempts":2,"stretch":2}],
+"services":[{"name":"press","healthPath":"/health","maxConnections":64,"protocol":"h1","tls":false,"admissionCheck":false,"spare":false}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+// entries is the number of entries of a deployment.
+const entries = 2
+
 // Exit codes of a case.
 const (
 	exitHeld = iota
@@ -108,7 +120,7 @@
 }
 
 // start starts the deployment and waits until an entry is ready and the agents know their executors.
-func (d *deployment) start(entries, executors int, runTime func(task string) time.Duration) error {
+func (d *deployment) start(executors int, runTime func(task string) time.Duration) error {
 	a, err := freeAddresses(newIP(), 4*entries+3*executors+1)
 	if err != nil {
 		return err
@@ -121,7 +133,7 @@
 	d.tableAt = l.Addr().String()
 	d.tableServer = &http.Server{Handler: d.table.Handler(), ReadHeaderTimeout: time.Minute}
 	go func() { _ = d.tableServer.Serve(l) }() // returns when the server is closed
-	d.table.Put("op", "", "config", emulator.RouteConfig(1, host, prefix, service))
+	d.table.Put("op", "", "config", []byte(configuration))
 	var seeds []string
 	for i := range entries {
 		seeds = append(seeds, a[4*i+2])
@@ -156,7 +168,7 @@
 		d.agents, d.executors = append(d.agents, h), append(d.executors, x)
 	}
 	for range 100 {
-		if status, _ := d.call(http.MethodGet, "", nil); status == http.StatusOK {
+		if status, _ := d.call(http.MethodGet, urgent, nil); status == http.StatusOK {
 			time.Sleep(3 * time.Second) // the agents join
 			return nil
 		}
@@ -183,9 +195,9 @@
 
 // call sends a request of a caller to the next entry, and returns the status and the body of the
 // answer.
-func (d *deployment) call(method, job string, body []byte) (int, string) {
+func (d *deployment) call(method, path string, body []byte) (int, string) {
 	entry := int(d.calls.Add(1)) % len(d.fronts)
-	request, err := http.NewRequest(method, "http://"+d.fronts[entry]+prefix+job, bytes.NewReader(body))
+	request, err := http.NewRequest(method, "http://"+d.fronts[entry]+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
