--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(*deployment) error{
 	"late-leave": lateLeave,
 	"slow-pool":  slowPool,
+	"held":       heldExecutor,
 	"bad-spec":   badSpec,
 	"lost-side":  lostSide,
 }
@@ -187,8 +188,10 @@
 // poolUse tells how many tasks the executors of the pool run.
 func (d *deployment) poolUse() string {
 	use := ""
-	for _, x := range d.executors[:poolSize] {
-		use += fmt.Sprintf(" %d", x.count())
+	for _, x := range d.executors {
+		if x.labels[0] == poolKind {
+			use += fmt.Sprintf(" %d", x.count())
+		}
 	}
 	return use
 }
@@ -262,10 +265,9 @@
 // need executors of the same kind are handed in after it.
 func badSpec(d *deployment) error {
 	const (
-		runTime  = time.Second
-		interval = 150 * time.Millisecond
-		usual    = 20
-		good     = 5
+		runTime = time.Second
+		usual   = 20
+		good    = 5
 	)
 	d.labels = poolLabels
 	if err := d.start(executors, func(string) time.Duration { return runTime }); err != nil {
@@ -277,26 +279,50 @@
 			x.refuse(bad)
 		}
 	}
-	for i := range usual {
-		if i == usual/2 {
-			if err := d.submit(urgent, bad, `{"count":24,"cpu":960,"memMb":1900,"estimateMs":1000,"requirements":"b"}`); err != nil {
-				return err
-			}
-		}
-		if err := d.submit(urgent, fmt.Sprintf("b%015x", i), `{"count":6,"cpu":960,"memMb":1900,"estimateMs":1000,"requirements":"a"}`); err != nil {
+	if err := d.submitUsual(usual/2, "b0"); err != nil {
+		return err
+	}
+	if err := d.submit(urgent, bad, `{"count":24,"cpu":960,"memMb":1900,"estimateMs":1000,"requirements":"b"}`); err != nil {
+		return err
+	}
+	if err := d.submitUsual(usual/2, "b1"); err != nil {
+		return err
+	}
+	if err := d.checkFinish(good, `{"count":2,"cpu":2000,"memMb":1900,"estimateMs":1000,"requirements":"b"}`); err != nil {
+		return err
+	}
+	refused := 0
+	for _, x := range d.executors {
+		refused += x.refusals()
+	}
+	d.rec.logf("starts refused with 400: %d", refused)
+	return nil
+}
+
+// submitUsual hands in jobs that need executors of kind a. Their names begin with the prefix.
+func (d *deployment) submitUsual(n int, prefix string) error {
+	const interval = 150 * time.Millisecond
+	for i := range n {
+		if err := d.submit(urgent, fmt.Sprintf("%s%014x", prefix, i), `{"count":6,"cpu":960,"memMb":1900,"estimateMs":1000,"requirements":"a"}`); err != nil {
 			return err
 		}
 		time.Sleep(interval)
 	}
-	for i := range good {
-		if err := d.submit(batch, fmt.Sprintf("c%015x", i), `{"count":2,"cpu":2000,"memMb":1900,"estimateMs":1000,"requirements":"b"}`); err != nil {
+	return nil
+}
+
+// checkFinish hands in the last jobs of the traffic, and checks at its end that none of them has
+// nothing running.
+func (d *deployment) checkFinish(n int, steps string) error {
+	for i := range n {
+		if err := d.submit(batch, fmt.Sprintf("c%015x", i), steps); err != nil {
 			return err
 		}
 	}
 	d.rec.logf("the traffic ends")
 	time.Sleep(finishTime)
 	var watches sync.WaitGroup
-	for i := range good {
+	for i := range n {
 		watches.Add(1)
 		go func() {
 			defer watches.Done()
@@ -304,10 +330,47 @@
 		}()
 	}
 	watches.Wait()
-	refused := 0
-	for _, x := range d.executors {
-		refused += x.refusals()
-	}
-	d.rec.logf("starts refused with 400: %d", refused)
 	return nil
 }
+
+// heldExecutor plays a job that runs six times as long as declared on the only executor of a kind. A
+// long-running job that does not fit beside it waits for this executor, and small ones that do.
+func heldExecutor(d *deployment) error {
+	const (
+		declared = 4300 * time.Millisecond
+		factor   = 6
+		usual    = 20
+		small    = 3
+	)
+	d.labels = func(i int) []string {
+		if i == 0 {
+			return []string{poolKind, "r1"}
+		}
+		return []string{"a", fmt.Sprintf("r%d", 1+i/3)}
+	}
+	if err := d.start(executors, func(task string) time.Duration {
+		switch {
+		case task[0] == 'a' && d.trouble:
+			return factor * declared
+		case task[0] == 'a':
+			return declared
+		case task[0] == 'd':
+			return time.Hour
+		}
+		return time.Second
+	}); err != nil {
+		return err
+	}
+	if err := d.submitUsual(usual, "b0"); err != nil {
+		return err
+	}
+	if err := d.submit(batch, "a000000000000000", `{"count":1,"cpu":3500,"memMb":1900,"estimateMs":4300,"requirements":"b"}`); err != nil {
+		return err
+	}
+	time.Sleep(500 * time.Millisecond)
+	if err := d.submit(urgent, "d000000000000000", `{"count":1,"cpu":5000,"memMb":1900,"estimateMs":1000,"requirements":"b","longRunning":true,"image":"w"}`); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	return d.checkFinish(small, `{"count":2,"cpu":500,"memMb":1900,"estimateMs":1000,"requirements":"b"}`)
+}
