--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -8,15 +8,19 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"oleandervalve"
+	"oleandervalve/io/leader"
 )
 
 // cases are the cases by name.
 var cases = map[string]func(*deployment) error{
-	"late-leave": lateLeave,
-	"slow-pool":  slowPool,
-	"held":       heldExecutor,
-	"bad-spec":   badSpec,
-	"lost-side":  lostSide,
+	"late-leave":    lateLeave,
+	"slow-pool":     slowPool,
+	"lost-together": lostTogether,
+	"held":          heldExecutor,
+	"bad-spec":      badSpec,
+	"lost-side":     lostSide,
 }
 
 const testJob = "5c0e7a21d94b36f8"
@@ -279,7 +283,7 @@
 			x.refuse(bad)
 		}
 	}
-	if err := d.submitUsual(usual/2, "b0"); err != nil {
+	if err := d.submitUsual(6, "b0"); err != nil {
 		return err
 	}
 	if err := d.submit(urgent, bad, `{"count":24,"cpu":960,"memMb":1900,"estimateMs":1000,"requirements":"b"}`); err != nil {
@@ -374,3 +378,49 @@
 	time.Sleep(time.Second)
 	return d.checkFinish(small, `{"count":2,"cpu":500,"memMb":1900,"estimateMs":1000,"requirements":"b"}`)
 }
+
+// lostTogether plays the loss of the leading entry's instance and of one with an executor at the same
+// moment. A long-running job has a task on each executor, and there is room for others.
+func lostTogether(d *deployment) error {
+	const job = "c000000000000000"
+	if err := d.start(executors, func(string) time.Duration { return time.Hour }); err != nil {
+		return err
+	}
+	if err := d.submit(urgent, job, fmt.Sprintf(`{"count":%d,"cpu":1000,"memMb":1000,"estimateMs":400,"longRunning":true,"image":"w"}`, 2*executors)); err != nil {
+		return err
+	}
+	time.Sleep(8 * time.Second)
+	if d.trouble {
+		row, err := leader.DecodeRow(oleandervalve.Row{Version: 1, Value: d.table.Value("leader", "main", "leader")})
+		if err != nil {
+			return err
+		}
+		for i, h := range d.entries {
+			if h.name == string(row.Entry) {
+				h.signal(syscall.SIGSTOP)
+				d.fronts = append(d.fronts[:i:i], d.fronts[i+1:]...)
+			}
+		}
+		d.agents[0].signal(syscall.SIGSTOP)
+		d.executors[0].end("no power")
+		d.rec.logf("%s, which leads, and side-1 lose power", row.Entry)
+	}
+	d.watchTasks(job, 2*executors, time.Now().Add(14*time.Second))
+	return nil
+}
+
+// watchTasks checks until a time that each task of a long-running job runs again within lastingGrace
+// and idleLimit after its last run.
+func (d *deployment) watchTasks(job string, n int, until time.Time) {
+	broken := map[string]bool{}
+	for time.Now().Before(until) {
+		time.Sleep(100 * time.Millisecond)
+		for i := range n {
+			task := fmt.Sprintf("%s.0.0.%d", job, i)
+			if idle := time.Since(d.rec.lastRunOf(task)); idle > lastingGrace+idleLimit && !broken[task] {
+				broken[task] = true
+				d.rec.fail("LOST: task %s has not run for %.1f s, and ten executors have 6 of 8 cores free", task, idle.Seconds())
+			}
+		}
+	}
+}
--- a/review/stage/executor.go
+++ b/review/stage/executor.go
@@ -473,12 +473,28 @@
 func (r *record) lastRunning(job string) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for task, runs := range r.runs {
-		if strings.HasPrefix(task, job) && len(runs) > 0 {
-			return time.Now()
+	var last time.Time
+	for task := range r.runs {
+		if at := r.lastRun(task); strings.HasPrefix(task, job) && at.After(last) {
+			last = at
 		}
 	}
-	return r.lastEnds[job]
+	return last
+}
+
+// lastRunOf returns when a task last ran.
+func (r *record) lastRunOf(task string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastRun(task)
+}
+
+// lastRun returns when a task last ran; the lock must be held.
+func (r *record) lastRun(task string) time.Time {
+	if len(r.runs[task]) > 0 {
+		return time.Now()
+	}
+	return r.lastEnds[task]
 }
 
 func (r *record) ended(executor, task string, run uint64, how string) {
@@ -489,8 +505,7 @@
 	if r.lastEnds == nil {
 		r.lastEnds = map[string]time.Time{}
 	}
-	job, _, _ := strings.Cut(task, ".")
-	r.lastEnds[job] = time.Now()
+	r.lastEnds[task] = time.Now()
 }
 
 // summary returns the rules that were broken.
