--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -379,10 +379,13 @@
 	return d.checkFinish(small, `{"count":2,"cpu":500,"memMb":1900,"estimateMs":1000,"requirements":"b"}`)
 }
 
-// lostTogether plays the loss of the leading entry's instance and of one with an executor at the same
-// moment. A long-running job has a task on each executor, and there is room for others.
+// lostTogether plays the loss of an instance with an executor, and right after it of the leading
+// entry's. A long-running job has a task on each executor, and there is room for others.
 func lostTogether(d *deployment) error {
-	const job = "c000000000000000"
+	const (
+		job     = "c000000000000000"
+		between = 600 * time.Millisecond
+	)
 	if err := d.start(executors, func(string) time.Duration { return time.Hour }); err != nil {
 		return err
 	}
@@ -391,6 +394,9 @@
 	}
 	time.Sleep(8 * time.Second)
 	if d.trouble {
+		d.agents[0].signal(syscall.SIGSTOP)
+		d.executors[0].end("no power")
+		time.Sleep(between)
 		row, err := leader.DecodeRow(oleandervalve.Row{Version: 1, Value: d.table.Value("leader", "main", "leader")})
 		if err != nil {
 			return err
@@ -401,9 +407,7 @@
 				d.fronts = append(d.fronts[:i:i], d.fronts[i+1:]...)
 			}
 		}
-		d.agents[0].signal(syscall.SIGSTOP)
-		d.executors[0].end("no power")
-		d.rec.logf("%s, which leads, and side-1 lose power", row.Entry)
+		d.rec.logf("%s, which leads, loses power, as side-1 did", row.Entry)
 	}
 	d.watchTasks(job, 2*executors, time.Now().Add(14*time.Second))
 	return nil
