End all processes of a review case that can't start

Cause: an agent was left running when its executor's address was taken. Change: the agent is kept for the end of the case before its executor begins.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -162,10 +162,10 @@
 		if err != nil {
 			return err
 		}
+		d.agents, d.executors = append(d.agents, h), append(d.executors, x)
 		if err := x.begin(); err != nil {
 			return err
 		}
-		d.agents, d.executors = append(d.agents, h), append(d.executors, x)
 	}
 	for range 100 {
 		if status, _ := d.call(http.MethodGet, urgent, nil); status == http.StatusOK {
