Don't take a deregistration for the end of an executor

Callers saw two runs of one task at once: a deregistration that a cut had held up arrived in the next life of its executor, under the same id.

Cause: Agent.ExecutorDeregistered compared only the id and reported the present life as ended; the leader requeued its runs, while the agent went on extending their lease.

Change: a deregistration only marks an end that follows as planned. The end itself is found by the polls: nothing listens at the address any more, or the lease has certainly expired. The same holds for an executor that works on because its deregistration was not acknowledged. A start in the body, if there is one, must be that of the present life.

Ruled out: asking the executor once at the call. It answers until it ends, so its answer doesn't tell whose call it was.

In report_test.go the report of an ended executor is now the one that polls make.

--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -63,8 +63,9 @@
 	status      oleandervalve.ExecutorStatus
 	statusKnown bool
 	// statusAt is when status was announced.
-	statusAt     time.Time
-	deregistered bool
+	statusAt time.Time
+	// deregisteredAt is when the executor, or an earlier incarnation of it, was last deregistered.
+	deregisteredAt time.Time
 	// token is the token of the last session.
 	token   oleandervalve.FencingToken
 	session *session
@@ -120,11 +121,11 @@
 	back := a.ended
 	a.ended = false
 	if newIncarnation || back {
-		a.executorReplaced(s.Incarnation, a.deregistered || a.status.State == oleandervalve.ExecutorDraining)
+		a.executorReplaced(s.Incarnation, a.leavesAsPlanned())
 	}
 	a.status, a.statusKnown, a.statusAt = s, true, a.options.Clock.Now()
 	if newIncarnation {
-		a.deregistered = false
+		a.deregisteredAt = time.Time{}
 		a.drainingSince = time.Time{}
 	}
 	if s.State == oleandervalve.ExecutorDraining && a.drainingSince.IsZero() {
@@ -201,20 +202,24 @@
 	a.polledStartedAt = startedAt
 }
 
-// ExecutorDeregistered handles the deregistration of the executor, which has terminated.
-func (a *Agent) ExecutorDeregistered(e oleandervalve.ExecutorID) {
+// ExecutorDeregistered handles the deregistration of the executor. It tells that an end is planned
+// but not that the executor has ended: the call may be of an earlier incarnation with the same id,
+// and an executor without an acknowledgement runs on for seconds. The polls find the end.
+func (a *Agent) ExecutorDeregistered(e oleandervalve.Incarnation) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.statusKnown || a.status.Incarnation.ID != e {
-		return
-	}
-	a.options.Log.WithField("executor", e).Info("executor deregistered")
-	a.deregistered = true
-	if a.session != nil {
-		a.session.reportTerminated()
+	concerned := a.statusKnown && announcement.Concerns(a.status.Incarnation, e)
+	a.options.Log.WithFields(logrus.Fields{"executor": e.ID, "born": e.StartedAt, "state": a.status.State, "current": a.status.Incarnation.ID, "ignored": !concerned}).Info("executor deregistered")
+	if concerned {
+		a.deregisteredAt = a.options.Clock.Now()
 	}
 }
 
+// leavesAsPlanned reports whether an end of the executor now is a planned one. a.mu must be held.
+func (a *Agent) leavesAsPlanned() bool {
+	return announcement.Departure{State: a.status.State, DeregisteredAt: a.deregisteredAt}.Planned(a.options.Clock.Now())
+}
+
 func (a *Agent) notifyStatusReceived() {
 	select {
 	case a.statusReceived <- struct{}{}:
--- a/io/executor/crashes.go
+++ b/io/executor/crashes.go
@@ -93,7 +93,7 @@
 	}
 	a.mu.Lock()
 	replaced := a.status.Incarnation != s.status.Incarnation
-	planned := a.deregistered || a.status.State == oleandervalve.ExecutorDraining
+	planned := a.leavesAsPlanned()
 	known := a.ended
 	a.ended = !replaced
 	a.mu.Unlock()
--- a/io/executor/report_test.go
+++ b/io/executor/report_test.go
@@ -27,7 +27,7 @@
 		{"run has ended", func(s *session) {
 			s.sendEnds(peer.RunsEnded{Ends: []oleandervalve.EndedTask{{Number: 1, Task: key.task, Run: 1, How: oleandervalve.EndDone}}})
 		}},
-		{"executor has ended", (*session).reportTerminated},
+		{"executor has ended", func(s *session) { s.executorEnded() }},
 		{"executor is lost", (*session).reportLost},
 		{"status", func(s *session) { s.reportStatus(statusWith(16, 1)) }},
 	} {
@@ -51,6 +51,7 @@
 			defer c.Close()
 			s := newSession(oleandervalve.SystemClock())
 			s.agent.crashes = newCrashLog(oleandervalve.SystemClock())
+			s.agent.options.Scope = tally.NoopScope
 			s.conn, s.cancel = c, cancel
 			large := &peer.Redirect{Leader: strings.Repeat("x", 30_000)}
 			for full := false; !full; {
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -168,10 +168,6 @@
 	s.report(&peer.ExecutorChange{Status: st})
 }
 
-func (s *session) reportTerminated() {
-	s.report(&peer.ExecutorTerminated{Incarnation: s.status.Incarnation})
-}
-
 // reportLost reports that the executor has given no answer until its lease expired, so
 // that nothing runs on it any more.
 func (s *session) reportLost() {
@@ -234,9 +230,6 @@
 	if changesPlacement(s.status, a.status) {
 		s.reportStatus(a.status)
 	}
-	if a.deregistered {
-		s.reportTerminated()
-	}
 	a.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
