Pause tasks whose starts are refused

Callers saw jobs that never started beside idle executors: one job of a higher priority, whose starts were refused with 400, was started about 2,000 times a second and was allocated the whole pool in each pass.

Cause: RunNeverStarted requeued a refused task without any delay, and only ends that failed count as attempts. It holds for all reasons of a refusal.

Change: a task whose start is refused is paused for 0.5 s, doubling up to 2 s, and takes no capacity meanwhile; the first refusal of a valid order has no pause, as another executor may take it. The pause ends with a run.

--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -10,7 +10,7 @@
 // placeGang places all tasks of a gang at once, in a single rack if that is requested and
 // possible. It reports whether the gang was placed.
 func (d *Dispatcher) placeGang(now time.Time, s *step) bool {
-	if len(s.waiting) < s.spec.Count {
+	if len(s.waiting) < s.spec.Count || s.isGangPaused(now) {
 		return false
 	}
 	plan := d.planGangInRack(s, now, true)
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -85,6 +85,8 @@
 	permits    permits
 	// avoidedAgents holds, by task index, the agent on which the task last failed or stalled.
 	avoidedAgents map[int]oleandervalve.AgentID
+	// refused holds, by task index, the successive refusals of its starts.
+	refused map[int]refusals
 	// suspectSince holds, by task index, since when a suspect task waits.
 	suspectSince map[int]time.Time
 	// heldUpSince holds, by the index of a suspect task or innocentTasks, since when tasks of a
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -225,6 +225,11 @@
 	if r.step != nil && n.Reason == oleandervalve.RefusedPermit {
 		r.step.dropPermit(a)
 	}
+	if r.step != nil {
+		if pause := r.step.recordRefusal(now, r.index, n.Reason); pause > 0 {
+			d.note("startsPaused", k.task.Job, map[string]any{"task": k.task.String(), "run": k.run, "agent": id, "reason": n.Reason, "pauseMs": pause.Milliseconds()})
+		}
+	}
 	d.releaseUnstarted(now, a, k, string(n.Reason))
 }
 
@@ -252,6 +257,9 @@
 	}
 	s, t := j.task(e.Task)
 	j.began = j.began || t != nil
+	if t != nil {
+		s.forgetRefusals(e.Task.Index)
+	}
 	if t != nil && !j.rec.State.Terminal() && d.withdraw(s, t, e) {
 		d.note("lateSuccess", j.id, map[string]any{"task": e.Task.String(), "run": e.Run, "newest": t.Run, "agent": id})
 		j.effects = append(j.effects, ack)
--- a/core/dispatch/schedule.go
+++ b/core/dispatch/schedule.go
@@ -86,6 +86,10 @@
 	d.suspectsByCrash = s.countSuspects()
 	var left []int
 	for n, i := range s.waiting {
+		if s.isPaused(i, now) {
+			left = append(left, i)
+			continue
+		}
 		a, unsettled := d.choose(s, i, now)
 		if s.spec.LongRunning && a == nil {
 			s.recordHeldUp(now, i, unsettled != nil)
