--- a/cmd/oleandervalve/soak.go
+++ b/cmd/oleandervalve/soak.go
@@ -23,6 +23,7 @@
 	Accepted bool          `long:"accepted-only" description:"cancel no job before its submission is answered"`
 	Standing int           `long:"standing" description:"long-running jobs that run all the time; faults pause at times, and tasks that don't run then are found"`
 	Share    float64       `long:"least-share" description:"limit the entries to processor shares from this one on, and to thin links"`
+	Lease    time.Duration `long:"max-lease" default:"6s" description:"the longest lease that executors grant"`
 	Wide     bool          `long:"wide" description:"add faults of many processes or executors at once"`
 	Kinds    []string      `long:"kind" description:"inject only faults of this kind (may be repeated)"`
 	Binary   string        `long:"binary" value-name:"PATH" description:"binary of the processes, if it is not this one"`
@@ -47,7 +48,7 @@
 			return errors.Wrap(err, "create the log directory")
 		}
 		r, err := soak.Run(context.Background(), soak.Options{
-			Binary: binary, Directory: directory, Seed: seed, Duration: c.Duration, Entries: c.Entries, Agents: c.Agents, LargeJobs: c.Large, AcceptedOnly: c.Accepted, Standing: c.Standing, LeastShare: c.Share, Wide: c.Wide, Kinds: c.Kinds,
+			Binary: binary, Directory: directory, Seed: seed, Duration: c.Duration, Entries: c.Entries, Agents: c.Agents, LargeJobs: c.Large, AcceptedOnly: c.Accepted, Standing: c.Standing, LeastShare: c.Share, MaxLease: c.Lease, Wide: c.Wide, Kinds: c.Kinds,
 		})
 		if err != nil {
 			return err
