Bound the lease of an executor that has started again under its id

Cause: the deadline of a poll is a time on the executor's clock. Leaders count 7.64 s from their last proof, and agents counted 6.2 s in each session but the first after a restart. Tasks that had started on the new life went on after they had been started elsewhere.

Change: core/leasebound keeps over all sessions until when the lease may last. Starts wait until a proof of leadership is young enough that leaders count at least as long; the leader is told that the executor is recovering and places nothing there. It concerns only deployments whose longest lease exceeds the 7 s of a proof, and only restarts under the same id.

--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -19,7 +19,7 @@
 	if a == nil {
 		a = d.addAgent(id)
 	}
-	if old := a.status; old.Incarnation.ID != "" && old.Incarnation != status.Incarnation && old.State == oleandervalve.ExecutorReady {
+	if old := a.status; old.Incarnation.ID != "" && old.Incarnation != status.Incarnation && old.State.IsUp() {
 		d.recordRestart(now, a)
 	}
 	a.connected = true
@@ -174,7 +174,7 @@
 	if a == nil || a.status.Incarnation != incarnation {
 		return
 	}
-	if crashed && a.status.State == oleandervalve.ExecutorReady {
+	if crashed && a.status.State.IsUp() {
 		d.recordRestart(now, a)
 	}
 	a.status.State = oleandervalve.ExecutorTerminated
--- /dev/null
+++ b/core/leasebound/bound_test.go
@@ -0,0 +1,55 @@
+package leasebound
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandervalve"
+)
+
+// Guards against runs that go on in an executor that has started again under its id after their
+// leases count as ended: a call to its earlier incarnation has extended them.
+func TestBoundOfFirstMeeting(t *testing.T) {
+	const proofLifetime = 7 * time.Second
+	sent := time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
+	answered := sent.Add(500 * time.Millisecond)
+	limits := Limits{Requested: 6 * time.Second, Granted: 10 * time.Second}
+	present := oleandervalve.Incarnation{ID: "i-1", StartedAt: 20}
+	known := Bound{End: sent.Add(4 * time.Second), Foreign: sent.Add(3 * time.Second)}
+	requested := Bound{End: sent.Add(6180 * time.Millisecond)}
+	granted := answered.Add(10300 * time.Millisecond)
+	for _, tt := range []struct {
+		name    string
+		earlier oleandervalve.Incarnation
+		uptime  time.Duration
+		want    Bound
+	}{
+		{"same incarnation", present, time.Second, known},
+		{"same id, started again", oleandervalve.Incarnation{ID: "i-1", StartedAt: 10}, time.Second, Bound{granted, granted}},
+		{"same id, the time of day has jumped back", oleandervalve.Incarnation{ID: "i-1", StartedAt: 30}, time.Hour, Bound{granted, granted}},
+		{"other id", oleandervalve.Incarnation{ID: "i-0", StartedAt: 10}, time.Second, requested},
+		{"new agent, executor has just started", oleandervalve.Incarnation{}, time.Second, Bound{granted, granted}},
+		{"new agent", oleandervalve.Incarnation{}, time.Minute, requested},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := limits.Meet(Meeting{Earlier: tt.earlier, Known: known, Present: present, Uptime: tt.uptime, SentAt: sent, AnsweredAt: answered})
+			is.Equal(b, tt.want)
+			if !b.Foreign.IsZero() {
+				is.Equal(b.ReadyAt(proofLifetime), b.Foreign.Add(-proofLifetime))
+			}
+		})
+	}
+}
+
+// Guards against a bound that an extension makes shorter.
+func TestExtension(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
+	b := Bound{End: now.Add(10 * time.Second)}
+	is.Equal(b.Extend(now, 6*time.Second), b)
+	is.Equal(b.Extend(now.Add(5*time.Second), 6*time.Second).End, now.Add(11180*time.Millisecond))
+	is.True(Bound{}.ReadyAt(time.Second).IsZero())
+}
--- a/core/startorder/decide.go
+++ b/core/startorder/decide.go
@@ -30,6 +30,10 @@
 	// Unconfirmed means that a poll has failed since the executor last named its incarnation, so
 	// that another one may answer now.
 	Unconfirmed bool
+	// ReadyAt is the time of the oldest proof that allows starts after the executor has started again:
+	// calls to its earlier incarnation may have extended its lease beyond what leaders count on;
+	// zero if none may have.
+	ReadyAt time.Time
 	// ProofAt is the latest time at which the leader is known to have led, by a commit that only
 	// the leader can make; zero if there is none.
 	ProofAt oleandervalve.Instant
@@ -45,6 +49,9 @@
 	AwaitProof
 	// AwaitExecutor means that the order must wait until the executor has named its incarnation.
 	AwaitExecutor
+	// AwaitLease means that the order must wait until no lease of the executor can outlast what
+	// leaders count on.
+	AwaitLease
 	// Abandon means that the order must not be sent any more.
 	Abandon
 )
@@ -60,6 +67,10 @@
 		return Abandon, oleandervalve.RefusedRoom
 	case c.Unconfirmed:
 		return AwaitExecutor, ""
+	case now.Time.Before(c.ReadyAt):
+		return AwaitLease, ""
+	case c.ProofAt.Time.Before(c.ReadyAt):
+		return AwaitProof, ""
 	case c.ProofAt.IsZero() || now.Sub(c.ProofAt) >= l.MaxProofAge:
 		return AwaitProof, ""
 	}
--- a/executor.go
+++ b/executor.go
@@ -195,12 +195,18 @@
 const (
 	// ExecutorReady means that the executor accepts new runs.
 	ExecutorReady ExecutorState = "ready"
+	// ExecutorRecovering means that the executor has started again under its id, and accepts new
+	// runs once no call to its earlier incarnation can prolong their leases.
+	ExecutorRecovering ExecutorState = "recovering"
 	// ExecutorDraining means that the executor accepts no new runs and will shut down.
 	ExecutorDraining ExecutorState = "draining"
 	// ExecutorTerminated means that the executor has terminated.
 	ExecutorTerminated ExecutorState = "gone"
 )
 
+// IsUp reports whether an executor in the state is expected to go on, so that its end is a crash.
+func (s ExecutorState) IsUp() bool { return s == ExecutorReady || s == ExecutorRecovering }
+
 // ExecutorStatus is the status that an executor announces.
 type ExecutorStatus struct {
 	Incarnation Incarnation   `cbor:"1,keyasint"`
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -12,6 +12,7 @@
 
 	"oleandervalve"
 	"oleandervalve/core/announcement"
+	"oleandervalve/core/leasebound"
 	"oleandervalve/core/pacing"
 	"oleandervalve/core/startorder"
 	"oleandervalve/io/peer"
@@ -79,6 +80,8 @@
 	polledStartedAt int64
 	// sessionIncarnation is the incarnation of the executor in the last session.
 	sessionIncarnation oleandervalve.Incarnation
+	// leaseBound is the bound of the executor's lease at the end of the last session.
+	leaseBound leasebound.Bound
 	// drainingSince is when the executor first announced that it is draining.
 	drainingSince time.Time
 	// ended means that the executor has ended and has not announced itself since.
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -32,23 +32,16 @@
 
 // leaseUntil returns the end, on the executor's clock, of the lease that may be
 // requested now, or zero if the proof of leadership is missing or too old. It updates
-// leaseEnd. s.mu must be held.
+// leaseBound. s.mu must be held.
 func (s *session) leaseUntil(now oleandervalve.Instant) oleandervalve.ExecutorTime {
 	remaining := min(s.agent.leaseDuration, s.agent.options.ProofLifetime-now.Sub(s.proofAt))
 	if remaining <= 0 || s.proofAt.IsZero() {
 		return 0
 	}
-	s.leaseEnd = latest(s.leaseEnd, now.Time.Add(s.maxElapsed(remaining)))
+	s.leaseBound = s.leaseBound.Extend(now.Time, remaining)
 	return s.clock + oleandervalve.ExecutorTime(now.Time.Sub(s.clockAt)+remaining)
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // acquireStartSlot waits until fewer than maxParallelStarts start orders are in flight. It returns
 // false if the run has to end or ctx is done first.
 func (s *session) acquireStartSlot(ctx context.Context, st *pendingStart, o dispatch.Start) bool {
@@ -133,6 +126,10 @@
 			s.logWithheld(o, st, withheldByExecutor)
 			s.agent.waitRetryDelay(ctx)
 			continue
+		case startorder.AwaitLease:
+			s.logWithheld(o, st, withheldByLease)
+			s.agent.waitRetryDelay(ctx)
+			continue
 		}
 		if !s.acquireStartSlot(ctx, st, o) {
 			continue
@@ -253,6 +250,7 @@
 // decideStartWith decides with what the session knows beside c. s.mu must be held.
 func (s *session) decideStartWith(now oleandervalve.Instant, c startorder.Circumstances, st *pendingStart) (startorder.Verdict, oleandervalve.StartRefusal) {
 	c.Stopped, c.Reserved, c.ProofAt, c.Unconfirmed = st.isStopped(), s.reserved(), s.proofAt, s.unconfirmed
+	c.ReadyAt = s.leaseBound.ReadyAt(s.agent.options.ProofLifetime)
 	s.recordProofAge(now)
 	return startorder.Decide(now, s.agent.startLimits, c)
 }
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -119,7 +119,7 @@
 func (s *session) leaseExpired() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.agent.options.Clock.Now().After(s.leaseEnd)
+	return s.agent.options.Clock.Now().After(s.leaseBound.End)
 }
 
 // hasColocatedRuns reports whether the executor runs both best-effort and
--- a/io/executor/proofage.go
+++ b/io/executor/proofage.go
@@ -91,6 +91,7 @@
 const (
 	withheldByProof    withholding = "proofTooOld"
 	withheldByExecutor withholding = "executorUnconfirmed"
+	withheldByLease    withholding = "earlierLease"
 	withheldBySlots    withholding = "noStartSlot"
 )
 
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -14,6 +14,7 @@
 	"oleandervalve/core/crash"
 	"oleandervalve/core/dispatch"
 	"oleandervalve/core/following"
+	"oleandervalve/core/leasebound"
 	"oleandervalve/core/pacing"
 	"oleandervalve/io/leader"
 	"oleandervalve/io/peer"
@@ -80,8 +81,7 @@
 	unconfirmed bool
 	// startsInFlight is the number of start orders without an answer yet.
 	startsInFlight int
-	// leaseEnd is when the executor's lease has certainly expired, on the agent's clock.
-	leaseEnd time.Time
+	leaseBound     leasebound.Bound
 	// inventoryIncomplete means that ended runs are missing from the session's inventory.
 	inventoryIncomplete bool
 	// lastReportedEnd is the highest number of an end that was reported to the leader.
@@ -165,7 +165,7 @@
 
 // reportStatus reports a new status of the executor.
 func (s *session) reportStatus(st oleandervalve.ExecutorStatus) {
-	s.report(&peer.ExecutorChange{Status: st})
+	s.report(&peer.ExecutorChange{Status: s.reportable(st)})
 }
 
 // reportLost reports that the executor has given no answer until its lease expired, so
@@ -234,16 +234,21 @@
 	defer func() {
 		s.mu.Lock()
 		s.logProofAges(a.options.now())
+		bound := s.leaseBound
 		s.mu.Unlock()
 		state := s.throttleState()
 		a.mu.Lock()
 		a.session, a.lastThrottleState = nil, state
+		if !ended {
+			a.leaseBound = bound
+		}
 		a.mu.Unlock()
 	}()
 	s.log().WithField("entry", address).Info("session started")
 	go s.pingLoop(ctx)
 	if !ended {
 		go s.pollLoop(ctx)
+		go s.reportRecovery(ctx)
 	}
 	go func() {
 		<-ctx.Done()
@@ -287,10 +292,11 @@
 		return false, &oleandervalve.WrongIncarnationError{ID: s.status.Incarnation.ID}
 	}
 	s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.Answered(now, s.status.Incarnation, result) })
-	earlierLease := s.agent.earlierLease(s.status.Incarnation)
+	answered := s.agent.options.Clock.Now()
+	bound := s.agent.meet(s.status.Incarnation, time.Duration(result.Clock), sent, answered)
 	s.mu.Lock()
-	s.clock, s.clockAt = result.Clock, s.agent.options.Clock.Now()
-	s.leaseEnd = sent.Add(s.maxElapsed(earlierLease))
+	s.clock, s.clockAt = result.Clock, answered
+	s.leaseBound = bound
 	for _, r := range result.Running {
 		k := runKey{r.Task, r.Run}
 		s.running[k] = true
@@ -309,7 +315,7 @@
 	if result.Incomplete {
 		s.log().WithFields(logrus.Fields{"running": len(result.Running), "ended": len(result.Ended)}).Info("inventory is incomplete: further ends follow as the leader acknowledges the listed ones")
 	}
-	inventory := peer.ExecutorInventory{Status: s.status, Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), Incomplete: result.Incomplete}
+	inventory := peer.ExecutorInventory{Status: s.reportable(s.status), Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), Incomplete: result.Incomplete}
 	for _, m := range peer.SplitInventory(inventory) {
 		if err := s.conn.Send(m); err != nil {
 			return false, err
@@ -332,23 +338,49 @@
 	}
 }
 
-// earlierLease returns the longest lease that an earlier session may have requested of an
-// incarnation just before its first poll in the next session. An order that reached another
-// incarnation than it was meant for has requested a time on the clock of an older one.
-func (a *Agent) earlierLease(next oleandervalve.Incarnation) time.Duration {
+// meet returns the bound of the executor's lease at the beginning of a session, whose first poll
+// was answered.
+func (a *Agent) meet(present oleandervalve.Incarnation, uptime time.Duration, sent, answered time.Time) leasebound.Bound {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	earlier := a.sessionIncarnation
-	a.sessionIncarnation = next
-	if earlier.ID != "" && earlier != next {
-		return a.options.MaxLease
+	limits := leasebound.Limits{Requested: a.leaseDuration, Granted: a.options.MaxLease}
+	m := leasebound.Meeting{Earlier: a.sessionIncarnation, Known: a.leaseBound, Present: present, Uptime: uptime, SentAt: sent, AnsweredAt: answered}
+	a.sessionIncarnation, a.leaseBound = present, limits.Meet(m)
+	if wait := a.leaseBound.ReadyAt(a.options.ProofLifetime).Sub(answered); wait > 0 && m.Earlier != present {
+		a.options.Log.WithFields(logrus.Fields{"executor": present.ID, "born": present.StartedAt, "earlierBorn": m.Earlier.StartedAt, "uptimeMs": uptime.Milliseconds(), "waitMs": wait.Milliseconds()}).Info("executor gets no starts until calls to its earlier incarnation can't prolong their leases")
 	}
-	return a.leaseDuration
+	return a.leaseBound
 }
 
-// maxElapsed returns an upper bound of the real time that passes while the executor's
-// clock, which may be 2% slow, advances by d.
-func (s *session) maxElapsed(d time.Duration) time.Duration { return d * 103 / 100 }
+// recovering returns for how long the executor still gets no starts because calls to its earlier
+// incarnation may prolong their leases.
+func (s *session) recovering() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaseBound.ReadyAt(s.agent.options.ProofLifetime).Sub(s.agent.options.Clock.Now())
+}
+
+// reportable returns a status as the leader is told it.
+func (s *session) reportable(st oleandervalve.ExecutorStatus) oleandervalve.ExecutorStatus {
+	if st.State == oleandervalve.ExecutorReady && s.recovering() > 0 {
+		st.State = oleandervalve.ExecutorRecovering
+	}
+	return st
+}
+
+// reportRecovery tells the leader when the executor gets starts again.
+func (s *session) reportRecovery(ctx context.Context) {
+	for wait := s.recovering(); wait > 0; wait = s.recovering() {
+		if !s.waitUntil(ctx, s.agent.options.Clock.Now().Add(wait)) {
+			return
+		}
+		s.agent.mu.Lock()
+		if st := s.agent.status; st.Incarnation == s.status.Incarnation {
+			s.reportStatus(st)
+		}
+		s.agent.mu.Unlock()
+	}
+}
 
 func (s *session) pingLoop(ctx context.Context) {
 	t := s.agent.options.Clock.NewTicker(pingInterval)
