Know executors without an earlier life at the first start of the system

A new agent takes an executor that has just started for started again, so at the first start of a deployment whose longest lease exceeds 7 s all executors got no work for 3.3 s. The platform's settings tell that the whole system starts for the first time (bootstrap): no call can then be meant for an earlier life.

--- a/cmd/oleandervalve/platform.go
+++ b/cmd/oleandervalve/platform.go
@@ -130,7 +130,7 @@
 		ID: oleandervalve.AgentID(s.Name), Seeds: s.PeerSeeds,
 		LeaderAddress: func(ctx context.Context) (string, error) { return leader.Address(ctx, store) },
 		Executor:      platform.NewExecutorClient(s.ExecutorAddress), Clock: oleandervalve.SystemClock(), Uptime: oleandervalve.SystemUptime, Log: p.Log(), Scope: p.Scope(),
-		MaxLease: s.MaxLease, Pacing: pacing.Limits{ViolationLimit: s.ViolationLimit, ThrottleDelay: s.ThrottleDelay}, ProofLifetime: leader.ProofLifetime, CancelDelay: s.CancelDelay,
+		MaxLease: s.MaxLease, FirstStart: s.FirstStart, Pacing: pacing.Limits{ViolationLimit: s.ViolationLimit, ThrottleDelay: s.ThrottleDelay}, ProofLifetime: leader.ProofLifetime, CancelDelay: s.CancelDelay,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/core/leasebound/bound.go
+++ b/core/leasebound/bound.go
@@ -29,6 +29,8 @@
 	// none, and Known the bound at the end of that session.
 	Earlier oleandervalve.Incarnation
 	Known   Bound
+	// FirstStart means that the whole system starts for the first time.
+	FirstStart bool
 	// Present is the incarnation that has answered, and Uptime the time on its clock.
 	Present oleandervalve.Incarnation
 	Uptime  time.Duration
@@ -61,7 +63,7 @@
 // that has just started doesn't know whether there was one.
 func (m Meeting) crossed() bool {
 	if m.Earlier.ID == "" {
-		return m.Uptime < maxCallDelay
+		return !m.FirstStart && m.Uptime < maxCallDelay
 	}
 	return m.Earlier.ID == m.Present.ID
 }
--- a/core/leasebound/bound_test.go
+++ b/core/leasebound/bound_test.go
@@ -23,19 +23,21 @@
 	for _, tt := range []struct {
 		name    string
 		earlier oleandervalve.Incarnation
+		first   bool
 		uptime  time.Duration
 		want    Bound
 	}{
-		{"same incarnation", present, time.Second, known},
-		{"same id, started again", oleandervalve.Incarnation{ID: "i-1", StartedAt: 10}, time.Second, Bound{granted, granted}},
-		{"same id, the time of day has jumped back", oleandervalve.Incarnation{ID: "i-1", StartedAt: 30}, time.Hour, Bound{granted, granted}},
-		{"other id", oleandervalve.Incarnation{ID: "i-0", StartedAt: 10}, time.Second, requested},
-		{"new agent, executor has just started", oleandervalve.Incarnation{}, time.Second, Bound{granted, granted}},
-		{"new agent", oleandervalve.Incarnation{}, time.Minute, requested},
+		{"same incarnation", present, false, time.Second, known},
+		{"same id, started again", oleandervalve.Incarnation{ID: "i-1", StartedAt: 10}, false, time.Second, Bound{granted, granted}},
+		{"same id, the time of day has jumped back", oleandervalve.Incarnation{ID: "i-1", StartedAt: 30}, false, time.Hour, Bound{granted, granted}},
+		{"other id", oleandervalve.Incarnation{ID: "i-0", StartedAt: 10}, false, time.Second, requested},
+		{"new agent, executor has just started", oleandervalve.Incarnation{}, false, time.Second, Bound{granted, granted}},
+		{"new agent, first start of the system", oleandervalve.Incarnation{}, true, time.Second, requested},
+		{"new agent", oleandervalve.Incarnation{}, false, time.Minute, requested},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			b := limits.Meet(Meeting{Earlier: tt.earlier, Known: known, Present: present, Uptime: tt.uptime, SentAt: sent, AnsweredAt: answered})
+			b := limits.Meet(Meeting{Earlier: tt.earlier, Known: known, Present: present, FirstStart: tt.first, Uptime: tt.uptime, SentAt: sent, AnsweredAt: answered})
 			is.Equal(b, tt.want)
 			if !b.Foreign.IsZero() {
 				is.Equal(b.ReadyAt(proofLifetime), b.Foreign.Add(-proofLifetime))
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -33,6 +33,9 @@
 	Scope  tally.Scope
 	// MaxLease is the maximum lease duration that the executor grants.
 	MaxLease time.Duration
+	// FirstStart means that the whole system starts for the first time, so that the executor has
+	// had no earlier incarnation.
+	FirstStart bool
 	// Pacing limits how long latency-critical tasks may exceed their latency targets.
 	Pacing pacing.Limits
 	// ProofLifetime is how long the agent may extend the executor's lease after the
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -344,7 +344,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	limits := leasebound.Limits{Requested: a.leaseDuration, Granted: a.options.MaxLease}
-	m := leasebound.Meeting{Earlier: a.sessionIncarnation, Known: a.leaseBound, Present: present, Uptime: uptime, SentAt: sent, AnsweredAt: answered}
+	m := leasebound.Meeting{Earlier: a.sessionIncarnation, Known: a.leaseBound, Present: present, FirstStart: a.options.FirstStart, Uptime: uptime, SentAt: sent, AnsweredAt: answered}
 	a.sessionIncarnation, a.leaseBound = present, limits.Meet(m)
 	if wait := a.leaseBound.ReadyAt(a.options.ProofLifetime).Sub(answered); wait > 0 && m.Earlier != present {
 		a.options.Log.WithFields(logrus.Fields{"executor": present.ID, "born": present.StartedAt, "earlierBorn": m.Earlier.StartedAt, "uptimeMs": uptime.Milliseconds(), "waitMs": wait.Milliseconds()}).Info("executor gets no starts until calls to its earlier incarnation can't prolong their leases")
