Count jobs as waiting whose starts a lost agent can't have listed

Cause: an assigned run counted as begun unless its agent had listed its start as delayed. An agent that is lost lists nothing any more.

Change: a run of a disconnected agent counts as begun only if a list from at least 1.5 s after its start was sent doesn't name it.

Ruled out: refusing to answer while an agent is away; counting all of its runs as waiting.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -57,8 +57,9 @@
 	// unheard means that the agent has not connected to this leader, which knows it only from
 	// the records of an earlier one.
 	unheard bool
-	// delayedStarts holds the runs that the agent has last listed as delayed.
+	// delayedStarts holds the runs that the agent has last listed as delayed, at listedAt.
 	delayedStarts map[runKey]bool
+	listedAt      time.Time
 	reserved      oleandervalve.Resources
 	// unsizedRuns is the number of runs of unknown size.
 	unsizedRuns int
--- a/core/dispatch/delayed.go
+++ b/core/dispatch/delayed.go
@@ -17,11 +17,12 @@
 // StartsDelayed replaces the delayed starts of an agent by those that it has just listed. The
 // lists answer the load of executors that leave most orders without an answer while jobs arrive
 // in bursts: start orders wait at the agents for seconds, and their jobs are waiting jobs.
-func (d *Dispatcher) StartsDelayed(id oleandervalve.AgentID, starts []DelayedStart) {
+func (d *Dispatcher) StartsDelayed(now time.Time, id oleandervalve.AgentID, starts []DelayedStart) {
 	a := d.agents[id]
 	if a == nil || !a.connected {
 		return
 	}
+	a.listedAt = now
 	a.delayedStarts = make(map[runKey]bool, len(starts))
 	for _, s := range starts {
 		a.delayedStarts[runKey{s.Task, s.Run}] = true
@@ -62,7 +63,7 @@
 )
 
 // beginning tells whether a task of a job has started. An assigned task counts as started unless
-// something is known to the contrary.
+// something is known to the contrary, or its agent was lost before it could list the start.
 func (d *Dispatcher) beginning(now time.Time, j *job) beginning {
 	if j.began {
 		return begun
@@ -104,6 +105,9 @@
 		return notBegun
 	case a.unheard:
 		return maybeBegun
+	case !a.connected && a.listedAt.Sub(r.startedAt) < listDelay:
+		// The start may have been lost with the agent or its executor.
+		return notBegun
 	case k.run > 1 && now.Sub(r.startedAt) < listDelay:
 		// No earlier run is known to have started: the job was waiting until just now.
 		return notBegun
--- a/core/dispatch/explain_test.go
+++ b/core/dispatch/explain_test.go
@@ -105,12 +105,12 @@
 	c.advanceCommit(true)
 	is.Equal(len(c.notes("startDelayed", 4*time.Second)), 0)
 	k := runKey{oleandervalve.TaskName{Job: "j"}, 1}
-	c.dispatcher.StartsDelayed(id, []DelayedStart{{Task: k.task, Run: k.run}})
+	c.dispatcher.StartsDelayed(c.now, id, []DelayedStart{{Task: k.task, Run: k.run}})
 	events = c.notes("startDelayed", 2100*time.Millisecond)
 	is.Equal(len(events), 2)
 	is.Equal(events[0].Fields["startSent"], true)
 	is.Equal(events[0].Fields["delayed"], true)
 	c.dispatcher.LoadSampled(c.now, id, contention.Sample{})
-	c.dispatcher.StartsDelayed(id, nil)
+	c.dispatcher.StartsDelayed(c.now, id, nil)
 	is.Equal(len(c.notes("startDelayed", 4*time.Second)), 0)
 }
--- a/core/dispatch/waiting_test.go
+++ b/core/dispatch/waiting_test.go
@@ -78,7 +78,7 @@
 		for _, k := range runs {
 			starts = append(starts, DelayedStart{Task: k.task, Run: k.run})
 		}
-		c.dispatcher.StartsDelayed(a.id, starts)
+		c.dispatcher.StartsDelayed(c.now, a.id, starts)
 	}
 	run := func(a *fakeAgent, c *cluster, k runKey) {
 		a.running = append(a.running, fakeRun{key: k, ends: c.now.Add(time.Hour)})
@@ -109,6 +109,22 @@
 			list(c, a, first, second)
 			c.dispatcher.AgentDisconnected(c.now, a.id)
 		}, 1},
+		{"agent is lost before it can list the starts", func(c *cluster, a *fakeAgent) {
+			c.now = c.now.Add(listDelay / 2)
+			list(c, a)
+			c.dispatcher.AgentDisconnected(c.now, a.id)
+		}, 1},
+		{"agent is lost that has never listed anything", func(c *cluster, a *fakeAgent) { c.dispatcher.AgentDisconnected(c.now, a.id) }, 1},
+		{"agent is lost after it has not listed the starts", func(c *cluster, a *fakeAgent) {
+			c.now = c.now.Add(listDelay)
+			list(c, a)
+			c.dispatcher.AgentDisconnected(c.now, a.id)
+		}, 0},
+		{"agent is lost after it has listed one start", func(c *cluster, a *fakeAgent) {
+			c.now = c.now.Add(listDelay)
+			list(c, a, second)
+			c.dispatcher.AgentDisconnected(c.now, a.id)
+		}, 0},
 		{"next session lists the runs", func(c *cluster, a *fakeAgent) {
 			list(c, a, first, second)
 			run(a, c, first)
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -233,7 +233,7 @@
 	l.dispatcher.LoadSampled(now, id, p.Sample)
 	l.dispatcher.RunsCheckpointed(now, id, p.Checkpoints)
 	if p.ListsDelayedStarts {
-		l.dispatcher.StartsDelayed(id, p.DelayedStarts)
+		l.dispatcher.StartsDelayed(now, id, p.DelayedStarts)
 	}
 }
 
