Count the longest lease for runs that the next life has started

A start that was answered by the next life of an executor is stopped there.

Change: the agent then counts the longest lease and extends it no further.

Evidence: TestLeaseOfRunThatNextIncarnationStarted and TestCallThatCrossed; the first fails without the change (its bound is not over the longest lease).

--- a/core/leasebound/bound.go
+++ b/core/leasebound/bound.go
@@ -76,6 +76,14 @@
 	return b
 }
 
+// Cross returns the bound after a call has been answered by a later incarnation than it was meant for.
+func (b Bound) Cross(answeredAt time.Time, l Limits) Bound {
+	if end := answeredAt.Add(Elapsed(l.Granted)); end.After(b.End) {
+		b.End = end
+	}
+	return b
+}
+
 // ReadyAt returns the time from which on a proof of leadership allows new runs: leaders count a lease
 // as ended when the proof's lifetime has passed, so no lease may outlast that.
 func (b Bound) ReadyAt(proofLifetime time.Duration) time.Time {
--- a/core/leasebound/bound_test.go
+++ b/core/leasebound/bound_test.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// Guards against a run of a later incarnation that counts as ended before its lease has: the call
+// that has started it asked for a shorter one of the incarnation that it was meant for.
+func TestCallThatCrossed(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
+	limits := Limits{Requested: 6 * time.Second, Granted: 10 * time.Second}
+	is.Equal(Bound{End: now.Add(6 * time.Second)}.Cross(now, limits).End, now.Add(10300*time.Millisecond))
+	late := Bound{End: now.Add(11 * time.Second)}
+	is.Equal(late.Cross(now, limits), late)
+}
+
 // Guards against a bound that an extension makes shorter.
 func TestExtension(t *testing.T) {
 	is := is.New(t)
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -211,7 +211,10 @@
 // start order: its clock is behind that of the session's one. If that incarnation has started
 // the run, it is stopped there, as its lease may last longer than the order was meant to grant.
 func (s *session) endAsReplaced(ctx context.Context, k runKey, refusal oleandervalve.StartRefusal) {
-	s.setUnconfirmed()
+	s.mu.Lock()
+	s.unconfirmed, s.replaced = true, true
+	s.leaseBound = s.leaseBound.Cross(s.agent.options.Clock.Now(), s.agent.leaseLimits())
+	s.mu.Unlock()
 	s.log().WithFields(logrus.Fields{"job": k.task.Job, "task": k.task.String(), "run": k.run, "reason": refusal}).Warn("start order was answered by another incarnation of the executor")
 	if refusal == "" {
 		s.agent.crashes.update(func(l *crash.Log, _ time.Time) { l.StartedLater(s.status.Incarnation, k.task, k.run) })
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -49,7 +49,7 @@
 			wait = initialPollWait
 		}
 		request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: s.lastAcknowledgedEnd, Wait: wait}
-		if now.Sub(s.clockAt) < maxSilence {
+		if now.Sub(s.clockAt) < maxSilence && !s.replaced {
 			request.LeaseUntil = s.leaseUntil(s.agent.options.now())
 		}
 		s.mu.Unlock()
--- a/io/executor/reborn_test.go
+++ b/io/executor/reborn_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"oleandervalve"
@@ -138,6 +139,22 @@
 	is.True(s.leaseBound.End.Sub(ordered) > 10*time.Second) // the order's deadline was on the clock of the first incarnation
 }
 
+// Guards against a run that the next incarnation has started, and that counts as ended before the
+// lease that it has got has ended, if the executor is cut off before the run is stopped.
+func TestLeaseOfRunThatNextIncarnationStarted(t *testing.T) {
+	is := is.New(t)
+	s := newSession(clockwork.NewFakeClock())
+	s.agent.options.MaxLease, s.agent.leaseDuration = 10*time.Second, 6*time.Second
+	s.agent.crashes = newCrashLog(s.agent.options.Clock)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	s.cancel = cancel
+	cancel(nil) // the stop is never confirmed
+	s.leaseBound = s.leaseBound.Extend(s.agent.options.Clock.Now(), s.agent.leaseDuration)
+	s.endAsReplaced(ctx, runKey{oleandervalve.TaskName{Job: "j"}, 1}, "")
+	is.True(s.leaseBound.End.Sub(s.agent.options.Clock.Now()) > s.agent.options.MaxLease)
+	is.True(s.replaced) // polls extend the lease no further
+}
+
 func (s *session) proof() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -79,6 +79,9 @@
 	// unconfirmed means that a poll has failed since the executor last named its incarnation,
 	// so that another one may answer now. No start order is sent meanwhile.
 	unconfirmed bool
+	// replaced means that a later incarnation of the executor has answered. Polls extend its lease
+	// no further: their deadlines are on the clock of the earlier one.
+	replaced bool
 	// startsInFlight is the number of start orders without an answer yet.
 	startsInFlight int
 	leaseBound     leasebound.Bound
@@ -343,15 +346,18 @@
 func (a *Agent) meet(present oleandervalve.Incarnation, uptime time.Duration, sent, answered time.Time) leasebound.Bound {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	limits := leasebound.Limits{Requested: a.leaseDuration, Granted: a.options.MaxLease}
 	m := leasebound.Meeting{Earlier: a.sessionIncarnation, Known: a.leaseBound, Present: present, FirstStart: a.options.FirstStart, Uptime: uptime, SentAt: sent, AnsweredAt: answered}
-	a.sessionIncarnation, a.leaseBound = present, limits.Meet(m)
+	a.sessionIncarnation, a.leaseBound = present, a.leaseLimits().Meet(m)
 	if wait := a.leaseBound.ReadyAt(a.options.ProofLifetime).Sub(answered); wait > 0 && m.Earlier != present {
 		a.options.Log.WithFields(logrus.Fields{"executor": present.ID, "born": present.StartedAt, "earlierBorn": m.Earlier.StartedAt, "uptimeMs": uptime.Milliseconds(), "waitMs": wait.Milliseconds()}).Info("executor gets no starts until calls to its earlier incarnation can't prolong their leases")
 	}
 	return a.leaseBound
 }
 
+func (a *Agent) leaseLimits() leasebound.Limits {
+	return leasebound.Limits{Requested: a.leaseDuration, Granted: a.options.MaxLease}
+}
+
 // recovering returns for how long the executor still gets no starts because calls to its earlier
 // incarnation may prolong their leases.
 func (s *session) recovering() time.Duration {
