Don't take progress too small to be listed for none

Callers saw tasks of minutes that never ended: they were moved among sound executors every one to three seconds.

Cause: the speed of a run was measured over 0.35 s from progress in whole percents. A task of 240 s makes 0.15% in that time, so its speed was mostly 0, and the leader took its executor for slow.

Ruled out: a fixed longer time, which finds stalled executors late for short tasks and reads nothing of tasks of hours.

--- a/core/contention/model.go
+++ b/core/contention/model.go
@@ -93,6 +93,8 @@
 type JobSpeed struct {
 	Job     oleandervalve.JobID `cbor:"1,keyasint"`
 	Percent int                 `cbor:"2,keyasint"`
+	// Resolution is by how much the speed may be higher.
+	Resolution int `cbor:"3,keyasint,omitempty"`
 }
 
 // loadSample is the newest sample of a job's task on one executor.
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -72,7 +72,7 @@
 		}
 		j.speeds[a.id] = jobSpeed{m.Percent, now}
 		if usual, ok := j.usualSpeed(now, a.id); ok {
-			shares = append(shares, float64(m.Percent)/max(1, usual))
+			shares = append(shares, float64(m.Percent+m.Resolution)/max(1, usual))
 		}
 	}
 	if len(shares) > 0 {
--- a/core/dispatch/speed_test.go
+++ b/core/dispatch/speed_test.go
@@ -19,15 +19,19 @@
 		name string
 		// here and elsewhere are the speeds of a job on the executor and on two others.
 		here, elsewhere int
-		slow            bool
+		// resolution is by how much the speed here may be higher.
+		resolution int
+		slow       bool
 	}{
-		{"run time declared much too short", 2, 2, false},
-		{"run time declared much too short, and slow", 0, 8, true},
-		{"as declared", 95, 100, false},
-		{"half as fast", 50, 100, false},
-		{"as declared, and slow", 15, 100, true},
-		{"as declared, and stalled", 0, 100, true},
-		{"faster than others", 400, 100, false},
+		{"run time declared much too short", 2, 2, 0, false},
+		{"run time declared much too short, and slow", 0, 8, 0, true},
+		{"as declared", 95, 100, 0, false},
+		{"half as fast", 50, 100, 0, false},
+		{"as declared, and slow", 15, 100, 0, true},
+		{"as declared, and stalled", 0, 100, 0, true},
+		{"progress too little to be read", 0, 2, 3, false},
+		{"progress too little to be read, and stalled", 0, 100, 10, true},
+		{"faster than others", 400, 100, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -36,14 +40,14 @@
 			for _, id := range cluster.order[3:] {
 				cluster.dispatcher.LoadSampled(cluster.now, id, contention.Sample{Speed: 100, MeasuredJobs: 3})
 			}
-			sample := func(percent int) contention.Sample {
-				return contention.Sample{Speed: percent, MeasuredJobs: 1, JobSpeeds: []contention.JobSpeed{{Job: "j", Percent: percent}}}
+			sample := func(percent, resolution int) contention.Sample {
+				return contention.Sample{Speed: percent, MeasuredJobs: 1, JobSpeeds: []contention.JobSpeed{{Job: "j", Percent: percent, Resolution: resolution}}}
 			}
 			for range 2 {
 				for _, id := range cluster.order[1:3] {
-					cluster.dispatcher.LoadSampled(cluster.now, id, sample(c.elsewhere))
+					cluster.dispatcher.LoadSampled(cluster.now, id, sample(c.elsewhere, 0))
 				}
-				cluster.dispatcher.LoadSampled(cluster.now, cluster.order[0], sample(c.here))
+				cluster.dispatcher.LoadSampled(cluster.now, cluster.order[0], sample(c.here, c.resolution))
 			}
 			is.Equal(cluster.dispatcher.agents[cluster.order[0]].isSlow(cluster.now), c.slow)
 			for _, id := range cluster.order[1:3] {
--- a/io/executor/progress.go
+++ b/io/executor/progress.go
@@ -7,21 +7,9 @@
 
 	"oleandervalve"
 	"oleandervalve/core/contention"
+	"oleandervalve/core/progress"
 )
 
-// speedMeasurementPeriod is the minimum time over which the speed of a run is measured.
-const speedMeasurementPeriod = 350 * time.Millisecond
-
-// runProgress is the progress of one run at the start of the current measurement, and
-// the result of the previous one.
-type runProgress struct {
-	completedPercent int
-	at               time.Time
-	// speed is a percentage of the speed that follows from the job's estimate; -1 until
-	// it has been measured.
-	speed int
-}
-
 // minUnthrottledLimit is the lowest speed limit, in percent, at which a best-effort run
 // counts as unthrottled.
 const minUnthrottledLimit = 90
@@ -32,7 +20,7 @@
 // task. s.mu must be held.
 func (s *session) measureSpeed(now time.Time, result oleandervalve.PollResult, sample *contention.Sample) {
 	measured := make(map[runKey]bool, len(result.Running))
-	jobSpeeds := map[oleandervalve.JobID]int{}
+	jobSpeeds := map[oleandervalve.JobID]progress.Speed{}
 	for _, r := range result.Running {
 		k := runKey{r.Task, r.Run}
 		hints := s.hints[k]
@@ -40,17 +28,15 @@
 			continue
 		}
 		measured[k] = true
-		p := s.progress[k]
-		if p == nil {
-			s.progress[k] = &runProgress{completedPercent: r.Percent, at: now, speed: -1}
+		m := s.progress[k]
+		if m == nil {
+			s.progress[k] = progress.Begin(now, r.Percent)
 			continue
 		}
-		if d := now.Sub(p.at); d >= speedMeasurementPeriod {
-			p.speed = int(float64(r.Percent-p.completedPercent) * hints.Estimate.Seconds() / d.Seconds())
-			p.completedPercent, p.at = r.Percent, now
-		}
-		if p.speed >= 0 {
-			jobSpeeds[k.task.Job] = max(jobSpeeds[k.task.Job], p.speed)
+		if speed, ok := m.Observe(now, r.Percent, hints.Estimate); ok {
+			if best, ok := jobSpeeds[k.task.Job]; !ok || speed.Percent+speed.Resolution > best.Percent+best.Resolution {
+				jobSpeeds[k.task.Job] = speed
+			}
 		}
 	}
 	for k := range s.progress {
@@ -58,11 +44,15 @@
 			delete(s.progress, k)
 		}
 	}
-	if len(jobSpeeds) > 0 {
-		speeds := slices.Sorted(maps.Values(jobSpeeds))
-		sample.Speed, sample.MeasuredJobs = speeds[len(speeds)/2], len(speeds)
-		for _, j := range slices.Sorted(maps.Keys(jobSpeeds)) {
-			sample.JobSpeeds = append(sample.JobSpeeds, contention.JobSpeed{Job: j, Percent: jobSpeeds[j]})
-		}
+	if len(jobSpeeds) == 0 {
+		return
+	}
+	var speeds []int
+	for _, j := range slices.Sorted(maps.Keys(jobSpeeds)) {
+		speed := jobSpeeds[j]
+		speeds = append(speeds, speed.Percent)
+		sample.JobSpeeds = append(sample.JobSpeeds, contention.JobSpeed{Job: j, Percent: speed.Percent, Resolution: speed.Resolution})
 	}
+	slices.Sort(speeds)
+	sample.Speed, sample.MeasuredJobs = speeds[len(speeds)/2], len(speeds)
 }
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -16,6 +16,7 @@
 	"oleandervalve/core/following"
 	"oleandervalve/core/leasebound"
 	"oleandervalve/core/pacing"
+	"oleandervalve/core/progress"
 	"oleandervalve/io/leader"
 	"oleandervalve/io/peer"
 )
@@ -106,7 +107,7 @@
 	// dueIsolations holds the runs whose isolation has ended, until the executor is asked for them.
 	dueIsolations []runKey
 	// progress holds the runs whose speed is measured.
-	progress map[runKey]*runProgress
+	progress map[runKey]*progress.Measurement
 	// controllers holds the throttle controller of each best-effort image.
 	controllers map[oleandervalve.KindName]*pacing.Controller
 	// nonInterfering holds the pairs of images that are known not to interfere.
@@ -209,7 +210,7 @@
 		agent: a, conn: c, address: address, token: admit.Token, cancel: cancel, startSlots: make(chan struct{}, maxParallelStarts), stopSlots: make(chan struct{}, maxParallelStops),
 		acknowledgedEnds: map[uint64]bool{}, hints: map[runKey]dispatch.RunHints{}, running: map[runKey]bool{},
 		pendingStarts: map[runKey]*pendingStart{}, confirmedStops: map[runKey]time.Time{}, listedEnds: map[runKey]bool{},
-		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*runProgress{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1), wakePing: make(chan struct{}, 1), proofRenewed: make(chan struct{}), proofAges: proofAges{startedAt: a.options.Clock.Now()},
+		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*progress.Measurement{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1), wakePing: make(chan struct{}, 1), proofRenewed: make(chan struct{}), proofAges: proofAges{startedAt: a.options.Clock.Now()},
 	}
 	a.mu.Lock()
 	s.status, a.token = a.status, max(a.token, admit.Token)
--- a/io/executor/throttlestate_test.go
+++ b/io/executor/throttlestate_test.go
@@ -13,6 +13,7 @@
 	"oleandervalve/core/contention"
 	"oleandervalve/core/dispatch"
 	"oleandervalve/core/pacing"
+	"oleandervalve/core/progress"
 )
 
 // newSession returns a session without a connection to a leader.
@@ -22,7 +23,7 @@
 	return &session{
 		agent: &Agent{options: Options{Pacing: pacing.Limits{ViolationLimit: 4 * time.Second, ThrottleDelay: 100 * time.Millisecond}, Clock: clock, Log: logrus.NewEntry(log)}},
 		hints: map[runKey]dispatch.RunHints{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, speedLimits: map[runKey]int{},
-		progress: map[runKey]*runProgress{}, nonInterfering: map[contention.Pair]bool{},
+		progress: map[runKey]*progress.Measurement{}, nonInterfering: map[contention.Pair]bool{},
 	}
 }
 
