Limit pauses of executors for each service and label

Callers saw a long-running job that waited 24 s beside free capacity: all three executors of the kind that it needs counted as slow.

Cause: pauses are passed over once a third of the executors are paused, but that third was of all executors, whatever kind a task needs. Jobs that ran six times as long as declared kept the pool of three paused.

Change: the share is counted for the executors of the task's service with the label that it requires. Nothing changes for tasks without a label in a deployment of one service.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -66,9 +66,8 @@
 	// cancelled jobs without a submission.
 	activeJobs      int
 	unsubmittedJobs int
-	// pausedExecutors is the number of executors that are paused or probed because of
-	// failures, or paused because of low speed.
-	pausedExecutors int
+	// pauses caches the paused executors of each pool for the current scheduling pass.
+	pauses map[pool]poolPauses
 	// isolatingExecutors is the number of executors that get no other starts because of an
 	// isolated run, in the current scheduling pass, and maxIsolating their limit.
 	isolatingExecutors int
@@ -91,7 +90,7 @@
 	if o.MaxRow == 0 {
 		o.MaxRow = defaultMaxRow
 	}
-	d := &Dispatcher{options: o, serviceUtilisation: map[oleandervalve.ServiceName]float64{}, placementFailures: map[placementGroup][]placementFailure{}, jobs: map[oleandervalve.JobID]*job{}, agents: map[oleandervalve.AgentID]*agent{}, ready: map[*step]bool{}, contention: contention.New(), runTimeModels: map[work.QueueName]*runTimeModel{}, beImages: map[oleandervalve.KindName]bool{}}
+	d := &Dispatcher{options: o, serviceUtilisation: map[oleandervalve.ServiceName]float64{}, placementFailures: map[placementGroup][]placementFailure{}, pauses: map[pool]poolPauses{}, jobs: map[oleandervalve.JobID]*job{}, agents: map[oleandervalve.AgentID]*agent{}, ready: map[*step]bool{}, contention: contention.New(), runTimeModels: map[work.QueueName]*runTimeModel{}, beImages: map[oleandervalve.KindName]bool{}}
 	d.sortSteps = d.defaultOrder
 	return d
 }
@@ -358,19 +357,13 @@
 	d.markDirty(j)
 }
 
-// maxPausedExecutors returns the number of paused executors from which on tasks are placed
-// without regard to pauses.
-func (d *Dispatcher) maxPausedExecutors() int { return int(maxPausedShare*float64(len(d.agents))) + 1 }
-
 // Tick performs the periodic work: expired leases of disconnected agents, delayed steps,
 // paused executors, deletion of expired jobs, migration and scheduling.
 func (d *Dispatcher) Tick(now time.Time) {
-	d.pausedExecutors = 0
 	for _, a := range append([]*agent(nil), d.sortedAgents...) {
 		a.recordLongRuns(now)
 		d.endOldIsolations(now, a)
 		if a.health.probing || a.isSlow(now) {
-			d.pausedExecutors++
 			d.placementNeeded = true
 		}
 		if !a.connected && now.Sub(a.grantedAt) > d.options.TakeoverAfter {
--- a/core/dispatch/explain.go
+++ b/core/dispatch/explain.go
@@ -45,7 +45,7 @@
 // task of a step, and whether the task would fit by reserved capacity alone.
 func (d *Dispatcher) exclude(s *step, need isolationNeed, a *agent, now time.Time) (first exclusion, hasCapacity bool) {
 	hasCapacity = a.usable() && a.hasLabel(s.spec.Label) && a.reserved.Add(s.spec.Reserved()).Fits(a.status.Capacity)
-	mayPause := d.pausedExecutors < d.maxPausedExecutors()
+	mayPause := d.pausesHold(s, now)
 	switch {
 	case !a.connected:
 		return excludedDisconnected, false
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -14,8 +14,8 @@
 	// up to maxPause.
 	minPause = 2 * time.Second
 	maxPause = 8 * time.Second
-	// maxPausedShare limits the share of the executors that are paused at a time: if more
-	// are, tasks are placed without regard to pauses.
+	// maxPausedShare limits the share of the executors of a pool that are paused at a time: if
+	// more are, tasks are placed there without regard to pauses.
 	maxPausedShare = 0.34
 	// longRunSuccess is how long a long-running task must run on a probed executor to
 	// count as a success; on an executor that fails everything, tasks fail sooner.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -37,7 +37,7 @@
 	if !d.isEligible(s, a) || a.isHeldForOther(s, now) || !a.reserved.Add(s.spec.Reserved()).Fits(a.status.Capacity) {
 		return false
 	}
-	return d.pausedExecutors >= d.maxPausedExecutors() || a.admits(now) && !a.isSlow(now)
+	return a.admits(now) && !a.isSlow(now) || !d.pausesHold(s, now)
 }
 
 // isEligible reports whether tasks of a step may run on an executor, whatever its free capacity.
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -217,9 +217,7 @@
 	}
 	r := a.runs[k]
 	if r.step != nil && (n.Reason == oleandervalve.RefusedBusy || n.Reason == oleandervalve.RefusedInvalid) {
-		if a.health.recordFailure(k.task.Job, now) {
-			d.pausedExecutors++
-		}
+		a.health.recordFailure(k.task.Job, now)
 		r.step.setAvoidedAgent(r.index, id)
 	}
 	if r.step != nil && n.Reason == oleandervalve.RefusedPermit {
@@ -289,7 +287,6 @@
 		t.Failures++
 		s.setAvoidedAgent(e.Task.Index, id)
 		if a.health.recordFailure(j.id, now) {
-			d.pausedExecutors++
 			d.note("executorPaused", j.id, map[string]any{"agent": id, "untilMs": a.health.pause.Milliseconds()})
 		}
 		failures := t.Failures
--- a/core/dispatch/schedule.go
+++ b/core/dispatch/schedule.go
@@ -17,6 +17,7 @@
 	d.placementNeeded = false
 	clear(d.serviceUtilisation)
 	clear(d.placementFailures)
+	clear(d.pauses)
 	d.searches = 0
 	d.countIsolations(now)
 	steps := make([]*step, 0, len(d.ready))
