Bound the holds of an executor that follow each other

Callers saw small jobs with nothing running for 17 s beside free capacity: their executor was held for a long-running task all the while.

Cause: a hold ends after 2 s, but the next scheduling pass held the executor again. The task that the long-running one waited for ran six times as long as declared.

Change: holds of one executor that follow each other last 6 s at most, and 2 s pass before it is held again.

Ruled out: declared run times as the bound, as they are off; no holds, which lets floods keep long-running tasks out.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -11,6 +11,11 @@
 	// for it, and holdTime the longest time for which one is held.
 	holdAfter = 500 * time.Millisecond
 	holdTime  = 2 * time.Second
+	// maxHoldSeries is the longest time for which an executor is held again and again, and
+	// holdPause the time after that in which it isn't: tasks there may run for longer than
+	// declared, and smaller ones must not wait for their end beside free capacity.
+	maxHoldSeries = 6 * time.Second
+	holdPause     = 2 * time.Second
 	// maxHeldShare limits the share of the executors that are held.
 	maxHeldShare = 0.05
 )
@@ -19,6 +24,25 @@
 type hold struct {
 	step  *step
 	until time.Time
+	// since is when the executor was first held in the present series.
+	since time.Time
+}
+
+// next returns a hold for a step that begins now, or false if the executor has been held for too long.
+func (h hold) next(now time.Time, s *step) (hold, bool) {
+	since := h.since
+	if since.IsZero() || now.Sub(since) >= maxHoldSeries+holdPause {
+		since = now
+	}
+	end := since.Add(maxHoldSeries)
+	if !now.Before(end) {
+		return hold{}, false
+	}
+	until := now.Add(holdTime)
+	if until.After(end) {
+		until = end
+	}
+	return hold{s, until, since}, true
 }
 
 // isHeldForOther reports whether an executor is held for another step.
@@ -48,6 +72,9 @@
 			held++
 			continue
 		}
+		if _, ok := a.hold.next(now, s); !ok {
+			continue
+		}
 		if !d.isEligible(s, a) || !a.admits(now) || a.isSlow(now) || !a.canFree(s.spec.Reserved()) {
 			continue
 		}
@@ -58,7 +85,7 @@
 	if best == nil || held >= max(1, int(maxHeldShare*float64(usable))) {
 		return
 	}
-	best.hold = hold{s, now.Add(holdTime)}
+	best.hold, _ = best.hold.next(now, s)
 	d.note("executorHeld", s.job.id, map[string]any{"agent": best.id, "step": s.index, "waitedMs": now.Sub(s.readyAt).Milliseconds()})
 }
 
