--- a/core/announcement/departure.go
+++ b/core/announcement/departure.go
@@ -6,7 +6,7 @@
 	"oleandervalve"
 )
 
-// Departure is what is known of the planned end of an executor.
+// Departure is what is known of the planned end of an executor that has ended.
 type Departure struct {
 	State oleandervalve.ExecutorState
 	// DeregisteredAt is when a deregistration arrived under the id of the executor; zero if none has.
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -85,7 +85,8 @@
 	replaced bool
 	// startsInFlight is the number of start orders without an answer yet.
 	startsInFlight int
-	leaseBound     leasebound.Bound
+	// leaseBound tells when the executor's lease has certainly expired, on the agent's clock.
+	leaseBound leasebound.Bound
 	// inventoryIncomplete means that ended runs are missing from the session's inventory.
 	inventoryIncomplete bool
 	// lastReportedEnd is the highest number of an end that was reported to the leader.
