--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -66,7 +66,7 @@
 	// cancelled jobs without a submission.
 	activeJobs      int
 	unsubmittedJobs int
-	// pauses caches the paused executors of each pool for the current scheduling pass.
+	// pauses caches the paused executors of each pool from one scheduling pass to the next.
 	pauses map[pool]poolPauses
 	// isolatingExecutors is the number of executors that get no other starts because of an
 	// isolated run, in the current scheduling pass, and maxIsolating their limit.
--- a/core/leasebound/bound.go
+++ b/core/leasebound/bound.go
@@ -41,9 +41,12 @@
 // maxCallDelay is the longest time after which an executor may carry out a call that had no answer.
 const maxCallDelay = 15 * time.Second
 
-// Elapsed returns an upper bound of the real time that passes while an executor's clock, which may be
-// 2% slow, advances by d.
-func Elapsed(d time.Duration) time.Duration { return d * 103 / 100 }
+// maxElapsedPercent is an upper bound of the real time, in percent of that on the clock of an executor,
+// which may be 2% slow.
+const maxElapsedPercent = 103
+
+// Elapsed returns an upper bound of the real time that passes while an executor's clock advances by d.
+func Elapsed(d time.Duration) time.Duration { return d * maxElapsedPercent / 100 }
 
 // Meet returns the bound at the beginning of a session.
 func (l Limits) Meet(m Meeting) Bound {
@@ -68,7 +71,7 @@
 	return m.Earlier.ID == m.Present.ID
 }
 
-// Extend returns the bound after a call at a time that requests a lease of the given length.
+// Extend returns the bound after a call at a time that may be granted a lease of the given length.
 func (b Bound) Extend(now time.Time, lease time.Duration) Bound {
 	if end := now.Add(Elapsed(lease)); end.After(b.End) {
 		b.End = end
@@ -76,14 +79,6 @@
 	return b
 }
 
-// Cross returns the bound after a call has been answered by a later incarnation than it was meant for.
-func (b Bound) Cross(answeredAt time.Time, l Limits) Bound {
-	if end := answeredAt.Add(Elapsed(l.Granted)); end.After(b.End) {
-		b.End = end
-	}
-	return b
-}
-
 // ReadyAt returns the time from which on a proof of leadership allows new runs: leaders count a lease
 // as ended when the proof's lifetime has passed, so no lease may outlast that.
 func (b Bound) ReadyAt(proofLifetime time.Duration) time.Time {
--- a/core/leasebound/bound_test.go
+++ b/core/leasebound/bound_test.go
@@ -52,9 +52,9 @@
 	is := is.New(t)
 	now := time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
 	limits := Limits{Requested: 6 * time.Second, Granted: 10 * time.Second}
-	is.Equal(Bound{End: now.Add(6 * time.Second)}.Cross(now, limits).End, now.Add(10300*time.Millisecond))
+	is.Equal(Bound{End: now.Add(6 * time.Second)}.Extend(now, limits.Granted).End, now.Add(10300*time.Millisecond))
 	late := Bound{End: now.Add(11 * time.Second)}
-	is.Equal(late.Cross(now, limits), late)
+	is.Equal(late.Extend(now, limits.Granted), late)
 }
 
 // Guards against a bound that an extension makes shorter.
--- a/core/progress/measurement.go
+++ b/core/progress/measurement.go
@@ -1,6 +1,9 @@
 package progress
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// minPeriod is the minimum time over which a speed is measured.
@@ -42,7 +45,7 @@
 	perPoint := declared.Seconds() / elapsed.Seconds()
 	m.speed, m.known = Speed{Percent: int(float64(done) * perPoint)}, true
 	if done < minProgress {
-		m.speed.Resolution = int(perPoint + 1)
+		m.speed.Resolution = int(math.Ceil(perPoint))
 	}
 	m.percent, m.at = percent, now
 	return m.speed, true
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -213,7 +213,7 @@
 func (s *session) endAsReplaced(ctx context.Context, k runKey, refusal oleandervalve.StartRefusal) {
 	s.mu.Lock()
 	s.unconfirmed, s.replaced = true, true
-	s.leaseBound = s.leaseBound.Cross(s.agent.options.Clock.Now(), s.agent.leaseLimits())
+	s.leaseBound = s.leaseBound.Extend(s.agent.options.Clock.Now(), s.agent.options.MaxLease)
 	s.mu.Unlock()
 	s.log().WithFields(logrus.Fields{"job": k.task.Job, "task": k.task.String(), "run": k.run, "reason": refusal}).Warn("start order was answered by another incarnation of the executor")
 	if refusal == "" {
