Count the longest lease for starts that nobody has confirmed

Leaders counted 7.64 s from the last proof and agents 6.2 s from the last poll for all runs. The class: a bound of what was requested is taken for a bound of what was granted, here for orders whose outcome is unknown.

Change: agents confirm a start to the leader, with the next ping, once no attempt at it can still be under way (RunsStarted). Only runs that are not confirmed count with the longest lease: 1.8 s for the age of the proof with which the last attempt was sent, 2 s for the call and 10.3 s for the lease. An agent that loses its executor tells which starts had no answer and for how long their runs may go on; after a restart it also tells which may reach an incarnation after the present one. The next leader learns it from the leader's row, which names old starts without a confirmation and a sequence number up to which all others are confirmed, and from the records of jobs. All of it follows from leasebound.Limits, for leaders and agents.

Ruled out: the longest lease for all runs of a silent agent (10.3 s breaks the 9 s for long-running tasks), and telling only the present leader.

--- a/cmd/oleandervalve/platform.go
+++ b/cmd/oleandervalve/platform.go
@@ -91,6 +91,7 @@
 		Table: platform.NewTableClient(s.TableAddress), Clock: oleandervalve.SystemClock(), Uptime: oleandervalve.SystemUptime, Log: p.Log(), Scope: p.Scope(),
 		ConfigurationKey: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
 		Retention: s.Retention, EarlyStart: s.EarlyStart, MaxRow: s.MaxRow,
+		MaxLease: s.MaxLease, CancelDelay: s.CancelDelay,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -67,6 +67,7 @@
 	// Memory and Accelerators are what the run reserves beside CPU.
 	Memory       oleandervalve.Bytes        `cbor:"8,keyasint,omitempty"`
 	Accelerators oleandervalve.Accelerators `cbor:"9,keyasint,omitempty"`
+	LongRunning  bool                       `cbor:"10,keyasint,omitempty"`
 }
 
 // Reserved returns the resources that the run reserves on its executor.
--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -29,6 +29,14 @@
 	// unlisted means that the agent has listed the run neither as running nor as ended, and
 	// that its list of ends is incomplete.
 	unlisted bool
+	// confirmed means that the executor has answered all attempts at the start order, or has listed the
+	// run, so that its lease can't outlast what the agent has requested.
+	confirmed bool
+	// unansweredUntil is when the run has certainly ended or can't begin any more according to the agent,
+	// which has reported that the start order has had no answer from an earlier incarnation.
+	unansweredUntil time.Time
+	// sequence is that of the job's record with which the run was first stored.
+	sequence uint64
 	// stopping means that the run has to end: a Start that has not been sent is dropped,
 	// and otherwise a Stop is sent.
 	stopping bool
--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -73,6 +73,7 @@
 		} else {
 			d.sequence++
 			j.rec.Sequence = d.sequence
+			j.rec.Unconfirmed = d.unconfirmedTasks(j)
 			value, left := j.rec.Compact().EncodeWithin(int(d.options.MaxRow))
 			if len(left) != j.leftOut {
 				j.leftOut = len(left)
@@ -116,6 +117,7 @@
 // that depended on the commit.
 func (d *Dispatcher) CommitApplied(now time.Time, b *Batch, version oleandervalve.Version) {
 	for _, c := range b.changes {
+		d.committedSequence = max(d.committedSequence, c.job.rec.Sequence)
 		c.job.version, c.job.committedState, c.job.storedUnsubmitted, c.job.inFlight, c.job.alone = version, c.state, c.storedUnsubmitted, false, false
 		if c.expired {
 			d.forget(c.job)
@@ -171,8 +173,7 @@
 		d.releaseUnstarted(now, a, k, "capacity")
 		return
 	}
-	r.startSent = true
-	r.startedAt = now
+	r.startSent, r.startedAt, r.sequence = true, now, r.step.job.rec.Sequence
 	d.shareContentionWith(now, a)
 	d.enqueueAction(s)
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -14,6 +15,9 @@
 	// TakeoverAfter is how long after the last lease grant to a disconnected agent its
 	// executor's lease has certainly expired.
 	TakeoverAfter time.Duration
+	// UnconfirmedAfter is how long after it runs have certainly ended that no agent has confirmed; 0
+	// means TakeoverAfter.
+	UnconfirmedAfter time.Duration
 	// Retention is how long jobs are kept after their end.
 	Retention time.Duration
 	// EarlyStart is how long before its release time an occurrence may start.
@@ -81,8 +85,8 @@
 	// nextExplanation is when waits are next explained, and nextFullExplanation when one for
 	// capacity is.
 	nextExplanation, nextFullExplanation time.Time
-	// sequence is the last Record.Sequence used.
-	sequence uint64
+	// sequence is the last Record.Sequence used, and committedSequence the last one committed.
+	sequence, committedSequence uint64
 }
 
 // New returns a Dispatcher without jobs or agents.
@@ -137,6 +141,7 @@
 		}
 		d.sequence = max(d.sequence, j.rec.Sequence)
 	}
+	d.committedSequence = d.sequence
 	d.placementNeeded = true
 }
 
@@ -173,7 +178,8 @@
 			// If the reference differs from the agent's newest known one, it names an
 			// earlier incarnation of the executor, which is resolved when the agent
 			// connects.
-			r := &run{step: st, index: i, size: st.spec.Reserved(), startSent: true, resumed: true, startedAt: now}
+			r := &run{step: st, index: i, size: st.spec.Reserved(), startSent: true, resumed: true, startedAt: now, sequence: st.job.rec.Sequence}
+			r.confirmed = !slices.Contains(st.job.rec.Unconfirmed, st.firstTask+i)
 			if h := st.history(i); h.Suspect() && t.Run > h.OutlivedBy {
 				r.isolated, r.isolation = true, h.Isolation()
 				if a.isolatedRuns > 0 {
@@ -197,10 +203,8 @@
 	return a
 }
 
-// removeAgent forgets an agent whose executor certainly runs nothing any more, and requeues
-// the tasks assigned to it.
-func (d *Dispatcher) removeAgent(now time.Time, a *agent) {
-	d.releaseAllRuns(now, a)
+// removeAgent forgets an agent that has no runs.
+func (d *Dispatcher) removeAgent(a *agent) {
 	delete(d.agents, a.id)
 	d.contention.RemoveExecutor(a.id)
 	for i, b := range d.sortedAgents {
@@ -366,10 +370,7 @@
 		if a.health.probing || a.isSlow(now) {
 			d.placementNeeded = true
 		}
-		if !a.connected && now.Sub(a.grantedAt) > d.options.TakeoverAfter {
-			d.note("executorLost", "", map[string]any{"agent": a.id, "runs": len(a.runs), "silentMs": now.Sub(a.grantedAt).Milliseconds()})
-			d.removeAgent(now, a)
-		}
+		d.releaseEndedRuns(now, a)
 	}
 	stillDelayed := d.delayed[:0]
 	for _, s := range d.delayed {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -174,7 +174,7 @@
 func (s *step) hints() RunHints {
 	h := RunHints{
 		BestEffort: s.spec.BestEffort, TargetLatency: s.spec.TargetLatency, Image: s.spec.Image,
-		CPU: s.spec.Demand.CPU, Memory: s.spec.Demand.Memory, Accelerators: s.spec.Demand.Accelerators,
+		CPU: s.spec.Demand.CPU, Memory: s.spec.Demand.Memory, Accelerators: s.spec.Demand.Accelerators, LongRunning: s.spec.LongRunning,
 	}
 	if !s.spec.LongRunning {
 		h.Estimate = s.spec.Estimate
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -44,6 +44,9 @@
 		}
 		r.unlisted = !listed[k] && runs.Incomplete && !r.ofEarlierExecutor(k, a)
 		if !listed[k] && !r.unlisted {
+			if r.unansweredUntil.After(now) {
+				continue
+			}
 			d.recordUnreported(now, a, k)
 			d.releaseUnstarted(now, a, k, "notListed")
 		}
@@ -101,6 +104,8 @@
 		}
 		a.allocate(k, r)
 	}
+	// An executor that has started again may have begun the run for an order to its earlier incarnation.
+	a.runs[k].confirmed = wanted && a.status.State != oleandervalve.ExecutorRecovering
 	if !wanted {
 		a.runs[k].stopping = true
 		d.note("unwantedRun", k.task.Job, map[string]any{"task": k.task.String(), "run": k.run, "agent": a.id})
@@ -164,6 +169,10 @@
 func (d *Dispatcher) AgentDisconnected(now time.Time, id oleandervalve.AgentID) {
 	if a := d.agents[id]; a != nil && a.connected {
 		a.connected = false
+		if a.status.State.IsUp() {
+			// The times that the agent has reported hold while it is in touch with the executor.
+			a.forgetUnanswered()
+		}
 		d.note("agentLost", "", map[string]any{"agent": id, "runs": len(a.runs), "grantAgeMs": now.Sub(a.grantedAt).Milliseconds()})
 	}
 }
@@ -182,11 +191,14 @@
 	d.releaseAllRuns(now, a)
 }
 
-// releaseAllRuns releases the runs of an executor that no longer runs anything. A Start that
-// waits for its commit is not sent any more once its run has been released.
+// releaseAllRuns releases the runs of an executor that no longer runs anything, except those that
+// its next incarnation may begin. A Start that waits for its commit is not sent any more once its
+// run has been released.
 func (d *Dispatcher) releaseAllRuns(now time.Time, a *agent) {
 	for _, k := range a.sortedRuns() {
-		d.releaseUnstarted(now, a, k, "lost")
+		if !a.runs[k].unansweredUntil.After(now) {
+			d.releaseUnstarted(now, a, k, "lost")
+		}
 	}
 }
 
--- /dev/null
+++ b/core/leasebound/unanswered.go
@@ -0,0 +1,83 @@
+package leasebound
+
+import (
+	"maps"
+	"time"
+
+	"oleandervalve"
+)
+
+// CallDelay is how long after it was sent a start order that has had no answer may be carried out, by
+// whichever incarnation the executor then has under its id.
+const CallDelay = 2 * time.Second
+
+// UnansweredStart returns when a run has certainly ended whose start order was last sent at a time
+// and had no answer: an incarnation that the order wasn't meant for grants it the longest lease, as
+// the deadline is on the clock of an earlier one.
+func (l Limits) UnansweredStart(sentAt time.Time) time.Time {
+	return sentAt.Add(CallDelay + Elapsed(l.Granted))
+}
+
+// UnconfirmedAfter returns how long after an agent was last given a proof of leadership the runs have
+// certainly ended that it has not confirmed, if it sends start orders only with a proof that is
+// younger than maxProofAge.
+func (l Limits) UnconfirmedAfter(maxProofAge time.Duration) time.Duration {
+	return maxProofAge + CallDelay + Elapsed(l.Granted)
+}
+
+// Run identifies a run of a task.
+type Run struct {
+	Task   oleandervalve.TaskName
+	Number oleandervalve.RunNumber
+}
+
+// Unanswered holds the start orders without an answer. It answers the load of executors that start
+// again under their ids while orders are on their way to them: such a run may begin in an
+// incarnation that nobody has met, so its task must not start elsewhere before its lease there has
+// certainly ended.
+type Unanswered struct {
+	limits Limits
+	sentAt map[Run]time.Time
+	// unknownUntil is when the runs have certainly ended that an earlier process may have ordered.
+	unknownUntil time.Time
+}
+
+// NewUnanswered returns an Unanswered of a process that begins at a time. firstStart means that no
+// earlier process can have sent start orders.
+func NewUnanswered(l Limits, now time.Time, firstStart bool) *Unanswered {
+	u := &Unanswered{limits: l, sentAt: map[Run]time.Time{}}
+	if !firstStart {
+		u.unknownUntil = l.UnansweredStart(now)
+	}
+	return u
+}
+
+// Sent records an attempt at a start order.
+func (u *Unanswered) Sent(now time.Time, r Run) { u.sentAt[r] = now }
+
+// Answered records that the last attempt was answered by the executor or has not reached it, and all
+// earlier ones too.
+func (u *Unanswered) Answered(r Run) { delete(u.sentAt, r) }
+
+// Late returns for how long each start order without an answer may still be carried out. The first
+// poll of a session keeps the present incarnation from that, but not one that starts after it.
+func (u *Unanswered) Late(now time.Time) map[Run]time.Duration {
+	out := map[Run]time.Duration{}
+	for r, at := range u.sentAt {
+		if d := at.Add(CallDelay).Sub(now); d > 0 {
+			out[r] = d
+		}
+	}
+	return out
+}
+
+// Remaining returns for how long each run may still go on whose order has had no answer, and for how
+// long those may that an earlier process may have ordered. It drops what has certainly ended.
+func (u *Unanswered) Remaining(now time.Time) (known map[Run]time.Duration, unknown time.Duration) {
+	maps.DeleteFunc(u.sentAt, func(_ Run, at time.Time) bool { return !now.Before(u.limits.UnansweredStart(at)) })
+	known = make(map[Run]time.Duration, len(u.sentAt))
+	for r, at := range u.sentAt {
+		known[r] = u.limits.UnansweredStart(at).Sub(now)
+	}
+	return known, max(0, u.unknownUntil.Sub(now))
+}
--- /dev/null
+++ b/core/leasebound/unanswered_test.go
@@ -0,0 +1,54 @@
+package leasebound
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandervalve"
+)
+
+// Guards against unanswered starts that are forgotten while a later incarnation may run them.
+func TestUnansweredStartsAreKeptUntilTheirLeaseHasEnded(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Requested: 6 * time.Second, Granted: 10 * time.Second}
+	began := time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
+	u := NewUnanswered(limits, began, true)
+	run := func(n oleandervalve.RunNumber) Run { return Run{oleandervalve.TaskName{Job: "j"}, n} }
+	u.Sent(began, run(1))
+	u.Sent(began, run(2))
+	u.Answered(run(2))
+	u.Sent(began.Add(time.Second), run(3))
+
+	is.Equal(u.Late(began.Add(1500*time.Millisecond)), map[Run]time.Duration{run(1): 500 * time.Millisecond, run(3): 1500 * time.Millisecond})
+	is.Equal(u.Late(began.Add(2500*time.Millisecond)), map[Run]time.Duration{run(3): 500 * time.Millisecond})
+	known, unknown := u.Remaining(began.Add(12 * time.Second))
+	is.Equal(known, map[Run]time.Duration{run(1): 300 * time.Millisecond, run(3): 1300 * time.Millisecond})
+	is.Equal(unknown, time.Duration(0))
+	known, _ = u.Remaining(began.Add(12300 * time.Millisecond))
+	is.Equal(known, map[Run]time.Duration{run(3): time.Second})
+}
+
+// Guards against a new process of an agent that takes starts of the earlier one for answered.
+func TestStartsOfEarlierProcessAreUnknown(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Requested: 6 * time.Second, Granted: 6 * time.Second}
+	began := time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
+	u := NewUnanswered(limits, began, false)
+	_, unknown := u.Remaining(began.Add(8 * time.Second))
+	is.Equal(unknown, 180*time.Millisecond)
+	_, unknown = u.Remaining(began.Add(9 * time.Second))
+	is.Equal(unknown, time.Duration(0))
+}
+
+// Guards against tasks that start elsewhere while an incarnation that nobody has met may run them.
+func TestUnconfirmedRunsEndAfterTheLongestLease(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Requested: 6 * time.Second, Granted: 10 * time.Second}
+	const maxProofAge = 1800 * time.Millisecond
+	granted := time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
+	lastAttempt := granted.Add(maxProofAge)
+	is.True(!granted.Add(limits.UnconfirmedAfter(maxProofAge)).Before(limits.UnansweredStart(lastAttempt)))
+	is.True(!limits.UnansweredStart(lastAttempt).Before(lastAttempt.Add(CallDelay + limits.Granted*102/100)))
+}
--- a/core/startorder/decide.go
+++ b/core/startorder/decide.go
@@ -16,6 +16,20 @@
 	DrainGrace time.Duration
 }
 
+const (
+	// AttemptTimeout is the longest timeout of an attempt at an order, until which it may reach the
+	// executor.
+	AttemptTimeout = 1200 * time.Millisecond
+	// minProofAge is the least age of proofs that allow starts, whatever the cancellation delay is.
+	minProofAge = 500 * time.Millisecond
+)
+
+// MaxProofAge returns Limits.MaxProofAge for the time for which tasks of a cancelled job may still
+// start, and for which a proof of leadership allows leases.
+func MaxProofAge(cancelDelay, proofLifetime time.Duration) time.Duration {
+	return min(max(cancelDelay-AttemptTimeout, minProofAge), proofLifetime)
+}
+
 // Circumstances are what the agent knows of an order, its executor and its leader.
 type Circumstances struct {
 	// Stopped means that the leader has stopped the run.
--- a/core/work/record.go
+++ b/core/work/record.go
@@ -80,6 +80,9 @@
 	Crashes map[int]crash.History `cbor:"8,keyasint,omitempty"`
 	// Unsubmitted is set if the job was cancelled before its submission has arrived.
 	Unsubmitted bool `cbor:"9,keyasint,omitempty"`
+	// Unconfirmed holds the indexes in Tasks of the assigned tasks whose starts were not confirmed when
+	// the record was written.
+	Unconfirmed []int `cbor:"10,keyasint,omitempty"`
 }
 
 // Validate checks that the record is one of a job with the given valid specification, which is
@@ -102,6 +105,11 @@
 			return invalidRecord("executor of a task", t.ExecutorIndex)
 		}
 	}
+	for _, i := range r.Unconfirmed {
+		if i < 0 || i >= len(r.Tasks) {
+			return invalidRecord("unconfirmed task", i)
+		}
+	}
 	for i := range r.Crashes {
 		if i < 0 || i >= len(r.Tasks) {
 			return invalidRecord("task with crashes", i)
@@ -147,7 +155,7 @@
 	}
 	r.Tasks, r.Executors = tasks, executors
 	if r.State.Terminal() {
-		r.Crashes = nil
+		r.Crashes, r.Unconfirmed = nil, nil
 		r = r.withoutCheckpoints()
 	}
 	return r
--- a/io/executor/agent.go
+++ b/io/executor/agent.go
@@ -91,11 +91,15 @@
 	ended bool
 	// crashes tells which runs the executor had when it crashed.
 	crashes *crashLog
+	// unanswered tells which start orders have had no answer.
+	unanswered *unansweredStarts
 }
 
 // New returns an agent. Run must be called to connect it to the leader.
 func New(o Options) *Agent {
-	return &Agent{options: o, meter: peer.NewMeter(o.Scope), proofAgeMetrics: newProofAgeMetrics(o.Scope), leaseDuration: min(o.MaxLease, agentMaxLease), startLimits: newStartLimits(o), statusReceived: make(chan struct{}, 1), crashes: newCrashLog(o.Clock)}
+	leaseDuration := min(o.MaxLease, agentMaxLease)
+	limits := leasebound.Limits{Requested: leaseDuration, Granted: o.MaxLease}
+	return &Agent{options: o, unanswered: newUnansweredStarts(limits, o.Clock, o.FirstStart), meter: peer.NewMeter(o.Scope), proofAgeMetrics: newProofAgeMetrics(o.Scope), leaseDuration: leaseDuration, startLimits: newStartLimits(o), statusReceived: make(chan struct{}, 1), crashes: newCrashLog(o.Clock)}
 }
 
 // StatusAnnounced handles an announced status of the executor. It ignores announcements that
--- a/io/executor/capacity_test.go
+++ b/io/executor/capacity_test.go
@@ -69,6 +69,12 @@
 // leadAgent runs an agent against a leader that admits it, answers its pings and passes its
 // other messages to received.
 func leadAgent(t *testing.T, a *Agent, received func(*peer.Conn, peer.Message)) {
+	t.Helper()
+	leadAgentWith(t, a, func(*peer.Ping) bool { return true }, received)
+}
+
+// leadAgentWith is leadAgent with a leader that answers those pings for which answers returns true.
+func leadAgentWith(t *testing.T, a *Agent, answers func(*peer.Ping) bool, received func(*peer.Conn, peer.Message)) {
 	t.Helper()
 	meter := peer.NewMeter(tally.NoopScope)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -84,7 +90,9 @@
 				return
 			}
 			if p, ok := m.(*peer.Ping); ok {
-				c.TrySend(&peer.Pong{Sequence: p.Sequence})
+				if answers(p) {
+					c.TrySend(&peer.Pong{Sequence: p.Sequence})
+				}
 				continue
 			}
 			received(c, m)
--- a/io/executor/crashes.go
+++ b/io/executor/crashes.go
@@ -100,7 +100,7 @@
 	if replaced {
 		return nil, false
 	}
-	m := &peer.ExecutorTerminated{Incarnation: s.status.Incarnation}
+	m := s.terminated()
 	if !planned {
 		a.crashes.update(func(l *crash.Log, now time.Time) {
 			m.Lost = l.Crashed(now)
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -21,12 +21,9 @@
 // newStartLimits returns the limits of start orders. An attempt at an order may reach the
 // executor until its timeout.
 func newStartLimits(o Options) startorder.Limits {
-	return startorder.Limits{MaxProofAge: min(max(o.CancelDelay-maxOrderTimeout, minProofAge), o.ProofLifetime), DrainGrace: drainStartGrace}
+	return startorder.Limits{MaxProofAge: startorder.MaxProofAge(o.CancelDelay, o.ProofLifetime), DrainGrace: drainStartGrace}
 }
 
-// minProofAge is the least age of proofs that allow starts, whatever the cancellation delay is.
-const minProofAge = 500 * time.Millisecond
-
 // loggedOrderAge is the age from which on a start order is logged when it is sent.
 const loggedOrderAge = time.Second
 
@@ -99,8 +96,9 @@
 		s.mu.Unlock()
 		close(st.done)
 	}()
-	// unanswered means that an earlier attempt had no answer and may still take effect.
-	unanswered := false
+	// unanswered means that an earlier attempt had no answer and may still take effect, and
+	// unansweredAt is when the last of these was sent.
+	unanswered, unansweredAt := false, time.Time{}
 	timeout := initialOrderTimeout
 	waited := false
 	for ctx.Err() == nil {
@@ -134,7 +132,7 @@
 		if !s.acquireStartSlot(ctx, st, o) {
 			continue
 		}
-		attempt, ok := s.beginStart(st)
+		attempt, ok := s.beginStart(k, st)
 		if !ok {
 			<-s.startSlots
 			continue
@@ -152,12 +150,14 @@
 			s.endAsReplaced(ctx, k, refusal)
 			return
 		}
+		unansweredAt = s.attemptReturned(k, attempt.sentAt, unansweredAt, mayBeCarriedOut(err))
 		if err == nil && refusal == "" {
 			s.agent.crashes.update(func(l *crash.Log, now time.Time) { l.StartConfirmed(now, s.status.Incarnation, o.Task, o.Run) })
 			s.mu.Lock()
 			s.running[k] = true
 			orders := s.initialSpeedLimit(k)
 			s.mu.Unlock()
+			s.startAnswered(k, unansweredAt, o.Hints.LongRunning)
 			s.pollSoon()
 			s.watchIsolation(ctx, k, o.Hints.Isolation)
 			for _, o := range orders {
@@ -182,8 +182,7 @@
 		if s.endIfReplaced(err) {
 			return
 		}
-		var unavailable *oleandervalve.UnavailableError
-		if !errors.As(err, &unavailable) {
+		if mayBeCarriedOut(err) {
 			unanswered = true
 			timeout = min(2*timeout, maxOrderTimeout)
 		}
@@ -195,6 +194,14 @@
 	}
 }
 
+// mayBeCarriedOut reports whether an attempt at an order that has returned an error may still take
+// effect.
+func mayBeCarriedOut(err error) bool {
+	var unavailable *oleandervalve.UnavailableError
+	var replaced *oleandervalve.WrongIncarnationError
+	return err != nil && !errors.As(err, &unavailable) && !errors.As(err, &replaced)
+}
+
 func (s *session) startReturned() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -263,11 +270,12 @@
 	// leaseUntil is the end of the lease to request, and clock the executor's time in its last
 	// answer to a poll, both on the executor's clock.
 	leaseUntil, clock oleandervalve.ExecutorTime
+	sentAt            time.Time
 }
 
 // beginStart decides again once the order has a slot, as the circumstances may have changed. If
 // the order may be sent, it is in flight until startReturned is called.
-func (s *session) beginStart(st *pendingStart) (startAttempt, bool) {
+func (s *session) beginStart(k runKey, st *pendingStart) (startAttempt, bool) {
 	c := s.agent.circumstances()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -276,7 +284,8 @@
 		return startAttempt{}, false
 	}
 	s.startsInFlight++
-	return startAttempt{leaseUntil: s.leaseUntil(now), clock: s.clock}, true
+	s.agent.unanswered.sent(now.Time, k)
+	return startAttempt{leaseUntil: s.leaseUntil(now), clock: s.clock, sentAt: now.Time}, true
 }
 
 // waitForProof asks the leader for a newer proof of leadership, and waits until there is one,
@@ -285,10 +294,7 @@
 	s.mu.Lock()
 	renewed := s.proofRenewed
 	s.mu.Unlock()
-	select {
-	case s.wakePing <- struct{}{}:
-	default:
-	}
+	s.pingSoon()
 	select {
 	case <-renewed:
 	case <-st.stopped:
--- a/io/executor/report_test.go
+++ b/io/executor/report_test.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"oleandervalve"
+	"oleandervalve/core/leasebound"
 	"oleandervalve/io/peer"
 )
 
@@ -51,6 +52,7 @@
 			defer c.Close()
 			s := newSession(oleandervalve.SystemClock())
 			s.agent.crashes = newCrashLog(oleandervalve.SystemClock())
+			s.agent.unanswered = newUnansweredStarts(leasebound.Limits{}, oleandervalve.SystemClock(), true)
 			s.agent.options.Scope = tally.NoopScope
 			s.conn, s.cancel = c, cancel
 			large := &peer.Redirect{Leader: strings.Repeat("x", 30_000)}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -17,6 +17,7 @@
 	"oleandervalve/core/leasebound"
 	"oleandervalve/core/pacing"
 	"oleandervalve/core/progress"
+	"oleandervalve/core/startorder"
 	"oleandervalve/io/leader"
 	"oleandervalve/io/peer"
 )
@@ -37,7 +38,7 @@
 	// initialOrderTimeout is the timeout of the first attempt at an order. It doubles
 	// with every attempt, up to maxOrderTimeout.
 	initialOrderTimeout = 300 * time.Millisecond
-	maxOrderTimeout     = 1200 * time.Millisecond
+	maxOrderTimeout     = startorder.AttemptTimeout
 )
 
 // runKey identifies one run of a task.
@@ -99,6 +100,8 @@
 	hints               map[runKey]dispatch.RunHints
 	running             map[runKey]bool
 	pendingStarts       map[runKey]*pendingStart
+	// confirmations holds the answered starts that have not been confirmed to the leader.
+	confirmations []startConfirmation
 	// delayedStartsAt is when the delayed starts were last sent to the leader.
 	delayedStartsAt oleandervalve.Instant
 	// confirmedStops maps runs to the time at which the executor confirmed their stop
@@ -176,7 +179,7 @@
 // reportLost reports that the executor has given no answer until its lease expired, so
 // that nothing runs on it any more.
 func (s *session) reportLost() {
-	m := &peer.ExecutorTerminated{Incarnation: s.status.Incarnation}
+	m := s.terminated()
 	s.agent.crashes.update(func(l *crash.Log, now time.Time) { m.Lost = l.Lost(now) })
 	s.report(m)
 }
@@ -283,7 +286,7 @@
 		}
 		// The leader is told of the crash before the lists: later it can't tell which of the
 		// lost runs were isolated.
-		inventory := peer.ExecutorInventory{Status: s.status, Lost: s.agent.crashes.reports()}
+		inventory := peer.ExecutorInventory{Status: s.status, Lost: s.agent.crashes.reports(), Unanswered: m.Unanswered, UnknownFor: m.UnknownFor}
 		if err := s.conn.Send(&inventory); err != nil {
 			return false, err
 		}
@@ -320,7 +323,7 @@
 	if result.Incomplete {
 		s.log().WithFields(logrus.Fields{"running": len(result.Running), "ended": len(result.Ended)}).Info("inventory is incomplete: further ends follow as the leader acknowledges the listed ones")
 	}
-	inventory := peer.ExecutorInventory{Status: s.reportable(s.status), Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), Incomplete: result.Incomplete}
+	inventory := peer.ExecutorInventory{Status: s.reportable(s.status), Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), Incomplete: result.Incomplete, Unanswered: s.agent.unanswered.late()}
 	for _, m := range peer.SplitInventory(inventory) {
 		if err := s.conn.Send(m); err != nil {
 			return false, err
@@ -355,7 +358,7 @@
 		sample := s.sample
 		s.sample = contention.Sample{}
 		checkpoints := s.takeUnsentCheckpoints()
-		ping := &peer.Ping{Sequence: n, Sample: sample, Checkpoints: checkpoints}
+		ping := &peer.Ping{Sequence: n, Sample: sample, Checkpoints: checkpoints, Started: s.takeConfirmed(sentAt.Time)}
 		s.addDelayedStarts(sentAt, ping)
 		s.mu.Unlock()
 		s.conn.TrySend(ping)
--- /dev/null
+++ b/io/executor/unanswered.go
@@ -0,0 +1,139 @@
+package executor
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"oleandervalve"
+	"oleandervalve/core/dispatch"
+	"oleandervalve/core/leasebound"
+	"oleandervalve/io/peer"
+)
+
+// unansweredStarts is a leasebound.Unanswered that several goroutines and sessions share.
+type unansweredStarts struct {
+	mu    sync.Mutex
+	clock oleandervalve.Clock
+	log   *leasebound.Unanswered
+}
+
+func newUnansweredStarts(l leasebound.Limits, c oleandervalve.Clock, firstStart bool) *unansweredStarts {
+	return &unansweredStarts{clock: c, log: leasebound.NewUnanswered(l, c.Now(), firstStart)}
+}
+
+// sent records an attempt that was sent at a time.
+func (u *unansweredStarts) sent(at time.Time, k runKey) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.log.Sent(at, leasebound.Run{Task: k.task, Number: k.run})
+}
+
+// answered records that no attempt is on its way any more.
+func (u *unansweredStarts) answered(k runKey) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.log.Answered(leasebound.Run{Task: k.task, Number: k.run})
+}
+
+// ofLost returns what the leader is told of a lost executor.
+func (u *unansweredStarts) ofLost() (starts []dispatch.UnansweredStart, unknownFor time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	known, unknownFor := u.log.Remaining(u.clock.Now())
+	return sortedStarts(known), unknownFor
+}
+
+// late returns what the leader is told of an executor that has answered the first poll of a session.
+func (u *unansweredStarts) late() []dispatch.UnansweredStart {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return sortedStarts(u.log.Late(u.clock.Now()))
+}
+
+func sortedStarts(runs map[leasebound.Run]time.Duration) []dispatch.UnansweredStart {
+	var out []dispatch.UnansweredStart
+	for r, d := range runs {
+		out = append(out, dispatch.UnansweredStart{Task: r.Task, Run: r.Number, For: d})
+	}
+	slices.SortFunc(out, func(a, b dispatch.UnansweredStart) int {
+		if c := strings.Compare(a.Task.String(), b.Task.String()); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Run, b.Run)
+	})
+	return out
+}
+
+// startConfirmation is a start that counts as confirmed from a time on.
+type startConfirmation struct {
+	key  runKey
+	from time.Time
+}
+
+// startAnswered records that the executor has carried out a start order. unansweredAt is when the
+// last attempt was sent that had no answer; zero if there is none.
+func (s *session) startAnswered(k runKey, unansweredAt time.Time, longRunning bool) {
+	from := s.agent.options.Clock.Now()
+	if !unansweredAt.IsZero() {
+		from = unansweredAt.Add(leasebound.CallDelay)
+	}
+	s.mu.Lock()
+	s.confirmations = append(s.confirmations, startConfirmation{k, from})
+	s.mu.Unlock()
+	if longRunning {
+		s.pingSoon()
+	}
+}
+
+// maxConfirmationBytes limits the confirmed starts in one ping.
+const maxConfirmationBytes = peer.MaxFrame / 8
+
+// takeConfirmed returns the starts to confirm with a ping. s.mu must be held.
+func (s *session) takeConfirmed(now time.Time) []dispatch.StartedRun {
+	var out []dispatch.StartedRun
+	kept, size := s.confirmations[:0], 0
+	for _, c := range s.confirmations {
+		n := runBytes + len(c.key.task.Job)
+		if now.Before(c.from) || size+n > maxConfirmationBytes {
+			kept = append(kept, c)
+			continue
+		}
+		size += n
+		s.agent.unanswered.answered(c.key)
+		out = append(out, dispatch.StartedRun{Task: c.key.task, Run: c.key.run})
+	}
+	s.confirmations = kept
+	return out
+}
+
+// attemptReturned records the outcome of an attempt at a start order. reached means that it may
+// still be carried out. It returns when the last attempt was sent of which that is true.
+func (s *session) attemptReturned(k runKey, sentAt, unansweredAt time.Time, reached bool) time.Time {
+	switch {
+	case reached:
+		return sentAt
+	case unansweredAt.IsZero():
+		s.agent.unanswered.answered(k)
+	default:
+		s.agent.unanswered.sent(unansweredAt, k)
+	}
+	return unansweredAt
+}
+
+// pingSoon ends the delay before the next ping.
+func (s *session) pingSoon() {
+	select {
+	case s.wakePing <- struct{}{}:
+	default:
+	}
+}
+
+// terminated returns a report of the lost executor.
+func (s *session) terminated() *peer.ExecutorTerminated {
+	m := &peer.ExecutorTerminated{Incarnation: s.status.Incarnation}
+	m.Unanswered, m.UnknownFor = s.agent.unanswered.ofLost()
+	return m
+}
--- /dev/null
+++ b/io/executor/unanswered_test.go
@@ -0,0 +1,104 @@
+package executor
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oleandervalve"
+	"oleandervalve/core/dispatch"
+	"oleandervalve/core/leasebound"
+	"oleandervalve/io/peer"
+)
+
+func startOf(e oleandervalve.Incarnation, index int, h dispatch.RunHints) *peer.StartRun {
+	return &peer.StartRun{Start: dispatch.Start{Executor: e, Task: oleandervalve.TaskName{Job: "j", Index: index}, Run: 1, Hints: h}}
+}
+
+// Guards against the loss of an executor after which tasks start elsewhere at once whose start orders
+// the next incarnation may carry out.
+func TestUnansweredStartsAreReportedWithTheLossOfTheExecutor(t *testing.T) {
+	const answered, unanswered, refused = 0, 1, 2
+	is := is.New(t)
+	x := &crashingExecutor{}
+	var attempts [3]atomic.Int64
+	x.start = func(o oleandervalve.StartOrder) error {
+		attempts[o.Task.Index].Add(1)
+		switch o.Task.Index {
+		case unanswered:
+			return &oleandervalve.UnknownOutcomeError{Operation: "start"}
+		case refused:
+			return &oleandervalve.UnavailableError{Service: "executor", NotListening: true}
+		}
+		return x.run(o)
+	}
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second, FirstStart: true})
+	is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+	inventories, losses := make(chan *peer.ExecutorInventory, 10), make(chan *peer.ExecutorTerminated, 10)
+	conns := make(chan *peer.Conn, 10)
+	leadAgent(t, a, func(c *peer.Conn, m peer.Message) {
+		switch m := m.(type) {
+		case *peer.ExecutorInventory:
+			conns <- c
+			inventories <- m
+		case *peer.ExecutorTerminated:
+			losses <- m
+		}
+	})
+	first, conn := <-inventories, <-conns
+	for i := range attempts {
+		conn.TrySend(startOf(first.Status.Incarnation, i, dispatch.RunHints{Estimate: time.Second}))
+	}
+	for i := range attempts {
+		for attempts[i].Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	x.fail(&oleandervalve.UnavailableError{Service: "executor", NotListening: true})
+	check := func(starts []dispatch.UnansweredStart) {
+		is.Equal(len(starts), 1)
+		is.Equal(starts[0].Task.Index, unanswered)
+		is.True(starts[0].For > 10*time.Second)
+	}
+	check((<-losses).Unanswered)
+	conn.Close()
+	second := <-inventories
+	check(second.Unanswered) // a leader that has not heard of the loss is told too
+	check((<-losses).Unanswered)
+}
+
+// Guards against a start that counts as confirmed while an attempt at it may still be carried out, and
+// against one that is never confirmed.
+func TestStartIsConfirmedOnceNoAttemptIsOnItsWay(t *testing.T) {
+	const atOnce, second = 0, 1
+	is := is.New(t)
+	x := &crashingExecutor{}
+	var failed atomic.Bool
+	x.start = func(o oleandervalve.StartOrder) error {
+		if o.Task.Index == second && !failed.Swap(true) {
+			return &oleandervalve.UnknownOutcomeError{Operation: "start"}
+		}
+		return x.run(o)
+	}
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second, FirstStart: true})
+	is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+	confirmed := make(chan dispatch.StartedRun, 10)
+	leadAgentWith(t, a, func(p *peer.Ping) bool {
+		for _, s := range p.Started {
+			confirmed <- s
+		}
+		return true
+	}, func(c *peer.Conn, m peer.Message) {
+		if m, ok := m.(*peer.ExecutorInventory); ok {
+			c.TrySend(startOf(m.Status.Incarnation, atOnce, dispatch.RunHints{Estimate: time.Second}))
+			c.TrySend(startOf(m.Status.Incarnation, second, dispatch.RunHints{Estimate: time.Second}))
+		}
+	})
+	began := time.Now()
+	is.Equal((<-confirmed).Task.Index, atOnce)
+	is.Equal((<-confirmed).Task.Index, second)
+	is.True(time.Since(began) >= leasebound.CallDelay)
+	is.Equal(a.unanswered.late(), nil)
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -51,6 +51,11 @@
 	EarlyStart time.Duration
 	// MaxRow is the size of the largest row that the table accepts; 0 means 64 KiB.
 	MaxRow oleandervalve.Bytes
+	// MaxLease is the longest lease that executors grant; 0 means that they grant what is requested.
+	MaxLease time.Duration
+	// CancelDelay is how long after the acknowledgement of a cancellation tasks of the job may still
+	// start.
+	CancelDelay time.Duration
 }
 
 // Gateway is one entry process.
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -72,7 +72,7 @@
 	renewalDue := l.isRenewalDue()
 	l.mu.Unlock()
 	if len(t.Puts) == 0 || len(t.Deletes) > 0 || renewalDue {
-		next.Silences = l.nameSilences()
+		next.Silences, next.Confirmations = l.nameSilences(), l.confirmations()
 		renewal = work.Encode(next)
 		t.Puts = append([]oleandervalve.Put{{Key: Key, Value: renewal}}, t.Puts...)
 	}
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -13,6 +13,8 @@
 	"oleandervalve"
 	"oleandervalve/core/dispatch"
 	"oleandervalve/core/handover"
+	"oleandervalve/core/leasebound"
+	"oleandervalve/core/startorder"
 	"oleandervalve/core/work"
 	"oleandervalve/io/peer"
 )
@@ -81,6 +83,11 @@
 	// Permits decides which executors may run a step. It may be nil if no queue
 	// requires permits.
 	Permits oleandervalve.PermitService
+	// MaxLease is the longest lease that executors grant; 0 means that they grant what is requested.
+	MaxLease time.Duration
+	// CancelDelay is how long after the acknowledgement of a cancellation tasks of the job may still
+	// start.
+	CancelDelay time.Duration
 	// Revision returns the revision of the configuration in force.
 	Revision func() oleandervalve.Revision
 }
@@ -88,6 +95,14 @@
 // now reads the clocks.
 func (o Options) now() oleandervalve.Instant { return oleandervalve.ReadInstant(o.Clock, o.Uptime) }
 
+// unconfirmedAfter returns dispatch.Options.UnconfirmedAfter.
+func (o Options) unconfirmedAfter() time.Duration {
+	if o.MaxLease == 0 {
+		return 0
+	}
+	return leasebound.Limits{Granted: o.MaxLease}.UnconfirmedAfter(startorder.MaxProofAge(o.CancelDelay, ProofLifetime))
+}
+
 // Leader leads for one term. A new Leader is needed for each term.
 type Leader struct {
 	options Options
@@ -162,7 +177,7 @@
 	if err != nil {
 		o.Log.WithError(err).Warn("the leader's row can't be decoded and will be replaced")
 	}
-	own.Term, own.Silences = previous.Term+1, previous.Silences
+	own.Term, own.Silences, own.Confirmations = previous.Term+1, previous.Silences, previous.Confirmations
 	started := o.now()
 	version, err := commitTakeover(ctx, o, oleandervalve.Transaction{
 		Conditions: []oleandervalve.Condition{{Key: Key, Version: current.Version}},
@@ -178,7 +193,7 @@
 		acquiredAt: o.now(), inheritedSilences: own.Silences, grantedWhileLoading: map[oleandervalve.AgentID]time.Time{},
 		averageCommitTime: minCommitTimeout / commitTimeoutFactor,
 		dispatcher: dispatch.New(dispatch.Options{
-			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
+			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, UnconfirmedAfter: o.unconfirmedAfter(), Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{}, joins: map[oleandervalve.EntryID]int{},
 		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, termStartedAt: started,
--- a/io/leader/row.go
+++ b/io/leader/row.go
@@ -31,6 +31,8 @@
 	Released bool `cbor:"6,keyasint,omitempty"`
 	// Silences names the silent agents with assigned runs at the time of the renewal.
 	Silences []dispatch.Silence `cbor:"8,keyasint,omitempty"`
+	// Confirmations tells which starts were confirmed at the time of the renewal.
+	Confirmations dispatch.Confirmations `cbor:"9,keyasint,omitzero"`
 }
 
 // DecodeRow decodes the leader's row. It returns the zero Row for an absent one.
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -230,6 +230,7 @@
 // applyPing applies what an agent reports with a ping. The lock must be held.
 func (l *Leader) applyPing(now time.Time, id oleandervalve.AgentID, p *peer.Ping) {
 	l.dispatcher.LeaseGranted(now, id)
+	l.dispatcher.RunsStarted(now, id, p.Started)
 	l.dispatcher.LoadSampled(now, id, p.Sample)
 	l.dispatcher.RunsCheckpointed(now, id, p.Checkpoints)
 	if p.ListsDelayedStarts {
@@ -282,6 +283,7 @@
 		if m.Lost.Executor == m.Incarnation {
 			d.ExecutorLost(now, id, m.Lost)
 		}
+		d.StartsUnanswered(now, id, m.Unanswered, m.UnknownFor)
 		d.ExecutorTerminated(now, id, m.Incarnation, m.Lost.Crashed)
 	case *peer.RunsEnded:
 		for _, e := range m.Ends {
@@ -304,6 +306,7 @@
 	for _, r := range m.Lost {
 		l.dispatcher.ExecutorLost(now, id, r)
 	}
+	l.dispatcher.StartsUnanswered(now, id, m.Unanswered, m.UnknownFor)
 	l.dispatcher.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended, Incomplete: m.Incomplete})
 	if l.silences.connected(id) {
 		l.requestCommit()
--- a/io/leader/silence.go
+++ b/io/leader/silence.go
@@ -74,6 +74,17 @@
 	return l.silences.outdated || l.options.now().Sub(l.renewedAt) >= RenewInterval
 }
 
+// confirmations returns what the next leader has to know of starts, for a row that is about to be
+// written. Before the jobs are loaded, that is what the previous leader has stored.
+func (l *Leader) confirmations() dispatch.Confirmations {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.loaded {
+		return l.row.Confirmations
+	}
+	return l.dispatcher.Confirmations(l.options.Clock.Now())
+}
+
 // nameSilences returns the silent agents for a row that is about to be written.
 func (l *Leader) nameSilences() []dispatch.Silence {
 	l.mu.Lock()
--- a/io/leader/silence_test.go
+++ b/io/leader/silence_test.go
@@ -26,6 +26,8 @@
 	clock  sleeplessClock
 	table  *fakeTable
 	leader *Leader
+	// maxLease is the longest lease that executors grant.
+	maxLease time.Duration
 }
 
 func newTerms(t *testing.T) *terms {
@@ -38,7 +40,7 @@
 func (s *terms) next() {
 	s.t.Helper()
 	options := testOptions(s.table)
-	options.Clock = s.clock
+	options.Clock, options.MaxLease, options.CancelDelay = s.clock, s.maxLease, 3*time.Second
 	row := s.table.rows[Key]
 	row.Key = Key
 	l, err := Acquire(context.Background(), options, row, Row{Entry: "e-1", Process: "p"})
--- a/io/peer/dispatch.go
+++ b/io/peer/dispatch.go
@@ -58,6 +58,10 @@
 	// Incomplete means that further runs may have ended. RunsEnded messages report them; the
 	// last one has Complete set.
 	Incomplete bool `cbor:"5,keyasint,omitempty"`
+	// Unanswered and UnknownFor are those of ExecutorTerminated if the executor has ended. Otherwise
+	// Unanswered are the starts that a later incarnation may still carry out.
+	Unanswered []dispatch.UnansweredStart `cbor:"6,keyasint,omitempty"`
+	UnknownFor time.Duration              `cbor:"7,keyasint,omitempty"`
 }
 
 // ExecutorChange reports a new announcement of the executor co-located with an agent.
@@ -66,11 +70,15 @@
 }
 
 // ExecutorTerminated reports that an incarnation of the executor has ended with
-// all its runs.
+// all its runs, except those whose start orders its next incarnation may carry out.
 type ExecutorTerminated struct {
 	Incarnation oleandervalve.Incarnation `cbor:"1,keyasint"`
 	// Lost tells what is known of the runs; it names no incarnation if the end was planned.
 	Lost crash.Report `cbor:"2,keyasint,omitzero"`
+	// Unanswered are the starts that have had no answer.
+	Unanswered []dispatch.UnansweredStart `cbor:"3,keyasint,omitempty"`
+	// UnknownFor is for how long runs may go on that an earlier process of the agent has ordered.
+	UnknownFor time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // RunsEnded reports ended runs.
@@ -125,6 +133,8 @@
 	// replace those of the earlier messages.
 	DelayedStarts      []dispatch.DelayedStart `cbor:"5,keyasint,omitempty"`
 	ListsDelayedStarts bool                    `cbor:"6,keyasint,omitempty"`
+	// Started are the starts that have been confirmed since the last Ping.
+	Started []dispatch.StartedRun `cbor:"7,keyasint,omitempty"`
 }
 
 // Pong responds to a Ping.
