Start long-running tasks only after contact with leader and executor

Change: an agent sends the start of a long-running task only once the leader has answered a ping, and the executor a question, that it has sent since it got the order, or since the last attempt. A leader that has had no ping since it sent the order therefore knows that the start is not under way and counts 7.64 s. The event "requeued" tells whether the run was confirmed.

Ruled out: contact before each start (a call more for each of some 100 starts a second, for tasks that have no bound on their restart).

--- a/core/dispatch/confirm.go
+++ b/core/dispatch/confirm.go
@@ -95,6 +95,10 @@
 		return leaseEnd
 	case !r.unansweredUntil.IsZero():
 		return r.unansweredUntil
+	case r.step != nil && r.step.spec.LongRunning && r.startedAt.After(a.grantedAt):
+		// The agent starts long-running tasks only after the answer to a ping that it has sent since
+		// the order, and there was none.
+		return leaseEnd
 	}
 	return a.grantedAt.Add(max(d.options.TakeoverAfter, d.options.UnconfirmedAfter))
 }
--- a/core/dispatch/confirm_test.go
+++ b/core/dispatch/confirm_test.go
@@ -80,6 +80,9 @@
 		{"long-running, not confirmed", true, func(c *cluster, a *agent, _ runKey) {
 			c.dispatcher.LeaseGranted(c.now, a.id)
 		}, testUnconfirmedAfter},
+		{"long-running, no answer to the agent since the order", true, func(c *cluster, a *agent, k runKey) {
+			a.runs[k].startedAt = c.now.Add(time.Millisecond)
+		}, testTakeoverAfter},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -216,7 +216,7 @@
 	if r.step.spec.Gang {
 		d.abortGang(r.step, k.run)
 	}
-	d.note("requeued", k.task.Job, map[string]any{"task": k.task.String(), "run": k.run, "agent": a.id, "reason": reason})
+	d.note("requeued", k.task.Job, map[string]any{"task": k.task.String(), "run": k.run, "agent": a.id, "reason": reason, "confirmed": r.confirmed})
 	d.requeue(now, r.step, r.index)
 }
 
--- a/core/startorder/decide.go
+++ b/core/startorder/decide.go
@@ -51,6 +51,13 @@
 	// ProofAt is the latest time at which the leader is known to have led, by a commit that only
 	// the leader can make; zero if there is none.
 	ProofAt oleandervalve.Instant
+	// ContactSince is the time since which the leader and the executor must have answered, for a
+	// long-running task; zero for others. It answers the loss of machines while such tasks are placed:
+	// a start that can't be under way needs no wait for the longest lease before the task starts
+	// elsewhere.
+	ContactSince time.Time
+	// LeaderAsked and ExecutorAsked are when the latest answered questions to them were sent.
+	LeaderAsked, ExecutorAsked time.Time
 }
 
 // Verdict says what to do with an order.
@@ -66,6 +73,8 @@
 	// AwaitLease means that the order must wait until no lease of the executor can outlast what
 	// leaders count on.
 	AwaitLease
+	// AwaitContact means that the leader or the executor has to answer first.
+	AwaitContact
 	// Abandon means that the order must not be sent any more.
 	Abandon
 )
@@ -87,6 +96,8 @@
 		return AwaitProof, ""
 	case c.ProofAt.IsZero() || now.Sub(c.ProofAt) >= l.MaxProofAge:
 		return AwaitProof, ""
+	case c.LeaderAsked.Before(c.ContactSince) || c.ExecutorAsked.Before(c.ContactSince):
+		return AwaitContact, ""
 	}
 	return Send, ""
 }
--- a/core/startorder/decide_test.go
+++ b/core/startorder/decide_test.go
@@ -29,6 +29,15 @@
 		{"leases of an earlier incarnation, stopped", func(c *Circumstances) { c.ReadyAt, c.Stopped = now.Time.Add(1), true }, Abandon, oleandervalve.RefusedOld},
 		{"proof from before they have ended", func(c *Circumstances) { c.ReadyAt = c.ProofAt.Time.Add(1) }, AwaitProof, ""},
 		{"proof from after they have ended", func(c *Circumstances) { c.ReadyAt = c.ProofAt.Time }, Send, ""},
+		{"leader asked before the order", func(c *Circumstances) {
+			c.ContactSince, c.LeaderAsked, c.ExecutorAsked = now.Time, now.Time.Add(-1), now.Time
+		}, AwaitContact, ""},
+		{"executor asked before the order", func(c *Circumstances) {
+			c.ContactSince, c.LeaderAsked, c.ExecutorAsked = now.Time, now.Time, now.Time.Add(-1)
+		}, AwaitContact, ""},
+		{"both asked since the order", func(c *Circumstances) {
+			c.ContactSince, c.LeaderAsked, c.ExecutorAsked = now.Time, now.Time, now.Time
+		}, Send, ""},
 		{"poll has failed", func(c *Circumstances) { c.Unconfirmed = true }, AwaitExecutor, ""},
 		{"poll has failed, stopped", func(c *Circumstances) { c.Unconfirmed, c.Stopped = true, true }, Abandon, oleandervalve.RefusedOld},
 		{"stopped", func(c *Circumstances) { c.Stopped = true }, Abandon, oleandervalve.RefusedOld},
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -81,6 +81,9 @@
 		return
 	}
 	st := &pendingStart{receivedAt: s.agent.options.now(), done: make(chan struct{}), stopped: make(chan struct{})}
+	if o.Hints.LongRunning {
+		st.contactSince = st.receivedAt.Time
+	}
 	s.mu.Lock()
 	s.pendingStarts[k] = st
 	s.hints[k] = o.Hints
@@ -128,6 +131,10 @@
 			s.logWithheld(o, st, withheldByLease)
 			s.agent.waitRetryDelay(ctx)
 			continue
+		case startorder.AwaitContact:
+			s.logWithheld(o, st, withheldByContact)
+			s.makeContact(ctx, st)
+			continue
 		}
 		if !s.acquireStartSlot(ctx, st, o) {
 			continue
@@ -184,6 +191,9 @@
 		}
 		if mayBeCarriedOut(err) {
 			unanswered = true
+			if o.Hints.LongRunning {
+				st.contactSince = s.agent.options.Clock.Now()
+			}
 			timeout = min(2*timeout, maxOrderTimeout)
 		}
 		if !unanswered {
@@ -261,6 +271,7 @@
 func (s *session) decideStartWith(now oleandervalve.Instant, c startorder.Circumstances, st *pendingStart) (startorder.Verdict, oleandervalve.StartRefusal) {
 	c.Stopped, c.Reserved, c.ProofAt, c.Unconfirmed = st.isStopped(), s.reserved(), s.proofAt, s.unconfirmed
 	c.ReadyAt = s.leaseBound.ReadyAt(s.agent.options.ProofLifetime)
+	c.ContactSince, c.LeaderAsked, c.ExecutorAsked = st.contactSince, s.leaderAskedAt, s.executorAskedAt
 	s.recordProofAge(now)
 	return startorder.Decide(now, s.agent.startLimits, c)
 }
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -140,7 +140,7 @@
 	ends := &peer.RunsEnded{Incarnation: s.status.Incarnation}
 	s.mu.Lock()
 	s.clock, s.clockAt = result.Clock, s.agent.options.Clock.Now()
-	s.unconfirmed = false
+	s.unconfirmed, s.executorAskedAt = false, sentAt
 	running := make(map[runKey]bool, len(result.Running))
 	for _, r := range result.Running {
 		k := runKey{r.Task, r.Run}
--- a/io/executor/proofage.go
+++ b/io/executor/proofage.go
@@ -93,6 +93,7 @@
 	withheldByExecutor withholding = "executorUnconfirmed"
 	withheldByLease    withholding = "earlierLease"
 	withheldBySlots    withholding = "noStartSlot"
+	withheldByContact  withholding = "noContact"
 )
 
 // logWithheld logs what withholds a start order, once, after loggedWithholding.
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -73,8 +73,12 @@
 	proofAt oleandervalve.Instant
 	// proofRenewed is closed and replaced when proofAt advances.
 	proofRenewed chan struct{}
-	proofAges    proofAges
-	pings        []sentPing
+	// leaderAskedAt and executorAskedAt are when the latest ping and the latest question to the
+	// executor were sent that have an answer. leaderAnswered is closed and replaced at each pong.
+	leaderAskedAt, executorAskedAt time.Time
+	leaderAnswered                 chan struct{}
+	proofAges                      proofAges
+	pings                          []sentPing
 	// clock is the executor's time as of clockAt on the agent's clock.
 	clock   oleandervalve.ExecutorTime
 	clockAt time.Time
@@ -139,6 +143,8 @@
 	void bool
 	// withholdingLogged means that it has been logged what withholds the order.
 	withholdingLogged bool
+	// contactSince is startorder.Circumstances.ContactSince.
+	contactSince time.Time
 }
 
 // stop requests the end of the run. The mutex of the session must be held.
@@ -214,7 +220,7 @@
 		agent: a, conn: c, address: address, token: admit.Token, cancel: cancel, startSlots: make(chan struct{}, maxParallelStarts), stopSlots: make(chan struct{}, maxParallelStops),
 		acknowledgedEnds: map[uint64]bool{}, hints: map[runKey]dispatch.RunHints{}, running: map[runKey]bool{},
 		pendingStarts: map[runKey]*pendingStart{}, confirmedStops: map[runKey]time.Time{}, listedEnds: map[runKey]bool{},
-		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*progress.Measurement{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1), wakePing: make(chan struct{}, 1), proofRenewed: make(chan struct{}), proofAges: proofAges{startedAt: a.options.Clock.Now()},
+		checkpoints: map[runKey]string{}, unsentCheckpoints: map[runKey]string{}, controllers: map[oleandervalve.KindName]*pacing.Controller{}, progress: map[runKey]*progress.Measurement{}, nonInterfering: map[contention.Pair]bool{}, speedLimits: map[runKey]int{}, wakePoll: make(chan struct{}, 1), wakePing: make(chan struct{}, 1), proofRenewed: make(chan struct{}), leaderAnswered: make(chan struct{}), proofAges: proofAges{startedAt: a.options.Clock.Now()},
 	}
 	a.mu.Lock()
 	s.status, a.token = a.status, max(a.token, admit.Token)
@@ -419,6 +425,9 @@
 		s.pings = s.pings[1:]
 		if first.sequence == p.Sequence {
 			s.recordPong(s.agent.options.now())
+			s.leaderAskedAt = first.at.Time
+			close(s.leaderAnswered)
+			s.leaderAnswered = make(chan struct{})
 			if at := first.at.Add(-p.ProofAge); at.After(s.proofAt) {
 				s.proofAt = at
 				close(s.proofRenewed)
--- a/io/executor/unanswered.go
+++ b/io/executor/unanswered.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"strings"
 	"sync"
@@ -131,6 +132,49 @@
 	}
 }
 
+// makeContact asks the leader and the executor, and waits until the leader has answered, the run
+// has to end, or the order has to be decided again.
+func (s *session) makeContact(ctx context.Context, st *pendingStart) {
+	s.mu.Lock()
+	leaderAnswered := s.leaderAnswered
+	executorAsked := s.executorAskedAt
+	leaderAsked := s.leaderAskedAt
+	s.mu.Unlock()
+	if executorAsked.Before(st.contactSince) {
+		s.askExecutor(ctx)
+	}
+	if !leaderAsked.Before(st.contactSince) {
+		return
+	}
+	s.pingSoon()
+	select {
+	case <-leaderAnswered:
+	case <-st.stopped:
+	case <-ctx.Done():
+	case <-s.agent.options.Clock.After(retryDelay):
+	}
+}
+
+// askExecutor asks the executor which incarnation it is.
+func (s *session) askExecutor(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	sentAt := s.agent.options.Clock.Now()
+	_, startedAt, err := s.agent.options.Executor.Identify(call, s.status.Incarnation.ID, s.token)
+	if err != nil {
+		s.agent.waitRetryDelay(call)
+		return
+	}
+	if startedAt != 0 && startedAt != s.status.Incarnation.StartedAt {
+		s.agent.recordPolledStart(startedAt)
+		s.end("executor has a new incarnation")
+		return
+	}
+	s.mu.Lock()
+	s.executorAskedAt = sentAt
+	s.mu.Unlock()
+}
+
 // terminated returns a report of the lost executor.
 func (s *session) terminated() *peer.ExecutorTerminated {
 	m := &peer.ExecutorTerminated{Incarnation: s.status.Incarnation}
--- a/io/executor/unanswered_test.go
+++ b/io/executor/unanswered_test.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -102,3 +103,73 @@
 	is.True(time.Since(began) >= leasebound.CallDelay)
 	is.Equal(a.unanswered.late(), nil)
 }
+
+// unresponsiveExecutor doesn't say who it is while it is silent.
+type unresponsiveExecutor struct {
+	crashingExecutor
+	silent atomic.Bool
+}
+
+func (x *unresponsiveExecutor) Poll(ctx context.Context, e oleandervalve.ExecutorID, p oleandervalve.PollRequest) (oleandervalve.PollResult, error) {
+	if p.Wait > 0 && x.silent.Load() {
+		<-ctx.Done()
+		return oleandervalve.PollResult{}, &oleandervalve.UnknownOutcomeError{Operation: "poll"}
+	}
+	return x.crashingExecutor.Poll(ctx, e, p)
+}
+
+func (x *unresponsiveExecutor) Identify(ctx context.Context, e oleandervalve.ExecutorID, f oleandervalve.FencingToken) (oleandervalve.ExecutorTime, int64, error) {
+	if x.silent.Load() {
+		<-ctx.Done()
+		return 0, 0, &oleandervalve.UnknownOutcomeError{Operation: "identify"}
+	}
+	return x.crashingExecutor.Identify(ctx, e, f)
+}
+
+// Guards against long-running tasks that wait for the longest lease as their start may be under way to
+// an executor or from a leader that had been lost before.
+func TestLongRunningStartAwaitsContact(t *testing.T) {
+	for _, tt := range []struct {
+		name             string
+		leader, executor bool
+		longRunning      bool
+		want             bool
+	}{
+		{"leader and executor answer", true, true, true, true},
+		{"leader is silent", false, true, true, false},
+		{"executor is silent", true, false, true, false},
+		{"not long-running", false, false, false, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := &unresponsiveExecutor{}
+			started := make(chan bool, 10)
+			x.start = func(o oleandervalve.StartOrder) error {
+				started <- true
+				return x.run(o)
+			}
+			a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second, FirstStart: true})
+			is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+			inventories, conns := make(chan *peer.ExecutorInventory, 10), make(chan *peer.Conn, 10)
+			var silentLeader atomic.Bool
+			leadAgentWith(t, a, func(*peer.Ping) bool { return !silentLeader.Load() }, func(c *peer.Conn, m peer.Message) {
+				if m, ok := m.(*peer.ExecutorInventory); ok {
+					inventories <- m
+					conns <- c
+				}
+			})
+			first, conn := <-inventories, <-conns
+			a.awaitSession().awaitProof()
+			silentLeader.Store(!tt.leader)
+			x.silent.Store(!tt.executor)
+			conn.TrySend(startOf(first.Status.Incarnation, 0, dispatch.RunHints{LongRunning: tt.longRunning}))
+			got := false
+			select {
+			case got = <-started:
+			case <-time.After(time.Second):
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
