Log what the number of waiting jobs is based on

The leader now logs, at most once a second, how many jobs of the queue are counted for which reason, if some are unknown or only assumed to have started. Jobs are counted as before.

--- a/core/dispatch/delayed.go
+++ b/core/dispatch/delayed.go
@@ -33,32 +33,40 @@
 // that is known. known is false if the number may be over twice as high: until its agents have
 // connected, a new leader doesn't know which of the runs that it has loaded have started.
 func (d *Dispatcher) Waiting(now time.Time, q work.QueueName) (count int, known bool) {
-	unknown := 0
+	pending := 0
+	var running [begun + 1]int
 	for _, j := range d.jobs {
 		if j.rec.Queue.Name != q || j.version == 0 {
 			continue
 		}
 		switch j.committedState {
 		case work.Pending:
-			count++
+			pending++
 		case work.Running:
-			switch d.beginning(now, j) {
-			case notBegun:
-				count++
-			case maybeBegun:
-				unknown++
-			}
+			running[d.beginning(now, j)]++
 		}
 	}
+	count, unknown := pending+running[notBegun], running[maybeBegun]
+	if unsure := unknown + running[assumedBegun]; unsure > 0 && !now.Before(d.nextWaitingNote) {
+		d.nextWaitingNote = now.Add(waitingNoteInterval)
+		d.note("waitingCounted", "", map[string]any{
+			"queue": q, "pending": pending, "notStarted": running[notBegun], "unknown": unknown, "assumedStarted": running[assumedBegun], "started": running[begun],
+		})
+	}
 	return count, unknown <= count
 }
 
+// waitingNoteInterval is the minimum time between two log lines about numbers of waiting jobs.
+const waitingNoteInterval = time.Second
+
 // beginning tells whether a job has begun.
 type beginning int
 
 const (
 	notBegun beginning = iota
 	maybeBegun
+	// assumedBegun means that nothing is known but that the start was sent.
+	assumedBegun
 	begun
 )
 
@@ -97,7 +105,7 @@
 func (d *Dispatcher) runBeginning(now time.Time, id oleandervalve.AgentID, k runKey) beginning {
 	a := d.agents[id]
 	if a == nil || a.runs[k] == nil {
-		return begun
+		return assumedBegun
 	}
 	r := a.runs[k]
 	switch {
@@ -111,6 +119,8 @@
 	case k.run > 1 && now.Sub(r.startedAt) < listDelay:
 		// No earlier run is known to have started: the job was waiting until just now.
 		return notBegun
+	case a.listedAt.Sub(r.startedAt) < listDelay:
+		return assumedBegun
 	}
 	return begun
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -85,6 +85,8 @@
 	// nextExplanation is when waits are next explained, and nextFullExplanation when one for
 	// capacity is.
 	nextExplanation, nextFullExplanation time.Time
+	// nextWaitingNote is when a number of waiting jobs may next be logged.
+	nextWaitingNote time.Time
 	// sequence is the last Record.Sequence used, and committedSequence the last one committed.
 	sequence, committedSequence uint64
 }
