Count jobs as waiting until it is known that a task has started

Cause: an assigned run counted as started as soon as its start was sent, unless something was known to the contrary. An agent lists a start as delayed 0.5 to 1.2 s after it got it, so a job that had waited for long and was assigned was left out for that time. Only later runs of a task and runs of lost agents were excepted. Class: silence is taken for good news.

Change: a run counts as started once its agent has reported it or has listed it, or, for agents that report no starts, once a list from 1.5 s after the start lacks it, or an earlier list named it and a later one doesn't. Until then its job is counted. A run that an agent with an incomplete inventory has not listed is unknown, not started.

Ruled out: counting only jobs of a minimum age, which leaves the wrong assumption in place; refusing to answer while starts are unconfirmed, which would leave callers without a number at each burst.

Tests: TestWaitingJobsAreCountedUntilTheirStartsAreKnown fails without the change in each of its cases (0 of 10 jobs counted right after the starts were sent). Expectations that took a start that had just been sent for carried out were wrong: "agent lists nothing", "one start is not delayed", "list is of an earlier run", "list is of another agent" and "run of the next leader is delayed" now list 1.5 s after the start, each with the former result, and TestJobWhoseStartWasRefusedIsWaiting begins from there. TestLeaderCountsJobsWhoseStartsAreDelayed expects 1 instead of 0 before the first list; 0 after the last one as before.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -26,6 +26,9 @@
 	// startSent means that the Start action has been queued for TakeActions, by this
 	// dispatcher or that of a previous leader.
 	startSent bool
+	// delayed means that the agent has ever listed the start as delayed. presumedStarted means
+	// that its last list lacks the start although it would name a delayed one.
+	delayed, presumedStarted bool
 	// unlisted means that the agent has listed the run neither as running nor as ended, and
 	// that its list of ends is incomplete.
 	unlisted bool
@@ -65,9 +68,12 @@
 	// unheard means that the agent has not connected to this leader, which knows it only from
 	// the records of an earlier one.
 	unheard bool
-	// delayedStarts holds the runs that the agent has last listed as delayed, at listedAt.
+	// reportsStarts means that the agent reports the runs that have started, and
+	// listsDelayedStarts that it lists those whose starts are delayed; agents of earlier releases
+	// don't. Both hold for a session.
+	reportsStarts, listsDelayedStarts bool
+	// delayedStarts holds the runs that the agent has last listed as delayed.
 	delayedStarts map[runKey]bool
-	listedAt      time.Time
 	reserved      oleandervalve.Resources
 	// unsizedRuns is the number of runs of unknown size.
 	unsizedRuns int
--- a/core/dispatch/confirm.go
+++ b/core/dispatch/confirm.go
@@ -40,7 +40,7 @@
 	maxNamed = 64
 )
 
-// RunsStarted records that starts are confirmed. It answers the load of executors that start again
+// RunsStarted records that starts are confirmed. An agent that calls it at all confirms each start. It answers the load of executors that start again
 // under their ids and are cut off: only runs that are not confirmed may have begun in an incarnation
 // that nobody has met.
 func (d *Dispatcher) RunsStarted(_ time.Time, id oleandervalve.AgentID, runs []StartedRun) {
@@ -48,9 +48,10 @@
 	if a == nil || !a.connected {
 		return
 	}
+	a.reportsStarts = true
 	for _, s := range runs {
 		r := a.runs[runKey{s.Task, s.Run}]
-		if r == nil {
+		if r == nil || !r.startSent {
 			continue
 		}
 		r.confirmed = true
--- a/core/dispatch/delayed.go
+++ b/core/dispatch/delayed.go
@@ -22,11 +22,19 @@
 	if a == nil || !a.connected {
 		return
 	}
-	a.listedAt = now
+	a.listsDelayedStarts = true
 	a.delayedStarts = make(map[runKey]bool, len(starts))
 	for _, s := range starts {
 		a.delayedStarts[runKey{s.Task, s.Run}] = true
 	}
+	for k, r := range a.runs {
+		if !r.startSent || r.stopping {
+			continue // a start that is being stopped is in no list
+		}
+		delayed := a.delayedStarts[k]
+		r.presumedStarted = !delayed && (r.delayed || now.Sub(r.startedAt) >= listDelay)
+		r.delayed = r.delayed || delayed
+	}
 }
 
 // Waiting returns the number of stored jobs of a queue of which no task has started, as far as
@@ -43,14 +51,14 @@
 		case work.Pending:
 			pending++
 		case work.Running:
-			running[d.beginning(now, j)]++
+			running[d.beginning(j)]++
 		}
 	}
-	count, unknown := pending+running[notBegun], running[maybeBegun]
-	if unsure := unknown + running[assumedBegun]; unsure > 0 && !now.Before(d.nextWaitingNote) {
+	count, unknown := pending+running[notBegun]+running[unconfirmed], running[maybeBegun]
+	if unsure := unknown + running[unconfirmed]; unsure > 0 && !now.Before(d.nextWaitingNote) {
 		d.nextWaitingNote = now.Add(waitingNoteInterval)
 		d.note("waitingCounted", "", map[string]any{
-			"queue": q, "pending": pending, "notStarted": running[notBegun], "unknown": unknown, "assumedStarted": running[assumedBegun], "started": running[begun],
+			"queue": q, "pending": pending, "notStarted": running[notBegun], "unconfirmed": running[unconfirmed], "unknown": unknown, "started": running[begun],
 		})
 	}
 	return count, unknown <= count
@@ -64,15 +72,16 @@
 
 const (
 	notBegun beginning = iota
+	// unconfirmed means that the agent has had no time to tell whether the run has started.
+	unconfirmed
+	// maybeBegun means that the run may have started before the agent connected.
 	maybeBegun
-	// assumedBegun means that nothing is known but that the start was sent.
-	assumedBegun
 	begun
 )
 
-// beginning tells whether a task of a job has started. An assigned task counts as started unless
-// something is known to the contrary, or its agent was lost before it could list the start.
-func (d *Dispatcher) beginning(now time.Time, j *job) beginning {
+// beginning tells whether a task of a job has started. An assigned task counts as started only once
+// its agent has told so.
+func (d *Dispatcher) beginning(j *job) beginning {
 	if j.began {
 		return begun
 	}
@@ -87,7 +96,7 @@
 				return begun
 			}
 			if t.State == work.TaskAssigned {
-				latest = max(latest, d.runBeginning(now, j.rec.Executors[t.ExecutorIndex].Agent, runKey{s.name(i), t.Run}))
+				latest = max(latest, d.runBeginning(j.rec.Executors[t.ExecutorIndex].Agent, runKey{s.name(i), t.Run}))
 			}
 			if latest == begun {
 				return begun
@@ -102,25 +111,25 @@
 const listDelay = 1500 * time.Millisecond
 
 // runBeginning tells whether a run that is assigned to an agent has started.
-func (d *Dispatcher) runBeginning(now time.Time, id oleandervalve.AgentID, k runKey) beginning {
+func (d *Dispatcher) runBeginning(id oleandervalve.AgentID, k runKey) beginning {
 	a := d.agents[id]
 	if a == nil || a.runs[k] == nil {
-		return assumedBegun
+		return unconfirmed
 	}
 	r := a.runs[k]
 	switch {
+	case r.confirmed:
+		return begun
 	case !r.startSent || a.delayedStarts[k]:
 		return notBegun
-	case a.unheard:
+	case a.unheard || r.unlisted:
 		return maybeBegun
-	case !a.connected && a.listedAt.Sub(r.startedAt) < listDelay:
-		// The start may have been lost with the agent or its executor.
-		return notBegun
-	case k.run > 1 && now.Sub(r.startedAt) < listDelay:
-		// No earlier run is known to have started: the job was waiting until just now.
-		return notBegun
-	case a.listedAt.Sub(r.startedAt) < listDelay:
-		return assumedBegun
+	case a.reportsStarts:
+		return unconfirmed
+	case r.presumedStarted:
+		return begun
+	case !a.listsDelayedStarts && a.grantedAt.Sub(r.startedAt) >= listDelay:
+		return begun // agents of an earlier release send pings without lists
 	}
-	return begun
+	return unconfirmed
 }
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -24,6 +24,7 @@
 	}
 	a.connected = true
 	a.unheard, a.delayedStarts = false, nil
+	a.reportsStarts, a.listsDelayedStarts = false, false
 	a.grantedAt = now
 	a.status = status
 	a.rack = rackOf(status.Labels)
--- a/core/dispatch/waiting_test.go
+++ b/core/dispatch/waiting_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -42,6 +43,9 @@
 			c.submit("j", work.Queue{Name: "q", Service: "press", MaxAttempts: 3}, work.Spec{Steps: []work.Step{{Count: 1, Demand: oleandervalve.Resources{CPU: 1000}}}})
 			c.advanceCommit(true)
 			c.advanceCommit(true)
+			is.Equal(c.waiting("q"), 1) // nothing is known of the start
+			c.now = c.now.Add(listDelay)
+			c.dispatcher.StartsDelayed(c.now, a.id, nil)
 			is.Equal(c.waiting("q"), 0)
 			k := runKey{oleandervalve.TaskName{Job: "j"}, 1}
 			is.True(c.dispatcher.agents[a.id].runs[k] != nil)
@@ -80,6 +84,13 @@
 		}
 		c.dispatcher.StartsDelayed(c.now, a.id, starts)
 	}
+	report := func(c *cluster, a *fakeAgent, runs ...runKey) {
+		var started []StartedRun
+		for _, k := range runs {
+			started = append(started, StartedRun{Task: k.task, Run: k.run})
+		}
+		c.dispatcher.RunsStarted(c.now, a.id, started)
+	}
 	run := func(a *fakeAgent, c *cluster, k runKey) {
 		a.running = append(a.running, fakeRun{key: k, ends: c.now.Add(time.Hour)})
 	}
@@ -89,10 +100,65 @@
 		want   int
 	}{
 		{"all starts are delayed", func(c *cluster, a *fakeAgent) { list(c, a, first, second) }, 1},
-		{"agent lists nothing", func(*cluster, *fakeAgent) {}, 0},
-		{"one start is not delayed", func(c *cluster, a *fakeAgent) { list(c, a, second) }, 0},
-		{"list is of an earlier run", func(c *cluster, a *fakeAgent) { list(c, a, first, runKey{second.task, 0}) }, 0},
-		{"list is of another agent", func(c *cluster, a *fakeAgent) { list(c, c.agents[c.order[1]], first, second) }, 0},
+		{"agent has sent no list", func(c *cluster, _ *fakeAgent) { c.now = c.now.Add(time.Minute) }, 1},
+		{"agent lists nothing too early", func(c *cluster, a *fakeAgent) {
+			c.now = c.now.Add(listDelay - 1)
+			list(c, a)
+			c.now = c.now.Add(time.Minute)
+		}, 1},
+		{"agent lists nothing", func(c *cluster, a *fakeAgent) {
+			c.now = c.now.Add(listDelay)
+			list(c, a)
+		}, 0},
+		{"one start is not delayed", func(c *cluster, a *fakeAgent) {
+			c.now = c.now.Add(listDelay)
+			list(c, a, second)
+		}, 0},
+		{"one start is not listed too early", func(c *cluster, a *fakeAgent) { list(c, a, second) }, 1},
+		{"list is of an earlier run", func(c *cluster, a *fakeAgent) {
+			c.now = c.now.Add(listDelay)
+			list(c, a, first, runKey{second.task, 0})
+		}, 0},
+		{"list is of another agent", func(c *cluster, a *fakeAgent) {
+			c.now = c.now.Add(listDelay)
+			list(c, a)
+			list(c, c.agents[c.order[1]], first, second)
+		}, 0},
+		{"only another agent has sent a list", func(c *cluster, _ *fakeAgent) {
+			c.now = c.now.Add(listDelay)
+			list(c, c.agents[c.order[1]])
+		}, 1},
+		{"agent of an earlier release sends pings without lists", func(c *cluster, a *fakeAgent) {
+			c.now = c.now.Add(listDelay)
+			c.dispatcher.LeaseGranted(c.now, a.id)
+		}, 0},
+		{"agent of an earlier release has sent no ping", func(c *cluster, _ *fakeAgent) { c.now = c.now.Add(listDelay) }, 1},
+		{"agent reports a start", func(c *cluster, a *fakeAgent) { report(c, a, first) }, 0},
+		{"agent reports another run", func(c *cluster, a *fakeAgent) {
+			report(c, a, runKey{first.task, 2})
+			c.now = c.now.Add(listDelay)
+			list(c, a)
+		}, 1},
+		{"agent that reports starts reports none", func(c *cluster, a *fakeAgent) {
+			report(c, a)
+			c.now = c.now.Add(listDelay)
+			list(c, a)
+		}, 1},
+		{"agent reports a start and is lost", func(c *cluster, a *fakeAgent) {
+			report(c, a, first)
+			c.dispatcher.AgentDisconnected(c.now, a.id)
+		}, 0},
+		{"started run is lost with its executor", func(c *cluster, a *fakeAgent) {
+			report(c, a, first)
+			c.dispatcher.ExecutorTerminated(c.now, a.id, a.status.Incarnation, true)
+		}, 0},
+		{"delayed starts are stopped", func(c *cluster, a *fakeAgent) {
+			list(c, a, first, second)
+			c.dispatcher.cancelRun(a.id, first)
+			c.dispatcher.cancelRun(a.id, second)
+			c.now = c.now.Add(listDelay)
+			list(c, a)
+		}, 1},
 		{"a start is not delayed any more", func(c *cluster, a *fakeAgent) {
 			list(c, a, first, second)
 			list(c, a, second)
@@ -142,6 +208,15 @@
 			}
 			c.startLeader()
 		}, 0},
+		{"next leader hears of no run, but not of all ends", func(c *cluster, a *fakeAgent) {
+			c.startLeader()
+			c.dispatcher.AgentConnected(c.now, a.id, a.status, oleandervalve.PollResult{Incomplete: true})
+		}, unknownCount},
+		{"next leader hears of no run or end", func(c *cluster, a *fakeAgent) {
+			c.startLeader()
+			c.dispatcher.AgentConnected(c.now, a.id, a.status, oleandervalve.PollResult{Incomplete: true})
+			c.dispatcher.InventoryCompleted(c.now, a.id, a.status.Incarnation)
+		}, 1},
 		{"next leader hears of a run", func(c *cluster, a *fakeAgent) {
 			run(a, c, first)
 			c.startLeader()
@@ -160,6 +235,7 @@
 			}
 			is.New(c.t).Equal(c.waiting("q"), 1) // the agent can't have listed the starts yet
 			c.now = c.now.Add(listDelay)
+			list(c, a)
 			is.New(c.t).Equal(c.waiting("q"), 0)
 			list(c, a, runKey{first.task, 2}, runKey{second.task, 2})
 		}, 1},
@@ -183,3 +259,79 @@
 		})
 	}
 }
+
+// Guards against jobs that have waited for long and are left out of the number of waiting jobs
+// from their assignment until it is known whether they have started.
+func TestWaitingJobsAreCountedUntilTheirStartsAreKnown(t *testing.T) {
+	const jobs = 10
+	// pingInterval and delayedAge are those of agents.
+	const pingInterval, delayedAge = 700 * time.Millisecond, 500 * time.Millisecond
+	for _, tt := range []struct {
+		name string
+		// sinceList is the time from an agent's last list to the arrival of the starts.
+		sinceList time.Duration
+		takeover  bool
+	}{
+		{"starts arrive before a list", pingInterval, false},
+		{"starts arrive after a list", 0, false},
+		{"starts are too young for the next list", pingInterval - delayedAge + time.Millisecond, false},
+		{"new leader places the jobs", 0, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 1, 2)
+			setState := func(s oleandervalve.ExecutorState) {
+				for _, id := range c.order {
+					a := c.agents[id]
+					a.status.State = s
+					c.dispatcher.StatusChanged(id, a.status)
+				}
+				c.collect()
+			}
+			setState(oleandervalve.ExecutorDraining)
+			for i := range jobs {
+				c.submit(oleandervalve.JobID(fmt.Sprint("j", i)), work.Queue{Name: "q", Service: "press", MaxAttempts: 3}, work.Spec{Steps: []work.Step{{Count: 1, Demand: oleandervalve.Resources{CPU: 1000}}}})
+			}
+			c.advanceCommit(true)
+			c.advanceCommit(true)
+			c.now = c.now.Add(6 * time.Second)
+			is.Equal(c.waiting("q"), jobs)
+			if tt.takeover {
+				c.startLeader()
+				for _, id := range c.order {
+					c.connect(c.agents[id])
+				}
+			}
+			setState(oleandervalve.ExecutorReady)
+			c.advanceCommit(true)
+			c.advanceCommit(true)
+			is.Equal(len(c.outbox), jobs)
+			sentAt := c.now
+			nextPing := sentAt.Add(pingInterval - tt.sinceList)
+			for end := sentAt.Add(4 * time.Second); c.now.Before(end); c.now = c.now.Add(50 * time.Millisecond) {
+				if !c.now.Before(nextPing) {
+					nextPing = nextPing.Add(pingInterval)
+					for _, id := range c.order {
+						var starts []DelayedStart
+						for _, x := range c.outbox {
+							if s, ok := x.(Start); ok && s.Agent == id && c.now.Sub(sentAt) >= delayedAge {
+								starts = append(starts, DelayedStart{Task: s.Task, Run: s.Run})
+							}
+						}
+						c.dispatcher.StartsDelayed(c.now, id, starts)
+					}
+				}
+				if n := c.waiting("q"); n != jobs {
+					t.Fatalf("%v after the starts were sent, %d of %d jobs are counted", c.now.Sub(sentAt), n, jobs)
+				}
+			}
+			// Every start but one is carried out.
+			c.outbox = c.outbox[:1]
+			s := c.outbox[0].(Start)
+			c.dispatcher.StartsDelayed(c.now, c.order[0], nil)
+			c.dispatcher.StartsDelayed(c.now, c.order[1], nil)
+			c.dispatcher.StartsDelayed(c.now, s.Agent, []DelayedStart{{Task: s.Task, Run: s.Run}})
+			is.Equal(c.waiting("q"), 1)
+		})
+	}
+}
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -230,7 +230,9 @@
 // applyPing applies what an agent reports with a ping. The lock must be held.
 func (l *Leader) applyPing(now time.Time, id oleandervalve.AgentID, p *peer.Ping) {
 	l.dispatcher.LeaseGranted(now, id)
-	l.dispatcher.RunsStarted(now, id, p.Started)
+	if p.ConfirmsStarts {
+		l.dispatcher.RunsStarted(now, id, p.Started)
+	}
 	l.dispatcher.LoadSampled(now, id, p.Sample)
 	l.dispatcher.RunsCheckpointed(now, id, p.Checkpoints)
 	if p.ListsDelayedStarts {
--- a/io/leader/waiting_test.go
+++ b/io/leader/waiting_test.go
@@ -63,7 +63,7 @@
 		s, _ = receive().(*peer.StartRun)
 	}
 	ping(peer.Ping{Sequence: 1})
-	is.Equal(countWaiting(first), peer.JobReply{ID: 1})
+	is.Equal(countWaiting(first), peer.JobReply{ID: 1, Count: 1}) // nothing is known of the start
 	ping(peer.Ping{Sequence: 2, ListsDelayedStarts: true, DelayedStarts: []dispatch.DelayedStart{{Task: s.Task, Run: s.Run}}})
 	is.Equal(countWaiting(first), peer.JobReply{ID: 1, Count: 1})
 	ping(peer.Ping{Sequence: 3})
--- a/io/peer/dispatch.go
+++ b/io/peer/dispatch.go
@@ -133,8 +133,10 @@
 	// replace those of the earlier messages.
 	DelayedStarts      []dispatch.DelayedStart `cbor:"5,keyasint,omitempty"`
 	ListsDelayedStarts bool                    `cbor:"6,keyasint,omitempty"`
-	// Started are the starts that have been confirmed since the last Ping.
-	Started []dispatch.StartedRun `cbor:"7,keyasint,omitempty"`
+	// Started are the starts that have been confirmed since the last Ping. ConfirmsStarts means that
+	// the agent confirms starts, which those of earlier releases don't.
+	Started        []dispatch.StartedRun `cbor:"7,keyasint,omitempty"`
+	ConfirmsStarts bool                  `cbor:"8,keyasint,omitempty"`
 }
 
 // Pong responds to a Ping.
