Count the age of the leader's row at a takeover

Cause: a new leader counted the 7.64 s for executors that it had not heard from its own takeover, which comes 1.3 s and more after the loss of the leader before, except for agents that the row named as silent. The row named an agent only once its connection had ended, 2 s after its last heartbeat. The class: a wait begins anew with each process that takes it over.

Change: the row tells an upper bound of the time at which it was first sent, by the clock of the table, and a commit without the row proves leadership for at most 0.35 s after that. So the row's age at the takeover bounds that of the last proof.

Ruled out: the time at which the row was written as the table's clock was estimated for it (an answer under way for long makes it too early, and the lease would count as ended too soon); renewing the row more often (calls to the table).

--- a/core/dispatch/restart_test.go
+++ b/core/dispatch/restart_test.go
@@ -87,7 +87,7 @@
 	case n < 14:
 		silences := r.dispatcher.Silences(r.now)
 		r.startLeader()
-		r.dispatcher.RestoreSilences(r.now, silences)
+		r.dispatcher.RestoreSilences(r.now, 0, 0, silences)
 		for _, id := range r.order {
 			if b := r.agents[id]; !r.lost[id] && r.rng.IntN(10) > 0 {
 				r.connect(b)
--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -12,6 +12,7 @@
 
 	"oleandervalve"
 	"oleandervalve/core/dispatch"
+	"oleandervalve/core/leasebound"
 	"oleandervalve/core/work"
 )
 
@@ -72,7 +73,7 @@
 	renewalDue := l.isRenewalDue()
 	l.mu.Unlock()
 	if len(t.Puts) == 0 || len(t.Deletes) > 0 || renewalDue {
-		next.Silences, next.Confirmations = l.nameSilences(), l.confirmations()
+		next.Silences, next.Confirmations, next.SentBy = l.nameSilences(), l.confirmations(), l.latestTableTime()
 		renewal = work.Encode(next)
 		t.Puts = append([]oleandervalve.Put{{Key: Key, Value: renewal}}, t.Puts...)
 	}
@@ -82,7 +83,7 @@
 	timeout := min(max(minCommitTimeout, commitTimeoutFactor*l.averageCommitTime), maxCommitTimeout)
 	// mayApply is set when an earlier attempt may still take effect.
 	mayApply := false
-	began := l.options.Clock.Now()
+	began := l.options.now()
 	for attempt := 1; ; attempt++ {
 		started := l.options.now()
 		commitCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -90,10 +91,10 @@
 		cancel()
 		took := l.options.Clock.Since(started.Time)
 		if err == nil {
-			l.recordTableTime(c.At)
-			l.slowness.commitEnded(began, attempt, t)
+			l.recordTableTime(c.At, started)
+			l.slowness.commitEnded(began.Time, attempt, t)
 			l.recordCommitTime(took)
-			l.commitSucceeded(b, t, c.Versions[0], renewal != nil, next, started)
+			l.commitSucceeded(b, t, c.Versions[0], renewal != nil, next, began, started)
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -102,9 +103,9 @@
 		var conflict *oleandervalve.ConflictError
 		if errors.As(err, &conflict) {
 			if isOwnCommit(t, conflict) {
-				l.slowness.commitEnded(began, attempt, t)
+				l.slowness.commitEnded(began.Time, attempt, t)
 				l.recordCommitTime(took)
-				l.commitSucceeded(b, t, conflict.Current.Version, renewal != nil, next, started)
+				l.commitSucceeded(b, t, conflict.Current.Version, renewal != nil, next, began, started)
 				return nil
 			}
 			if l.isSkipped(conflict.Key) {
@@ -192,14 +193,27 @@
 	return max(pause, 0)
 }
 
-// recordTableTime records the time of the table's clock in an answer that has just arrived.
-func (l *Leader) recordTableTime(at time.Time) {
+// recordTableTime records the time of the table's clock in an answer that has just arrived to a call
+// sent at a time.
+func (l *Leader) recordTableTime(at time.Time, sent oleandervalve.Instant) {
 	if at.IsZero() {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tableTime, l.tableTimeAt = at, l.options.now()
+	l.tableTime, l.tableTimeAt, l.tableTimeSent = at, l.options.now(), sent
+}
+
+// latestTableTime returns an upper bound of the present time by the clock of the table, or the zero time
+// if it is unknown.
+func (l *Leader) latestTableTime() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tableTime.IsZero() {
+		return time.Time{}
+	}
+	// The answer may have been under way for any part of the time since the call.
+	return l.tableTime.Add(l.options.now().Sub(l.tableTimeSent))
 }
 
 // estimateTableTime returns the present time by the clock of the table, or the zero time if
@@ -241,15 +255,15 @@
 	return c.Current.Version == 0 && slices.Contains(t.Deletes, c.Key)
 }
 
-// commitSucceeded records an applied commit, and a renewal of leadership if the
-// commit contained one, and notifies the dispatcher.
-func (l *Leader) commitSucceeded(b *dispatch.Batch, t oleandervalve.Transaction, v oleandervalve.Version, renewed bool, next Row, started oleandervalve.Instant) {
+// commitSucceeded records an applied commit, whose first attempt was sent at began and the last one at
+// started, and a renewal of leadership if the commit contained one, and notifies the dispatcher.
+func (l *Leader) commitSucceeded(b *dispatch.Batch, t oleandervalve.Transaction, v oleandervalve.Version, renewed bool, next Row, began, started oleandervalve.Instant) {
 	l.mu.Lock()
 	if renewed {
-		l.row, l.version, l.renewedAt = next, v, started
+		l.row, l.version, l.renewedAt, l.rowSentAt = next, v, started, began
 		l.silences.stored(next.Silences)
 	}
-	l.lastProofAt = started
+	l.lastProofAt = leasebound.Proof(started, l.rowSentAt, proofInterval)
 	if !l.failingSince.IsZero() {
 		l.options.Log.WithField("afterMs", l.options.Clock.Since(l.failingSince).Milliseconds()).Info("table is back")
 		l.failingSince = time.Time{}
--- a/io/leader/confirm_test.go
+++ b/io/leader/confirm_test.go
@@ -47,15 +47,14 @@
 			s.submit()
 			s.advance(3 * tickInterval)
 			is.Equal(s.assignedTo(), oleandervalve.AgentID("lost"))
-			s.leader.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) {
-				d.LeaseGranted(now, "lost")
-				if tt.confirmed {
-					d.RunsStarted(now, "lost", []dispatch.StartedRun{{Task: oleandervalve.TaskName{Job: "a"}, Run: 1}})
-				}
-			})
+			var started []dispatch.StartedRun
+			if tt.confirmed {
+				started = []dispatch.StartedRun{{Task: oleandervalve.TaskName{Job: "a"}, Run: 1}}
+			}
+			s.ping(started...)
 			if tt.stays > 0 {
 				s.advance(tt.stays)
-				s.leader.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.LeaseGranted(now, "lost") })
+				s.ping()
 			}
 			s.disconnect("lost")
 			lostAt := s.clock.Now()
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -27,6 +27,9 @@
 	// RenewInterval is the maximum time between two renewals of leadership. A renewal
 	// is a commit to the leader's row, which proves that no other entry leads.
 	RenewInterval = 700 * time.Millisecond
+	// proofInterval is how long after the leader's row was first sent commits without it prove
+	// leadership.
+	proofInterval = RenewInterval / 2
 	// ProofLifetime is how long after such a proof an agent may extend its executor's
 	// lease. It is long enough for an outage of the table of five seconds.
 	ProofLifetime = 7 * time.Second
@@ -128,19 +131,25 @@
 	absenceReads chan struct{}
 	// renewedAt is when the last commit that renewed the leader's row was sent. Entries
 	// without a connection judge the leader by that row alone.
-	renewedAt     oleandervalve.Instant
+	renewedAt oleandervalve.Instant
+	// rowSentAt is when the stored row was first sent.
+	rowSentAt     oleandervalve.Instant
 	termStartedAt oleandervalve.Instant
 	// acquiredAt is when the leader's row had certainly replaced that of the previous leader.
 	acquiredAt oleandervalve.Instant
 	silences   silences
 	// inheritedSilences are those that the row of the previous leader named, as of acquiredAt.
 	inheritedSilences []dispatch.Silence
+	// inheritedRowAge is a lower bound of the age of the previous leader's row at acquiredAt.
+	inheritedRowAge time.Duration
 	// grantedWhileLoading holds when agents were last given a proof before the jobs were loaded.
 	grantedWhileLoading map[oleandervalve.AgentID]time.Time
 	// tableTime is the time by the clock of the table at the local time tableTimeAt; zero
 	// before the first commit.
 	tableTime   time.Time
 	tableTimeAt oleandervalve.Instant
+	// tableTimeSent is when the call was sent that tableTime is the answer to.
+	tableTimeSent oleandervalve.Instant
 	// learnedWrittenAt is the time of the last write of the learned model.
 	learnedWrittenAt time.Time
 	// failingSince is the start of the first failed commit since the last successful
@@ -179,7 +188,8 @@
 	}
 	own.Term, own.Silences, own.Confirmations = previous.Term+1, previous.Silences, previous.Confirmations
 	started := o.now()
-	version, err := commitTakeover(ctx, o, oleandervalve.Transaction{
+	own.SentBy = time.Time{}
+	committed, err := commitTakeover(ctx, o, oleandervalve.Transaction{
 		Conditions: []oleandervalve.Condition{{Key: Key, Version: current.Version}},
 		Puts:       []oleandervalve.Put{{Key: Key, Value: work.Encode(own)}},
 	})
@@ -189,14 +199,14 @@
 	o.Log = o.Log.WithField("term", own.Term)
 	slow := newSlowness(o)
 	l := &Leader{
-		options: o, row: own, version: version, outflow: handover.NewOutflow(o.Link), slowness: slow, mu: timedMutex{clock: o.Clock, report: slow.lockReleased},
-		acquiredAt: o.now(), inheritedSilences: own.Silences, grantedWhileLoading: map[oleandervalve.AgentID]time.Time{},
+		options: o, row: own, version: committed.Versions[0], outflow: handover.NewOutflow(o.Link), slowness: slow, mu: timedMutex{clock: o.Clock, report: slow.lockReleased},
+		acquiredAt: o.now(), inheritedSilences: own.Silences, inheritedRowAge: leasebound.RowAge(committed.At, previous.SentBy), grantedWhileLoading: map[oleandervalve.AgentID]time.Time{},
 		averageCommitTime: minCommitTimeout / commitTimeoutFactor,
 		dispatcher: dispatch.New(dispatch.Options{
 			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, UnconfirmedAfter: o.unconfirmedAfter(), Retention: o.Retention, EarlyStart: o.EarlyStart, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{}, joins: map[oleandervalve.EntryID]int{},
-		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, termStartedAt: started,
+		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, rowSentAt: started, termStartedAt: started,
 		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}), cancelled: make(chan struct{}),
 	}
 	l.silences.add(l.acquiredAt, own.Silences)
@@ -205,21 +215,21 @@
 
 // commitTakeover commits a takeover. A commit with an unknown outcome is repeated; a
 // conflict with the row that it writes shows that it was applied.
-func commitTakeover(ctx context.Context, o Options, t oleandervalve.Transaction) (oleandervalve.Version, error) {
+func commitTakeover(ctx context.Context, o Options, t oleandervalve.Transaction) (oleandervalve.Committed, error) {
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, maxCommitTimeout)
 		c, err := o.Table.Commit(callCtx, t)
 		cancel()
 		if err == nil {
-			return c.Versions[0], nil
+			return c, nil
 		}
 		var conflict *oleandervalve.ConflictError
 		if errors.As(err, &conflict) && isOwnCommit(t, conflict) {
-			return conflict.Current.Version, nil
+			return oleandervalve.Committed{Versions: []oleandervalve.Version{conflict.Current.Version}}, nil
 		}
 		var unknown *oleandervalve.UnknownOutcomeError
 		if !errors.As(err, &unknown) || ctx.Err() != nil {
-			return 0, err
+			return oleandervalve.Committed{}, err
 		}
 		o.Log.WithError(err).Warn("outcome of the takeover is unknown; repeating it")
 	}
--- a/io/leader/leader_test.go
+++ b/io/leader/leader_test.go
@@ -38,6 +38,8 @@
 	// rejectedKey, if set, is the key of a row that Commit rejects for good.
 	rejectedKey oleandervalve.Key
 	commitCount int
+	// clock, if set, is the clock that answers to commits tell.
+	clock oleandervalve.Clock
 }
 
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[oleandervalve.Key]oleandervalve.Row{}} }
@@ -89,6 +91,9 @@
 	}
 	t.version++
 	var out oleandervalve.Committed
+	if t.clock != nil {
+		out.At = t.clock.Now()
+	}
 	for _, p := range x.Puts {
 		t.rows[p.Key] = oleandervalve.Row{Key: p.Key, Value: p.Value, Version: t.version}
 		out.Versions = append(out.Versions, t.version)
--- a/io/leader/load.go
+++ b/io/leader/load.go
@@ -106,7 +106,7 @@
 	}
 	l.learnedWrittenAt = l.options.Clock.Now()
 	l.dispatcher.Load(l.options.Clock.Now(), stored)
-	l.dispatcher.RestoreSilences(l.acquiredAt.Time, l.inheritedSilences)
+	l.dispatcher.RestoreSilences(l.acquiredAt.Time, l.inheritedRowAge, proofInterval, l.inheritedSilences)
 	l.dispatcher.RestoreConfirmations(l.row.Confirmations)
 	for id, at := range l.grantedWhileLoading {
 		l.dispatcher.LeaseGranted(at, id)
--- a/io/leader/row.go
+++ b/io/leader/row.go
@@ -33,6 +33,9 @@
 	Silences []dispatch.Silence `cbor:"8,keyasint,omitempty"`
 	// Confirmations tells which starts were confirmed at the time of the renewal.
 	Confirmations dispatch.Confirmations `cbor:"9,keyasint,omitzero"`
+	// SentBy is an upper bound of the time at which the row was first sent, by the clock of the table;
+	// zero if that is unknown.
+	SentBy time.Time `cbor:"10,keyasint,omitzero"`
 }
 
 // DecodeRow decodes the leader's row. It returns the zero Row for an absent one.
--- a/io/leader/session.go
+++ b/io/leader/session.go
@@ -230,6 +230,7 @@
 // applyPing applies what an agent reports with a ping. The lock must be held.
 func (l *Leader) applyPing(now time.Time, id oleandervalve.AgentID, p *peer.Ping) {
 	l.dispatcher.LeaseGranted(now, id)
+	l.agentHeard(id)
 	if p.ConfirmsStarts {
 		l.dispatcher.RunsStarted(now, id, p.Started)
 	}
@@ -310,7 +311,12 @@
 	}
 	l.dispatcher.StartsUnanswered(now, id, m.Unanswered, m.UnknownFor)
 	l.dispatcher.AgentConnected(now, id, m.Status, oleandervalve.PollResult{Running: m.Running, Ended: m.Ended, Incomplete: m.Incomplete})
-	if l.silences.connected(id) {
+	l.agentHeard(id)
+}
+
+// agentHeard makes the row that names an agent as silent be written without it. The lock must be held.
+func (l *Leader) agentHeard(id oleandervalve.AgentID) {
+	if l.silences.heard(id) {
 		l.requestCommit()
 	}
 }
--- a/io/leader/silence.go
+++ b/io/leader/silence.go
@@ -16,7 +16,7 @@
 	// since holds the beginning of the silence of the agents that the stored row, or one that is
 	// being written, may name.
 	since map[oleandervalve.AgentID]oleandervalve.Instant
-	// outdated means that an agent has connected that the stored row may name.
+	// outdated means that an agent has been heard that the stored row may name.
 	outdated bool
 }
 
@@ -50,9 +50,9 @@
 	return out
 }
 
-// connected records that an agent is no longer silent, and reports whether the row is to be
+// heard records that an agent is no longer silent, and reports whether the row is to be
 // written without it.
-func (s *silences) connected(id oleandervalve.AgentID) bool {
+func (s *silences) heard(id oleandervalve.AgentID) bool {
 	_, named := s.since[id]
 	s.outdated = s.outdated || named
 	return named
--- a/io/leader/silence_test.go
+++ b/io/leader/silence_test.go
@@ -32,6 +32,7 @@
 
 func newTerms(t *testing.T) *terms {
 	s := &terms{t: t, clock: sleeplessClock{clockwork.NewFakeClock()}, table: newFakeTable()}
+	s.table.clock = s.clock
 	s.next()
 	return s
 }
@@ -74,6 +75,19 @@
 	s.leader.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.AgentDisconnected(now, id) })
 }
 
+// ping lets agent "lost" send a ping that confirms starts, and commits what that changes.
+func (s *terms) ping(started ...dispatch.StartedRun) {
+	s.leader.withDispatcher(func(_ *dispatch.Dispatcher, now time.Time) {
+		s.leader.applyPing(now, "lost", &peer.Ping{Started: started, ConfirmsStarts: true})
+	})
+	if len(s.leader.commitRequests) > 0 {
+		<-s.leader.commitRequests
+		if err := s.leader.commit(context.Background(), &dispatch.Batch{}); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
 // advance lets time pass, and commits what has changed.
 func (s *terms) advance(d time.Duration) {
 	s.t.Helper()
@@ -222,3 +236,66 @@
 		t.Fatalf("the agent is given up with %d of %d seeds", givenUp, seeds)
 	}
 }
+
+// Guards against tasks of an executor that is lost shortly before the leader, which start elsewhere
+// later than those of other lost executors because the next leader counts from its takeover.
+func TestTakeoverDoesNotProlongTheWaitForLostExecutors(t *testing.T) {
+	const (
+		// target is how long long-running tasks may have nothing running.
+		target = 9 * time.Second
+		// undetected is the time from the loss of a leader to the takeover.
+		undetected = 1300 * time.Millisecond
+	)
+	for after := time.Duration(0); after <= 3*time.Second; after += 300 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			is := is.New(t)
+			s := newTerms(t)
+			s.connect("lost")
+			s.submit()
+			s.advance(5 * time.Second)
+			s.ping(dispatch.StartedRun{Task: oleandervalve.TaskName{Job: "a"}, Run: 1})
+			s.advance(RenewInterval)
+			s.ping()
+			lostAt := s.clock.Now()
+			s.advance(after)
+			s.clock.Advance(undetected)
+			s.next()
+			s.connect("other")
+			for s.assignedTo() != "other" && s.clock.Since(lostAt) < 3*target {
+				s.advance(tickInterval)
+			}
+			got := s.clock.Since(lostAt)
+			t.Logf("starts elsewhere after %s", got)
+			is.True(got >= ProofLifetime)
+			is.True(got < target)
+		})
+	}
+}
+
+// Guards against proofs of leadership that are younger than the leader's row tells the next leader,
+// because a commit without the row was sent again and again.
+func TestProofsAreNotYoungerThanTheRowTells(t *testing.T) {
+	is := is.New(t)
+	s := newTerms(t)
+	s.connect("side")
+	s.submit()
+	s.advance(time.Second)
+	var row Row
+	is.NoErr(work.Decode(s.table.rows[Key], &row))
+	is.True(!row.SentBy.IsZero())
+	s.leader.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.Cancel(now, "a", 7) })
+	b := s.leader.dispatcher.Batch()
+	s.table.commitError = &oleandervalve.UnknownOutcomeError{Operation: "commit"}
+	attempts := make(chan error)
+	go func() { attempts <- s.leader.commit(context.Background(), b) }()
+	for s.clock.Now().Before(row.SentBy.Add(3 * time.Second)) {
+		time.Sleep(time.Millisecond) // the clock advances with each pause between two attempts
+	}
+	s.table.mu.Lock()
+	s.table.commitError = nil
+	s.table.mu.Unlock()
+	is.NoErr(<-attempts)
+	is.NoErr(work.Decode(s.table.rows[Key], &row))
+	at := s.clock.Now().Add(-proofAge(s.leader))
+	is.True(!at.After(row.SentBy.Add(proofInterval)))
+}
