Count the longest lease for long-running starts of the previous leader

Cause: the next leader loads its runs with the time of the load as their start, and the agents' last proof is dated to the takeover, which is earlier.

Change: that rule holds only for agents that the leader has heard of.

--- a/core/dispatch/confirm.go
+++ b/core/dispatch/confirm.go
@@ -96,7 +96,7 @@
 		return leaseEnd
 	case !r.unansweredUntil.IsZero():
 		return r.unansweredUntil
-	case r.step != nil && r.step.spec.LongRunning && r.startedAt.After(a.grantedAt):
+	case r.step != nil && r.step.spec.LongRunning && !a.unheard && r.startedAt.After(a.grantedAt):
 		// The agent starts long-running tasks only after the answer to a ping that it has sent since
 		// the order, and there was none.
 		return leaseEnd
