Use no sequence number of a deleted record again

Cause: a leader continues from the highest number in the stored records, and the row of the leader before says up to which number starts are confirmed. Once the record with that number is deleted, new records get lower ones, and a leader that takes over before the row is renewed takes their starts for confirmed.

Change: numbers continue after the one in the row.

Measured: TestSequenceNumbersOfDeletedRecordsAreNotUsedAgain fails before and passes with the change.

--- a/core/dispatch/confirm.go
+++ b/core/dispatch/confirm.go
@@ -202,6 +202,9 @@
 // RestoreConfirmations takes over what the previous leader has stored of starts, after Load and
 // before any agent connects.
 func (d *Dispatcher) RestoreConfirmations(c Confirmations) {
+	// The record with the highest number may have been deleted.
+	d.sequence = max(d.sequence, c.Through)
+	d.committedSequence = d.sequence
 	for _, a := range d.sortedAgents {
 		for k, r := range a.runs {
 			if r.sequence <= c.Through {
