Name unconfirmed starts of the previous leader in the leader's row

Cause: a new leader counts the starts that it has loaded as young, leaves them out of its row and so ends the numbers up to which all starts are confirmed before the oldest of them. The next leader then takes confirmed runs with higher numbers for unconfirmed ones, and their tasks wait 14.1 s instead of 7.64 s.

Change: starts at agents that the leader has not heard of are named at once.

Measured: TestConfirmedRunStaysConfirmedOverTwoChangesOfLeader fails before and passes with the change.

--- a/core/dispatch/confirm.go
+++ b/core/dispatch/confirm.go
@@ -183,7 +183,7 @@
 		for k, r := range a.runs {
 			switch {
 			case !r.startSent || r.confirmed || r.sequence == 0 || r.step == nil || r.step.job.rec.State.Terminal():
-			case now.Sub(r.startedAt) < namedAfter:
+			case !a.unheard && now.Sub(r.startedAt) < namedAfter:
 				through = min(through, r.sequence-1)
 			default:
 				unconfirmed = append(unconfirmed, k)
