Confirm starts only after an answer since the last attempt

Cause: an agent confirmed a start two seconds after the last attempt that had no answer, also if its executor had given no answer since or had ended. The next incarnation may have got that attempt, but the leader counted the shorter lease; and a run of an ended executor that was confirmed then was kept for as long as its agent was connected, as nothing released it.

Change: the executor has to answer a poll that was sent when no attempt was on its way any more. Leaders ignore confirmations of executors that have ended.

--- a/core/dispatch/confirm.go
+++ b/core/dispatch/confirm.go
@@ -45,7 +45,7 @@
 // that nobody has met.
 func (d *Dispatcher) RunsStarted(_ time.Time, id oleandervalve.AgentID, runs []StartedRun) {
 	a := d.agents[id]
-	if a == nil || !a.connected {
+	if a == nil || !a.connected || a.status.State == oleandervalve.ExecutorTerminated {
 		return
 	}
 	a.reportsStarts = true
--- a/core/dispatch/unconfirmed_test.go
+++ b/core/dispatch/unconfirmed_test.go
@@ -212,3 +212,17 @@
 		}
 	}
 }
+
+// Guards against a run of an ended executor that is confirmed too late, which is then kept as long as its agent is connected.
+func TestRunOfEndedExecutorIsNotConfirmed(t *testing.T) {
+	const rest = 5 * time.Second
+	is := is.New(t)
+	c := confirmCluster(t, 2)
+	a, k := c.startTasks(true)
+	c.dispatcher.StartsUnanswered(c.now, a.id, []UnansweredStart{{k.task, k.run, rest}}, 0)
+	c.dispatcher.ExecutorTerminated(c.now, a.id, a.status.Incarnation, true)
+	c.dispatcher.RunsStarted(c.now, a.id, []StartedRun{{k.task, k.run}})
+	got := c.startsElsewhere(a, k)
+	t.Logf("given up after %s", got)
+	is.True(got >= rest && got <= rest+200*time.Millisecond)
+}
--- a/io/executor/latecalls_test.go
+++ b/io/executor/latecalls_test.go
@@ -202,3 +202,38 @@
 	}
 	return x.scriptedExecutor.Poll(ctx, e, p)
 }
+
+// Guards against a start that is confirmed although the executor has given no answer since the last attempt
+// could be carried out: the next incarnation may have got that attempt.
+func TestStartIsNotConfirmedWithoutAnAnswerSinceTheLastAttempt(t *testing.T) {
+	is := is.New(t)
+	unknown := &oleandervalve.UnknownOutcomeError{Operation: "call"}
+	x := &scriptedExecutor{poll: answerPoll}
+	x.onStart = func(attempt int) (oleandervalve.ExecutorTime, oleandervalve.StartRefusal, error) {
+		if attempt == 1 {
+			return 0, "", unknown
+		}
+		x.poll = func(oleandervalve.PollRequest) (oleandervalve.PollResult, error) {
+			return oleandervalve.PollResult{}, unknown
+		}
+		return oleandervalve.ExecutorTime(time.Hour), "", nil
+	}
+	a := scriptedAgent(x, true)
+	is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+	confirmed := make(chan bool, 10)
+	leadAgentWith(t, a, func(p *peer.Ping) bool {
+		for range p.Started {
+			confirmed <- true
+		}
+		return true
+	}, func(c *peer.Conn, m peer.Message) {
+		if m, ok := m.(*peer.ExecutorInventory); ok {
+			c.TrySend(startOf(m.Status.Incarnation, 0, dispatch.RunHints{Estimate: time.Second}))
+		}
+	})
+	select {
+	case <-confirmed:
+		t.Fatal("the start is confirmed")
+	case <-time.After(2 * leasebound.CallDelay):
+	}
+}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -364,7 +364,7 @@
 		sample := s.sample
 		s.sample = contention.Sample{}
 		checkpoints := s.takeUnsentCheckpoints()
-		ping := &peer.Ping{Sequence: n, Sample: sample, Checkpoints: checkpoints, Started: s.takeConfirmed(sentAt.Time), ConfirmsStarts: true}
+		ping := &peer.Ping{Sequence: n, Sample: sample, Checkpoints: checkpoints, Started: s.takeConfirmed(), ConfirmsStarts: true}
 		s.addDelayedStarts(sentAt, ping)
 		s.mu.Unlock()
 		s.conn.TrySend(ping)
--- a/io/executor/unanswered.go
+++ b/io/executor/unanswered.go
@@ -68,7 +68,8 @@
 	return out
 }
 
-// startConfirmation is a start that counts as confirmed from a time on.
+// startConfirmation is a start that counts as confirmed once the executor has answered a question that was
+// sent at a time or later; at once if that is zero.
 type startConfirmation struct {
 	key  runKey
 	from time.Time
@@ -77,7 +78,7 @@
 // startAnswered records that the executor has carried out a start order. unansweredAt is when the
 // last attempt was sent that had no answer; zero if there is none.
 func (s *session) startAnswered(k runKey, unansweredAt time.Time, longRunning bool) {
-	from := s.agent.options.Clock.Now()
+	var from time.Time
 	if !unansweredAt.IsZero() {
 		from = unansweredAt.Add(leasebound.CallDelay)
 	}
@@ -93,12 +94,12 @@
 const maxConfirmationBytes = peer.MaxFrame / 8
 
 // takeConfirmed returns the starts to confirm with a ping. s.mu must be held.
-func (s *session) takeConfirmed(now time.Time) []dispatch.StartedRun {
+func (s *session) takeConfirmed() []dispatch.StartedRun {
 	var out []dispatch.StartedRun
 	kept, size := s.confirmations[:0], 0
 	for _, c := range s.confirmations {
 		n := runBytes + len(c.key.task.Job)
-		if now.Before(c.from) || size+n > maxConfirmationBytes {
+		if s.executorAskedAt.Before(c.from) || size+n > maxConfirmationBytes {
 			kept = append(kept, c)
 			continue
 		}
