Forget reported times also if the agent of a draining executor is lost

Cause: what an agent reports of starts without an answer holds while it is in touch with its executor, but it was kept if that executor was draining. Leaders then counted 7.64 s instead of 14.1 s.

Change: only the times for an executor that has ended are kept.

Measured: TestUnansweredStartOfDrainingExecutorIsKeptLonger fails before (7.1 s with the test's limits of 7 and 14 s) and passes with the change.

--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -170,7 +170,7 @@
 func (d *Dispatcher) AgentDisconnected(now time.Time, id oleandervalve.AgentID) {
 	if a := d.agents[id]; a != nil && a.connected {
 		a.connected = false
-		if a.status.State.IsUp() {
+		if a.status.State != oleandervalve.ExecutorTerminated {
 			// The times that the agent has reported hold while it is in touch with the executor.
 			a.forgetUnanswered()
 		}
--- a/core/dispatch/unconfirmed_test.go
+++ b/core/dispatch/unconfirmed_test.go
@@ -226,3 +226,19 @@
 	t.Logf("given up after %s", got)
 	is.True(got >= rest && got <= rest+200*time.Millisecond)
 }
+
+// Guards against a start that counts as ended while an incarnation that nobody has met may run it, because its executor was
+// draining when its agent was lost.
+func TestUnansweredStartOfDrainingExecutorIsKeptLonger(t *testing.T) {
+	is := is.New(t)
+	c := confirmCluster(t, 2)
+	a, k := c.startTasks(false)
+	s := restartExecutor(a)
+	s.State = oleandervalve.ExecutorDraining
+	c.dispatcher.StartsUnanswered(c.now, a.id, []UnansweredStart{{k.task, k.run, 1500 * time.Millisecond}}, 0)
+	c.dispatcher.AgentConnected(c.now, a.id, s, oleandervalve.PollResult{})
+	c.dispatcher.AgentDisconnected(c.now, a.id)
+	got := c.startsElsewhere(a, k)
+	t.Logf("given up after %s", got)
+	is.True(got > testUnconfirmedAfter-200*time.Millisecond)
+}
