Count all calls that may reach the next incarnation

Callers could see tasks that run twice.

Causes and changes: - A poll that is sent after a start without an answer may extend the lease in the next incarnation too. Agents count from the last call that may have extended the lease, and polls extend it for at most 0.3 s after an unanswered start until the executor answers again; leaders add that time (14.4 s instead of 14.1 s). - A new process of an agent tells in its first inventory for how long orders of the earlier process may still be carried out. - A run is not reported as never started while an attempt at it may still be carried out by the next incarnation. - An answer of the next incarnation was taken for one of the former if its clock was ahead of the last known time. It is compared with the time that has passed since then as well.

The fake executor of TestRunIsNotVoidWhileAnAttemptIsOnItsWay answered with a clock that stood still, which is that of another incarnation now; it advances.

--- a/core/dispatch/unconfirmed_test.go
+++ b/core/dispatch/unconfirmed_test.go
@@ -34,7 +34,7 @@
 	c.now = acquiredAt.Add(50 * time.Millisecond) // loading takes a while
 	c.startLeader()
 	c.dispatcher.options.UnconfirmedAfter = testUnconfirmedAfter
-	c.dispatcher.RestoreSilences(acquiredAt, nil)
+	c.dispatcher.RestoreSilences(acquiredAt, 0, 0, nil)
 	c.dispatcher.RestoreConfirmations(stored)
 	got := c.startsElsewhere(c.dispatcher.agents[a.id], k)
 	t.Logf("given up after %s", got)
--- a/core/leasebound/unanswered.go
+++ b/core/leasebound/unanswered.go
@@ -11,6 +11,9 @@
 // whichever incarnation the executor then has under its id.
 const CallDelay = 2 * time.Second
 
+// PollDelay is how long after a start order without an answer polls may still extend the lease.
+const PollDelay = 300 * time.Millisecond
+
 // UnansweredStart returns when a run has certainly ended whose start order was last sent at a time
 // and had no answer: an incarnation that the order wasn't meant for grants it the longest lease, as
 // the deadline is on the clock of an earlier one.
@@ -22,7 +25,7 @@
 // certainly ended that it has not confirmed, if it sends start orders only with a proof that is
 // younger than maxProofAge.
 func (l Limits) UnconfirmedAfter(maxProofAge time.Duration) time.Duration {
-	return maxProofAge + CallDelay + Elapsed(l.Granted)
+	return maxProofAge + PollDelay + CallDelay + Elapsed(l.Granted)
 }
 
 // Run identifies a run of a task.
@@ -38,8 +41,10 @@
 type Unanswered struct {
 	limits Limits
 	sentAt map[Run]time.Time
-	// unknownUntil is when the runs have certainly ended that an earlier process may have ordered.
-	unknownUntil time.Time
+	// extendedAt is when a call that may extend the lease was last sent.
+	extendedAt time.Time
+	// unknownSince is when the process began, if an earlier one may have sent start orders; else zero.
+	unknownSince time.Time
 }
 
 // NewUnanswered returns an Unanswered of a process that begins at a time. firstStart means that no
@@ -47,7 +52,7 @@
 func NewUnanswered(l Limits, now time.Time, firstStart bool) *Unanswered {
 	u := &Unanswered{limits: l, sentAt: map[Run]time.Time{}}
 	if !firstStart {
-		u.unknownUntil = l.UnansweredStart(now)
+		u.unknownSince = now
 	}
 	return u
 }
@@ -55,29 +60,53 @@
 // Sent records an attempt at a start order.
 func (u *Unanswered) Sent(now time.Time, r Run) { u.sentAt[r] = now }
 
+// Extended records a call that may extend the lease of all runs.
+func (u *Unanswered) Extended(now time.Time) { u.extendedAt = now }
+
 // Answered records that the last attempt was answered by the executor or has not reached it, and all
 // earlier ones too.
 func (u *Unanswered) Answered(r Run) { delete(u.sentAt, r) }
 
-// Late returns for how long each start order without an answer may still be carried out. The first
-// poll of a session keeps the present incarnation from that, but not one that starts after it.
-func (u *Unanswered) Late(now time.Time) map[Run]time.Duration {
-	out := map[Run]time.Duration{}
+// Late returns for how long each start order without an answer may still be carried out, and for how
+// long those may that an earlier process may have sent. The first poll of a session keeps the present
+// incarnation from that, but not one that starts after it.
+func (u *Unanswered) Late(now time.Time) (known map[Run]time.Duration, unknown time.Duration) {
+	known = map[Run]time.Duration{}
 	for r, at := range u.sentAt {
 		if d := at.Add(CallDelay).Sub(now); d > 0 {
-			out[r] = d
+			known[r] = d
 		}
 	}
-	return out
+	if !u.unknownSince.IsZero() {
+		unknown = max(0, u.unknownSince.Add(CallDelay).Sub(now))
+	}
+	return known, unknown
+}
+
+// IsLate reports whether a start order may still be carried out.
+func (u *Unanswered) IsLate(now time.Time, r Run) bool {
+	at, ok := u.sentAt[r]
+	return ok && now.Before(at.Add(CallDelay))
+}
+
+// end returns when a run has certainly ended whose start order was last sent at a time.
+func (u *Unanswered) end(sentAt time.Time) time.Time {
+	if u.extendedAt.After(sentAt) {
+		sentAt = u.extendedAt
+	}
+	return u.limits.UnansweredStart(sentAt)
 }
 
 // Remaining returns for how long each run may still go on whose order has had no answer, and for how
 // long those may that an earlier process may have ordered. It drops what has certainly ended.
 func (u *Unanswered) Remaining(now time.Time) (known map[Run]time.Duration, unknown time.Duration) {
-	maps.DeleteFunc(u.sentAt, func(_ Run, at time.Time) bool { return !now.Before(u.limits.UnansweredStart(at)) })
+	maps.DeleteFunc(u.sentAt, func(_ Run, at time.Time) bool { return !now.Before(u.end(at)) })
 	known = make(map[Run]time.Duration, len(u.sentAt))
 	for r, at := range u.sentAt {
-		known[r] = u.limits.UnansweredStart(at).Sub(now)
+		known[r] = u.end(at).Sub(now)
+	}
+	if !u.unknownSince.IsZero() {
+		unknown = max(0, u.limits.UnansweredStart(u.unknownSince).Sub(now))
 	}
-	return known, max(0, u.unknownUntil.Sub(now))
+	return known, unknown
 }
--- a/core/leasebound/unanswered_test.go
+++ b/core/leasebound/unanswered_test.go
@@ -21,13 +21,20 @@
 	u.Answered(run(2))
 	u.Sent(began.Add(time.Second), run(3))
 
-	is.Equal(u.Late(began.Add(1500*time.Millisecond)), map[Run]time.Duration{run(1): 500 * time.Millisecond, run(3): 1500 * time.Millisecond})
-	is.Equal(u.Late(began.Add(2500*time.Millisecond)), map[Run]time.Duration{run(3): 500 * time.Millisecond})
-	known, unknown := u.Remaining(began.Add(12 * time.Second))
+	known, unknown := u.Late(began.Add(1500 * time.Millisecond))
+	is.Equal(known, map[Run]time.Duration{run(1): 500 * time.Millisecond, run(3): 1500 * time.Millisecond})
+	is.Equal(unknown, time.Duration(0))
+	known, _ = u.Late(began.Add(2500 * time.Millisecond))
+	is.Equal(known, map[Run]time.Duration{run(3): 500 * time.Millisecond})
+	is.True(!u.IsLate(began.Add(2500*time.Millisecond), run(1)))
+	is.True(u.IsLate(began.Add(2500*time.Millisecond), run(3)))
+	is.True(!u.IsLate(began, run(2)))
+	known, unknown = u.Remaining(began.Add(12 * time.Second))
 	is.Equal(known, map[Run]time.Duration{run(1): 300 * time.Millisecond, run(3): 1300 * time.Millisecond})
 	is.Equal(unknown, time.Duration(0))
+	u.Extended(began.Add(500 * time.Millisecond)) // after the first start, before the last
 	known, _ = u.Remaining(began.Add(12300 * time.Millisecond))
-	is.Equal(known, map[Run]time.Duration{run(3): time.Second})
+	is.Equal(known, map[Run]time.Duration{run(1): 500 * time.Millisecond, run(3): time.Second})
 }
 
 // Guards against a new process of an agent that takes starts of the earlier one for answered.
@@ -36,7 +43,9 @@
 	limits := Limits{Requested: 6 * time.Second, Granted: 6 * time.Second}
 	began := time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
 	u := NewUnanswered(limits, began, false)
-	_, unknown := u.Remaining(began.Add(8 * time.Second))
+	_, unknown := u.Late(began.Add(time.Second))
+	is.Equal(unknown, time.Second)
+	_, unknown = u.Remaining(began.Add(8 * time.Second))
 	is.Equal(unknown, 180*time.Millisecond)
 	_, unknown = u.Remaining(began.Add(9 * time.Second))
 	is.Equal(unknown, time.Duration(0))
@@ -48,7 +57,7 @@
 	limits := Limits{Requested: 6 * time.Second, Granted: 10 * time.Second}
 	const maxProofAge = 1800 * time.Millisecond
 	granted := time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
-	lastAttempt := granted.Add(maxProofAge)
+	lastAttempt := granted.Add(maxProofAge + PollDelay)
 	is.True(!granted.Add(limits.UnconfirmedAfter(maxProofAge)).Before(limits.UnansweredStart(lastAttempt)))
 	is.True(!limits.UnansweredStart(lastAttempt).Before(lastAttempt.Add(CallDelay + limits.Granted*102/100)))
 }
--- a/io/executor/latecalls_test.go
+++ b/io/executor/latecalls_test.go
@@ -132,7 +132,7 @@
 			sentAt = time.Now()
 			return 0, "", &oleandervalve.UnknownOutcomeError{Operation: "start"}
 		}
-		return oleandervalve.ExecutorTime(time.Hour), oleandervalve.RefusedRoom, nil
+		return oleandervalve.ExecutorTime(time.Hour + time.Minute), oleandervalve.RefusedRoom, nil
 	}
 	a := scriptedAgent(x, true)
 	is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -36,6 +36,7 @@
 		return 0
 	}
 	s.leaseBound = s.leaseBound.Extend(now.Time, remaining)
+	s.agent.unanswered.extended(now.Time)
 	return s.clock + oleandervalve.ExecutorTime(now.Time.Sub(s.clockAt)+remaining)
 }
 
@@ -276,10 +277,18 @@
 	return startorder.Decide(now, s.agent.startLimits, c)
 }
 
+const (
+	// minElapsedPercent is a lower bound of the time on the clock of an executor, which may be 2% slow,
+	// in percent of the real time.
+	minElapsedPercent = 95
+	// clockRounding is more than executors round their times by.
+	clockRounding = 5 * time.Millisecond
+)
+
 // startAttempt is an attempt at a start order.
 type startAttempt struct {
-	// leaseUntil is the end of the lease to request, and clock the executor's time in its last
-	// answer to a poll, both on the executor's clock.
+	// leaseUntil is the end of the lease to request, and clock a lower bound of the present time,
+	// both on the executor's clock.
 	leaseUntil, clock oleandervalve.ExecutorTime
 	sentAt            time.Time
 }
@@ -296,7 +305,8 @@
 	}
 	s.startsInFlight++
 	s.agent.unanswered.sent(now.Time, k)
-	return startAttempt{leaseUntil: s.leaseUntil(now), clock: s.clock, sentAt: now.Time}, true
+	clock := s.clock + oleandervalve.ExecutorTime(max(0, now.Time.Sub(s.clockAt)*minElapsedPercent/100-clockRounding))
+	return startAttempt{leaseUntil: s.leaseUntil(now), clock: clock, sentAt: now.Time}, true
 }
 
 // waitForProof asks the leader for a newer proof of leadership, and waits until there is one,
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -10,6 +10,7 @@
 	"oleandervalve"
 	"oleandervalve/core/contention"
 	"oleandervalve/core/crash"
+	"oleandervalve/core/leasebound"
 	"oleandervalve/core/pacing"
 	"oleandervalve/io/peer"
 )
@@ -34,6 +35,15 @@
 // end, and no task of it could start elsewhere.
 const maxSilence = 2 * time.Second
 
+// maxSilence returns how long the executor may give no answer until polls extend its lease no
+// further. s.mu must be held.
+func (s *session) maxSilence() time.Duration {
+	if s.unansweredAt.After(s.executorAskedAt) {
+		return leasebound.PollDelay
+	}
+	return maxSilence
+}
+
 // pollLoop polls the executor until the session ends. Each poll extends the lease,
 // reports ended runs and updates the speed limits of best-effort tasks.
 func (s *session) pollLoop(ctx context.Context) {
@@ -49,7 +59,7 @@
 			wait = initialPollWait
 		}
 		request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: s.lastAcknowledgedEnd, Wait: wait}
-		if now.Sub(s.clockAt) < maxSilence && !s.replaced {
+		if now.Sub(s.clockAt) < s.maxSilence() && !s.replaced {
 			request.LeaseUntil = s.leaseUntil(s.agent.options.now())
 		}
 		s.mu.Unlock()
@@ -162,8 +172,9 @@
 	}
 	var neverStarted []runKey
 	for k, at := range s.confirmedStops {
-		// A run that is in neither list may be among the ends that are not listed yet.
-		if at.Before(sentAt) && !running[k] && !result.Incomplete {
+		// A run that is in neither list may be among the ends that are not listed yet, or begin in the
+		// next incarnation.
+		if at.Before(sentAt) && !running[k] && !result.Incomplete && !s.agent.unanswered.isLate(k) {
 			delete(s.confirmedStops, k)
 			neverStarted = append(neverStarted, k)
 		}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -73,6 +73,8 @@
 	proofAt oleandervalve.Instant
 	// proofRenewed is closed and replaced when proofAt advances.
 	proofRenewed chan struct{}
+	// unansweredAt is when the last attempt at a start order was sent that had no answer.
+	unansweredAt time.Time
 	// leaderAskedAt and executorAskedAt are when the latest ping and the latest question to the
 	// executor were sent that have an answer. leaderAnswered is closed and replaced at each pong.
 	leaderAskedAt, executorAskedAt time.Time
@@ -329,7 +331,8 @@
 	if result.Incomplete {
 		s.log().WithFields(logrus.Fields{"running": len(result.Running), "ended": len(result.Ended)}).Info("inventory is incomplete: further ends follow as the leader acknowledges the listed ones")
 	}
-	inventory := peer.ExecutorInventory{Status: s.reportable(s.status), Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), Incomplete: result.Incomplete, Unanswered: s.agent.unanswered.late()}
+	inventory := peer.ExecutorInventory{Status: s.reportable(s.status), Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), Incomplete: result.Incomplete}
+	inventory.Unanswered, inventory.UnknownFor = s.agent.unanswered.late()
 	for _, m := range peer.SplitInventory(inventory) {
 		if err := s.conn.Send(m); err != nil {
 			return false, err
--- a/io/executor/unanswered.go
+++ b/io/executor/unanswered.go
@@ -48,10 +48,25 @@
 }
 
 // late returns what the leader is told of an executor that has answered the first poll of a session.
-func (u *unansweredStarts) late() []dispatch.UnansweredStart {
+func (u *unansweredStarts) late() (starts []dispatch.UnansweredStart, unknownFor time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return sortedStarts(u.log.Late(u.clock.Now()))
+	known, unknownFor := u.log.Late(u.clock.Now())
+	return sortedStarts(known), unknownFor
+}
+
+// isLate reports whether an attempt may still be carried out.
+func (u *unansweredStarts) isLate(k runKey) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.log.IsLate(u.clock.Now(), leasebound.Run{Task: k.task, Number: k.run})
+}
+
+// extended records a call that may extend the lease.
+func (u *unansweredStarts) extended(at time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.log.Extended(at)
 }
 
 func sortedStarts(runs map[leasebound.Run]time.Duration) []dispatch.UnansweredStart {
@@ -116,6 +131,9 @@
 func (s *session) attemptReturned(k runKey, sentAt, unansweredAt time.Time, reached bool) time.Time {
 	switch {
 	case reached:
+		s.mu.Lock()
+		s.unansweredAt = sentAt
+		s.mu.Unlock()
 		return sentAt
 	case unansweredAt.IsZero():
 		s.agent.unanswered.answered(k)
--- a/io/executor/unanswered_test.go
+++ b/io/executor/unanswered_test.go
@@ -101,7 +101,8 @@
 	is.Equal((<-confirmed).Task.Index, atOnce)
 	is.Equal((<-confirmed).Task.Index, second)
 	is.True(time.Since(began) >= leasebound.CallDelay)
-	is.Equal(a.unanswered.late(), nil)
+	late, _ := a.unanswered.late()
+	is.Equal(late, nil)
 }
 
 // unresponsiveExecutor doesn't say who it is while it is silent.
