--- a/core/dispatch/delayed.go
+++ b/core/dispatch/delayed.go
@@ -72,7 +72,7 @@
 
 const (
 	notBegun beginning = iota
-	// unconfirmed means that the agent has had no time to tell whether the run has started.
+	// unconfirmed means that the agent has not told yet whether the run has started.
 	unconfirmed
 	// maybeBegun means that the run may have started before the agent connected.
 	maybeBegun
--- a/core/dispatch/waiting_test.go
+++ b/core/dispatch/waiting_test.go
@@ -260,8 +260,7 @@
 	}
 }
 
-// Guards against jobs that have waited for long and are left out of the number of waiting jobs
-// from their assignment until it is known whether they have started.
+// Guards against counts that leave out jobs which were just assigned and have not started.
 func TestWaitingJobsAreCountedUntilTheirStartsAreKnown(t *testing.T) {
 	const jobs = 10
 	// pingInterval and delayedAge are those of agents.
