Keep listed runs until their end, and unlisted ones until lists are complete

Callers could see tasks that run twice, or that don't run.

Causes and changes: - A run that the next incarnation lists kept the time of its unanswered start, after which its task was requeued although it runs. A listed run has none. - A run with an attempt on its way counted as confirmed once listed. The agent confirms it when the attempt can't be carried out any more. - A run that was confirmed and then reported as unanswered with the loss of its executor was never released. - Runs that an incomplete list lacks were released once their attempts could not be carried out any more, before the list was complete. - A job whose only start had no answer counted as begun. - The other members of a gang went on while a lost one was kept.

--- a/core/dispatch/confirm.go
+++ b/core/dispatch/confirm.go
@@ -76,7 +76,7 @@
 	}
 	for _, s := range starts {
 		if r := a.runs[runKey{s.Task, s.Run}]; r != nil {
-			r.unansweredUntil = now.Add(s.For)
+			r.confirmed, r.unansweredUntil = false, now.Add(s.For)
 			d.note("startUnanswered", s.Task.Job, map[string]any{"task": s.Task.String(), "run": s.Run, "agent": id, "forMs": s.For.Milliseconds()})
 		}
 	}
@@ -114,6 +114,13 @@
 	return a.grantedAt.Add(max(d.options.TakeoverAfter, d.options.UnconfirmedAfter))
 }
 
+// abortGangOf stops the other members of the gang of a run that is lost, whether it has begun or not.
+func (d *Dispatcher) abortGangOf(r *run, k runKey) {
+	if r.step != nil && r.step.spec.Gang && !r.stopping && !r.step.job.rec.State.Terminal() {
+		d.abortGang(r.step, k.run)
+	}
+}
+
 // releaseEndedRuns releases the runs that have certainly ended of an executor that is lost or whose
 // agent is silent, and forgets a silent agent without runs.
 func (d *Dispatcher) releaseEndedRuns(now time.Time, a *agent) {
@@ -124,11 +131,12 @@
 	released, kept := 0, 0
 	for _, k := range a.sortedRuns() {
 		r := a.runs[k]
-		if a.connected && (r.unansweredUntil.IsZero() || r.confirmed) {
+		if a.connected && (r.unansweredUntil.IsZero() || r.unlisted) {
 			continue
 		}
 		if end := d.endsBy(a, r); !now.After(end) {
 			kept++
+			d.abortGangOf(r, k)
 			continue
 		}
 		released++
--- a/core/dispatch/delayed.go
+++ b/core/dispatch/delayed.go
@@ -122,7 +122,7 @@
 		return begun
 	case !r.startSent || a.delayedStarts[k]:
 		return notBegun
-	case a.unheard || r.unlisted:
+	case a.unheard || r.unlisted || !r.unansweredUntil.IsZero():
 		return maybeBegun
 	case a.reportsStarts:
 		return unconfirmed
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -46,6 +46,7 @@
 		r.unlisted = !listed[k] && runs.Incomplete && !r.ofEarlierExecutor(k, a)
 		if !listed[k] && !r.unlisted {
 			if r.unansweredUntil.After(now) {
+				d.abortGangOf(r, k)
 				continue
 			}
 			d.recordUnreported(now, a, k)
@@ -80,7 +81,12 @@
 		return
 	}
 	for _, k := range a.sortedRuns() {
-		if r := a.runs[k]; r != nil && r.unlisted {
+		r := a.runs[k]
+		if r == nil || !r.unlisted {
+			continue
+		}
+		r.unlisted = false
+		if !r.unansweredUntil.After(now) {
 			d.releaseUnstarted(now, a, k, "notListed")
 		}
 	}
@@ -106,7 +112,8 @@
 		a.allocate(k, r)
 	}
 	// An executor that has started again may have begun the run for an order to its earlier incarnation.
-	a.runs[k].confirmed = wanted && a.status.State != oleandervalve.ExecutorRecovering
+	a.runs[k].confirmed = wanted && a.status.State != oleandervalve.ExecutorRecovering && a.runs[k].unansweredUntil.IsZero()
+	a.runs[k].unansweredUntil = time.Time{}
 	if !wanted {
 		a.runs[k].stopping = true
 		d.note("unwantedRun", k.task.Job, map[string]any{"task": k.task.String(), "run": k.run, "agent": a.id})
@@ -197,9 +204,12 @@
 // run has been released.
 func (d *Dispatcher) releaseAllRuns(now time.Time, a *agent) {
 	for _, k := range a.sortedRuns() {
-		if !a.runs[k].unansweredUntil.After(now) {
-			d.releaseUnstarted(now, a, k, "lost")
+		r := a.runs[k]
+		if r.unansweredUntil.After(now) {
+			d.abortGangOf(r, k)
+			continue
 		}
+		d.releaseUnstarted(now, a, k, "lost")
 	}
 }
 
--- a/io/executor/unanswered.go
+++ b/io/executor/unanswered.go
@@ -105,6 +105,18 @@
 	}
 }
 
+// confirmLater confirms starts that the executor has listed once no attempt at them can be carried out
+// any more.
+func (s *session) confirmLater(now time.Time, late []dispatch.UnansweredStart) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range late {
+		if k := (runKey{u.Task, u.Run}); s.running[k] {
+			s.confirmations = append(s.confirmations, startConfirmation{k, now.Add(u.For)})
+		}
+	}
+}
+
 // maxConfirmationBytes limits the confirmed starts in one ping.
 const maxConfirmationBytes = peer.MaxFrame / 8
 
