Keep ends of the next incarnation from being acknowledged unseen

Callers saw a task start again after a run of it had ended as done, once an executor had started again under its id. A start order of the former incarnation ran in the next one and succeeded at once, and a poll of the former incarnation with a higher lastSeen took note of that end there before any session had listed it. The leader found the run in neither list, counted it as never started and placed the task again.

Every poll carried lastSeen, also where nothing was left to acknowledge, and also after a failed poll and after an answer of another incarnation. Two kinds of polls reached the next incarnation: those without an answer, and the former session's own polls before it learnt of the restart.

A poll now acknowledges only ends that the last answer has listed, never while it is in doubt who answers, and never beside a start order without an answer: start orders wait for the answer to an acknowledgement, which is sent with no wait. Acknowledgements wait at most 2 s for start orders, so that an executor that answers no orders doesn't keep its ends for good.

TestCallsReachNextLife plays 432 deliveries of start, stop, hold, pace and the question who it is: alone, in order, reversed, permuted, twice and seconds late, before the next incarnation's first poll, beside polls of the former session and in the next session.

The leader of the tests gives each session a higher token, as leaders do.

What remains: an order that had no answer, succeeded by a later attempt, and an acknowledgement without an answer after it may both be carried out by the next incarnation; so may an acknowledgement that has waited 2 s.

--- /dev/null
+++ b/io/executor/acknowledge.go
@@ -0,0 +1,72 @@
+package executor
+
+import (
+	"context"
+	"time"
+)
+
+// maxAcknowledgementDelay is how long acknowledgements wait for the answers to start orders.
+const maxAcknowledgementDelay = 2 * time.Second
+
+// beginAcknowledgement returns the number up to which the next poll acknowledges ends, or 0. A start
+// order and a later acknowledgement that have no answer may both be carried out by the executor's
+// next incarnation, which counts its ends from 1: the end of the run would not be listed any more.
+// So they are not sent at the same time, and nothing is acknowledged twice. s.mu must be held.
+func (s *session) beginAcknowledgement(now time.Time) uint64 {
+	if s.firstListedEnd == 0 || s.lastAcknowledgedEnd < s.firstListedEnd || s.unconfirmed || s.replaced {
+		s.acknowledgementDueAt = time.Time{}
+		s.resumeStarts()
+		return 0
+	}
+	if s.acknowledgementDueAt.IsZero() {
+		s.acknowledgementDueAt = now
+	}
+	overdue := now.Sub(s.acknowledgementDueAt) >= maxAcknowledgementDelay
+	if !overdue && s.hasUnansweredStart() {
+		s.resumeStarts()
+		return 0
+	}
+	if s.startsPaused == nil {
+		s.startsPaused = make(chan struct{})
+	}
+	if !overdue && s.startsInFlight > 0 {
+		return 0
+	}
+	s.acknowledgementDueAt = time.Time{}
+	return s.lastAcknowledgedEnd
+}
+
+// hasUnansweredStart reports whether an attempt at a pending start order has had no answer. s.mu must
+// be held.
+func (s *session) hasUnansweredStart() bool {
+	for _, st := range s.pendingStarts {
+		if st.unanswered {
+			return true
+		}
+	}
+	return false
+}
+
+// resumeStarts allows start orders after an acknowledgement. s.mu must be held.
+func (s *session) resumeStarts() {
+	if s.startsPaused != nil {
+		close(s.startsPaused)
+		s.startsPaused = nil
+	}
+}
+
+// awaitAcknowledgement waits until start orders don't wait for an acknowledgement, the run has to end
+// or ctx is done.
+func (s *session) awaitAcknowledgement(ctx context.Context, st *pendingStart) {
+	s.mu.Lock()
+	paused := s.startsPaused
+	s.mu.Unlock()
+	if paused == nil {
+		return
+	}
+	select {
+	case <-paused:
+	case <-st.stopped:
+	case <-ctx.Done():
+	}
+}
--- a/io/executor/capacity_test.go
+++ b/io/executor/capacity_test.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// leadAgent runs an agent against a leader that admits it, answers its pings and passes its
-// other messages to received.
+// leadAgent runs an agent against a leader that admits it with rising tokens, answers its pings and
+// passes its other messages to received.
 func leadAgent(t *testing.T, a *Agent, received func(*peer.Conn, peer.Message)) {
 	t.Helper()
 	leadAgentWith(t, a, func(*peer.Ping) bool { return true }, received)
@@ -77,13 +77,14 @@
 func leadAgentWith(t *testing.T, a *Agent, answers func(*peer.Ping) bool, received func(*peer.Conn, peer.Message)) {
 	t.Helper()
 	meter := peer.NewMeter(tally.NoopScope)
+	var token atomic.Uint64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _, err := peer.AcceptDispatch(w, r, meter)
 		if err != nil {
 			return
 		}
 		defer c.Close()
-		c.TrySend(&peer.Admit{Token: 1})
+		c.TrySend(&peer.Admit{Token: oleandervalve.FencingToken(token.Add(1))})
 		for {
 			m, err := c.Receive(r.Context())
 			if err != nil {
--- a/io/executor/crashes.go
+++ b/io/executor/crashes.go
@@ -150,7 +150,7 @@
 	s.mu.Lock()
 	due := s.dueIsolations
 	s.dueIsolations = nil
-	request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: s.lastAcknowledgedEnd}
+	request := oleandervalve.PollRequest{Token: s.token}
 	s.mu.Unlock()
 	result, err := s.agent.options.Executor.Poll(call, s.status.Incarnation.ID, request)
 	if err != nil {
--- /dev/null
+++ b/io/executor/lives_test.go
@@ -0,0 +1,715 @@
+package executor
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleandervalve"
+	"oleandervalve/core/dispatch"
+	"oleandervalve/io/peer"
+)
+
+// callKind names an operation of an executor.
+type callKind string
+
+const (
+	callStart    callKind = "start"
+	callStop     callKind = "stop"
+	callPoll     callKind = "poll"
+	callPace     callKind = "pace"
+	callIdentify callKind = "identify"
+)
+
+// heldCall is a call without an answer. apply carries it out, with the executor's lock held.
+type heldCall struct {
+	kind  callKind
+	apply func()
+}
+
+// livesRun is a run of a livesExecutor.
+type livesRun struct{ pace int }
+
+// livesExecutor starts again under its id. It holds calls of the kinds that are muted, all while it is
+// silent, and gives them no answer.
+type livesExecutor struct {
+	mu        sync.Mutex
+	startedAt int64
+	bornAt    time.Time
+	// uptime is that at bornAt.
+	uptime  time.Duration
+	token   oleandervalve.FencingToken
+	running map[runKey]*livesRun
+	highest map[oleandervalve.TaskName]oleandervalve.RunNumber
+	ended   []oleandervalve.EndedTask
+	number  uint64
+	// leaseEnd is when the lease of the present life ends.
+	leaseEnd time.Time
+	maxLease time.Duration
+	silent   bool
+	muted    map[callKind]bool
+	held     []heldCall
+	// onCall is called with each call before it is carried out, with the lock held.
+	onCall func(callKind, oleandervalve.PollRequest)
+	// quick holds the jobs whose runs end at once.
+	quick map[oleandervalve.JobID]bool
+	// begun and forgotten hold the runs of the present life that have begun, and those whose ends
+	// are no longer listed.
+	begun, forgotten map[runKey]bool
+	changed          chan struct{}
+}
+
+func newLivesExecutor(maxLease time.Duration) *livesExecutor {
+	x := &livesExecutor{maxLease: maxLease, muted: map[callKind]bool{}, quick: map[oleandervalve.JobID]bool{}}
+	x.restart(480 * time.Second)
+	return x
+}
+
+// restart begins the next life, whose clock shows the given time.
+func (x *livesExecutor) restart(uptime time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.startedAt++
+	x.bornAt, x.uptime, x.token, x.ended, x.number, x.leaseEnd = time.Now(), uptime, 0, nil, 0, time.Time{}
+	x.running, x.highest, x.begun, x.forgotten = map[runKey]*livesRun{}, map[oleandervalve.TaskName]oleandervalve.RunNumber{}, map[runKey]bool{}, map[runKey]bool{}
+	x.changed, x.onCall = make(chan struct{}), nil
+}
+
+func (x *livesExecutor) setSilent(silent bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.silent = silent
+}
+
+func (x *livesExecutor) mute(k callKind, muted bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.muted[k] = muted
+}
+
+// clock is the time of the present life. x.mu must be held.
+func (x *livesExecutor) clock() oleandervalve.ExecutorTime {
+	return oleandervalve.ExecutorTime(x.uptime + time.Since(x.bornAt))
+}
+
+// call carries a call out, or holds it until ctx is done.
+func (x *livesExecutor) call(ctx context.Context, k callKind, p oleandervalve.PollRequest, apply func()) error {
+	x.mu.Lock()
+	if x.onCall != nil {
+		x.onCall(k, p)
+	}
+	if !x.silent && !x.muted[k] {
+		apply()
+		x.mu.Unlock()
+		return nil
+	}
+	x.held = append(x.held, heldCall{k, apply})
+	x.mu.Unlock()
+	<-ctx.Done()
+	return &oleandervalve.UnknownOutcomeError{Operation: string(k)}
+}
+
+// heldKinds returns which calls are held.
+func (x *livesExecutor) heldKinds() map[callKind]bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := map[callKind]bool{}
+	for _, h := range x.held {
+		out[h.kind] = true
+	}
+	return out
+}
+
+// deliver carries out the held calls of a kind in the present life.
+func (x *livesExecutor) deliver(k callKind) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, h := range x.held {
+		if h.kind == k {
+			h.apply()
+		}
+	}
+}
+
+// accept records a token and returns false if it is too low. x.mu must be held.
+func (x *livesExecutor) accept(t oleandervalve.FencingToken) bool {
+	if t < x.token {
+		return false
+	}
+	x.token = t
+	return true
+}
+
+// extendLease extends the lease to a time on the clock of the present life. x.mu must be held.
+func (x *livesExecutor) extendLease(until oleandervalve.ExecutorTime) {
+	now := time.Now()
+	end := now.Add(min(time.Duration(until-x.clock()), x.maxLease))
+	if until > 0 && end.After(x.leaseEnd) {
+		x.leaseEnd = end
+	}
+}
+
+// end ends a run. x.mu must be held.
+func (x *livesExecutor) end(k runKey, how oleandervalve.RunEnd) {
+	delete(x.running, k)
+	x.number++
+	x.ended = append(x.ended, oleandervalve.EndedTask{Number: x.number, Task: k.task, Run: k.run, How: how})
+	x.highest[k.task] = max(x.highest[k.task], k.run)
+	close(x.changed)
+	x.changed = make(chan struct{})
+}
+
+func (x *livesExecutor) Start(ctx context.Context, _ oleandervalve.ExecutorID, o oleandervalve.StartOrder) (oleandervalve.ExecutorTime, oleandervalve.StartRefusal, error) {
+	var clock oleandervalve.ExecutorTime
+	var refusal oleandervalve.StartRefusal
+	err := x.call(ctx, callStart, oleandervalve.PollRequest{}, func() {
+		clock = x.clock()
+		k := runKey{o.Task, o.Run}
+		if !x.accept(o.Token) {
+			refusal = oleandervalve.RefusedFence
+			return
+		}
+		x.extendLease(o.LeaseUntil)
+		switch {
+		case x.running[k] != nil:
+		case o.Run <= x.highest[o.Task]:
+			refusal = oleandervalve.RefusedOld
+		case o.LeaseUntil <= clock:
+			refusal = oleandervalve.RefusedLate
+		default:
+			x.running[k], x.begun[k] = &livesRun{pace: 100}, true
+			if x.quick[o.Task.Job] {
+				x.end(k, oleandervalve.EndDone)
+			}
+		}
+	})
+	if err != nil {
+		return 0, "", err
+	}
+	return clock, refusal, nil
+}
+
+func (x *livesExecutor) Stop(ctx context.Context, _ oleandervalve.ExecutorID, t oleandervalve.TaskName, r oleandervalve.RunNumber, f oleandervalve.FencingToken) error {
+	return x.call(ctx, callStop, oleandervalve.PollRequest{}, func() {
+		if !x.accept(f) {
+			return
+		}
+		x.highest[t] = max(x.highest[t], r)
+		for k := range x.running {
+			if k.task == t && k.run <= r {
+				x.end(k, oleandervalve.EndStopped)
+			}
+		}
+	})
+}
+
+func (x *livesExecutor) SetSpeedLimit(ctx context.Context, _ oleandervalve.ExecutorID, t oleandervalve.TaskName, r oleandervalve.RunNumber, percent int, f oleandervalve.FencingToken) error {
+	return x.call(ctx, callPace, oleandervalve.PollRequest{}, func() {
+		if e := x.running[runKey{t, r}]; x.accept(f) && e != nil {
+			e.pace = percent
+		}
+	})
+}
+
+func (x *livesExecutor) Identify(ctx context.Context, e oleandervalve.ExecutorID, f oleandervalve.FencingToken) (oleandervalve.ExecutorTime, int64, error) {
+	var clock oleandervalve.ExecutorTime
+	var startedAt int64
+	err := x.call(ctx, callIdentify, oleandervalve.PollRequest{}, func() {
+		clock = x.clock()
+		if x.accept(f) {
+			startedAt = x.startedAt
+		}
+	})
+	if err != nil {
+		return 0, 0, err
+	}
+	return clock, startedAt, nil
+}
+
+func (x *livesExecutor) Poll(ctx context.Context, e oleandervalve.ExecutorID, p oleandervalve.PollRequest) (oleandervalve.PollResult, error) {
+	var life int64
+	var changed chan struct{}
+	refused := false
+	apply := func() {
+		if refused = !x.accept(p.Token); refused {
+			return
+		}
+		x.extendLease(p.LeaseUntil)
+		for len(x.ended) > 0 && x.ended[0].Number <= p.AcknowledgedEnd {
+			x.forgotten[runKey{x.ended[0].Task, x.ended[0].Run}] = true
+			x.ended = x.ended[1:]
+		}
+		life = x.startedAt
+		if changed = x.changed; len(x.ended) > 0 {
+			changed = nil
+		}
+	}
+	if err := x.call(ctx, callPoll, p, apply); err != nil {
+		return oleandervalve.PollResult{}, err
+	}
+	if refused {
+		return oleandervalve.PollResult{}, &oleandervalve.WrongIncarnationError{ID: e}
+	}
+	if changed != nil {
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(p.Wait):
+		}
+	}
+	x.mu.Lock()
+	if x.silent || x.startedAt != life {
+		// The executor has ended before its answer.
+		x.held = append(x.held, heldCall{callPoll, apply})
+		x.mu.Unlock()
+		<-ctx.Done()
+		return oleandervalve.PollResult{}, &oleandervalve.UnknownOutcomeError{Operation: string(callPoll)}
+	}
+	defer x.mu.Unlock()
+	result := oleandervalve.PollResult{Clock: x.clock(), StartedAt: x.startedAt, Ended: slices.Clone(x.ended)}
+	for k := range x.running {
+		result.Running = append(result.Running, oleandervalve.RunningTask{Task: k.task, Run: k.run})
+	}
+	return result, nil
+}
+
+// livesLeader is what a leader does with an executor: it stops the runs of an inventory, and
+// acknowledges all ends.
+type livesLeader struct {
+	mu   sync.Mutex
+	conn *peer.Conn
+	// sessions counts the inventories of each life.
+	sessions map[int64]int
+	// holdAcknowledgements means that ends are not acknowledged yet.
+	holdAcknowledgements bool
+	unacknowledged       []dispatch.Acknowledge
+	// life is that of the last inventory, and joined is closed with the first one of life 2.
+	life      int64
+	joined    chan struct{}
+	hasJoined bool
+	// reported holds, by life, the runs that were listed as running or ended.
+	reported     map[int64]map[runKey]oleandervalve.RunEnd
+	neverStarted map[runKey]bool
+	// lost holds the runs that the last inventory reports as lost.
+	lost       map[runKey]bool
+	terminated map[int64]bool
+}
+
+func (l *livesLeader) receive(c *peer.Conn, m peer.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch m := m.(type) {
+	case *peer.ExecutorInventory:
+		l.conn, l.life, l.lost = c, m.Status.Incarnation.StartedAt, map[runKey]bool{}
+		l.sessions[l.life]++
+		for _, r := range m.Lost {
+			for _, x := range r.Runs {
+				l.lost[runKey{x.Task, x.Run}] = true
+			}
+		}
+		for _, r := range m.Running {
+			l.report(runKey{r.Task, r.Run}, "")
+			c.TrySend(&peer.StopRun{Stop: dispatch.Stop{Task: r.Task, Run: r.Run}})
+		}
+		l.acknowledge(m.Status.Incarnation, m.Ended)
+		if l.life == 2 && !l.hasJoined {
+			l.hasJoined = true
+			close(l.joined)
+		}
+	case *peer.RunsEnded:
+		l.acknowledge(m.Incarnation, m.Ends)
+	case *peer.RunNeverStarted:
+		l.neverStarted[runKey{m.Task, m.Run}] = true
+	case *peer.ExecutorTerminated:
+		l.terminated[m.Incarnation.StartedAt] = true
+	}
+}
+
+// report records that a run was listed. l.mu must be held.
+func (l *livesLeader) report(k runKey, how oleandervalve.RunEnd) {
+	if l.reported[l.life] == nil {
+		l.reported[l.life] = map[runKey]oleandervalve.RunEnd{}
+	}
+	l.reported[l.life][k] = how
+}
+
+// acknowledge handles reported ends. l.mu must be held.
+func (l *livesLeader) acknowledge(x oleandervalve.Incarnation, ends []oleandervalve.EndedTask) {
+	for _, e := range ends {
+		l.report(runKey{e.Task, e.Run}, e.How)
+		l.unacknowledged = append(l.unacknowledged, dispatch.Acknowledge{Executor: x, Number: e.Number})
+	}
+	l.sendAcknowledgements()
+}
+
+// sendAcknowledgements acknowledges the reported ends unless that is held. l.mu must be held.
+func (l *livesLeader) sendAcknowledgements() {
+	if l.holdAcknowledgements {
+		return
+	}
+	for _, a := range l.unacknowledged {
+		l.conn.TrySend(&peer.AcknowledgeEnd{Acknowledge: a})
+	}
+	l.unacknowledged = nil
+}
+
+func (l *livesLeader) setHoldAcknowledgements(hold bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holdAcknowledgements = hold
+	l.sendAcknowledgements()
+}
+
+func (l *livesLeader) send(m peer.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn.TrySend(m)
+}
+
+func (l *livesLeader) start(t oleandervalve.TaskName, r oleandervalve.RunNumber, h dispatch.RunHints) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn.TrySend(&peer.StartRun{Start: dispatch.Start{Executor: oleandervalve.Incarnation{ID: "x-1", StartedAt: l.life}, Task: t, Run: r, Hints: h}})
+}
+
+// awaitProvedSession waits until the present session of an agent has a proof of leadership.
+func awaitProvedSession(a *Agent) {
+	for a.awaitSession().proof().IsZero() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// within waits until a condition holds, for at most d, and returns whether it does.
+func within(d time.Duration, condition func() bool) bool {
+	for deadline := time.Now().Add(d); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			return false
+		}
+	}
+	return true
+}
+
+// silenceTrigger is the call at which the first life falls silent.
+type silenceTrigger string
+
+const (
+	// silentAtStart is the start order of a run, and silentAtAcknowledgement a poll that
+	// acknowledges an end.
+	silentAtStart           silenceTrigger = "start"
+	silentAtAcknowledgement silenceTrigger = "acknowledgement"
+	// silentAtUnansweredStart is a poll that acknowledges an end while a start order has had no
+	// answer for a while.
+	silentAtUnansweredStart silenceTrigger = "acknowledgement beside an unanswered start"
+)
+
+// delivery says when the next life carries out the calls that had no answer.
+type delivery string
+
+const (
+	// deliverFirst is before any other call.
+	deliverFirst delivery = "first"
+	// deliverUnannounced is beside the polls of the former session, before the next life announces
+	// itself.
+	deliverUnannounced delivery = "unannounced"
+	// deliverAfterJoin is in the next session, and deliverLate seconds later.
+	deliverAfterJoin delivery = "after the next session has begun"
+	deliverLate      delivery = "seconds late"
+)
+
+// livesCase is one way in which calls to one life of an executor reach the next one.
+type livesCase struct {
+	trigger silenceTrigger
+	when    delivery
+	// calls are delivered in this order.
+	calls []callKind
+	// quick means that the run of the late start order succeeds at once.
+	quick bool
+}
+
+func (c livesCase) name() string {
+	var calls []string
+	for _, k := range c.calls {
+		calls = append(calls, string(k))
+	}
+	return fmt.Sprintf("silent at %s, %s, %s, quick %t", c.trigger, c.when, strings.Join(calls, " "), c.quick)
+}
+
+// livesCases returns all ways of delivery.
+func livesCases() []livesCase {
+	orders := [][]callKind{
+		nil,
+		{callStart},
+		{callStop},
+		{callPoll},
+		{callPace},
+		{callIdentify},
+		{callStart, callStop, callPace, callPoll, callIdentify},
+		{callIdentify, callPoll, callPace, callStop, callStart},
+		{callStart, callStart},
+		{callPoll, callPoll},
+		{callStop, callStop},
+		{callStart, callStop, callPace, callPoll, callIdentify, callStart, callStop, callPace, callPoll, callIdentify},
+		{callStart, callPoll},
+		{callPoll, callStart},
+		{callStop, callStart},
+		{callStart, callStop},
+		{callStart, callPace},
+		{callStart, callPoll, callStop},
+		{callStart, callStop, callPoll},
+		{callStop, callPoll, callStart},
+		{callPoll, callStart, callStop},
+		{callStart, callIdentify, callPoll},
+		{callPoll, callStart, callPoll},
+	}
+	var out []livesCase
+	for _, trigger := range []silenceTrigger{silentAtStart, silentAtAcknowledgement, silentAtUnansweredStart} {
+		for _, when := range []delivery{deliverFirst, deliverUnannounced, deliverAfterJoin, deliverLate} {
+			for i, calls := range orders {
+				for _, quick := range []bool{false, true} {
+					if when == deliverLate && len(calls) < 5 || testing.Short() && (i+len(out))%5 != 0 {
+						continue
+					}
+					out = append(out, livesCase{trigger: trigger, when: when, calls: calls, quick: quick})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Guards against runs that start twice, go on unknown, are slowed down or refused after a restart.
+func TestCallsReachNextLife(t *testing.T) {
+	slots := make(chan struct{}, 48)
+	var wg sync.WaitGroup
+	var crossed atomic.Int64
+	cases := livesCases()
+	for _, c := range cases {
+		wg.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer wg.Done()
+			defer func() { <-slots }()
+			problems, begun, err := playLives(t, c)
+			for attempt := 1; err != nil && attempt < 5; attempt++ {
+				problems, begun, err = playLives(t, c)
+			}
+			if err != nil {
+				t.Errorf("%s: %v", c.name(), err)
+			}
+			for _, problem := range problems {
+				t.Errorf("%s: %s", c.name(), problem)
+			}
+			if begun {
+				crossed.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	t.Logf("%d cases, in %d of them a run of the former life has begun in the next one", len(cases), crossed.Load())
+	if crossed.Load() == 0 {
+		t.Error("no run of the former life has begun in the next one")
+	}
+}
+
+// The tasks of playLives: late is the one whose start order has no answer, and lasting one that runs in
+// the first life.
+var (
+	lateTask    = oleandervalve.TaskName{Job: "late"}
+	lastingTask = oleandervalve.TaskName{Job: "lasting"}
+)
+
+// playLives plays a case and returns what is wrong, and whether the run of the late start order has begun
+// in the next life. The error means that the first life was not played, as its session has ended early.
+func playLives(t *testing.T, c livesCase) (problems []string, begun bool, err error) {
+	const longest = 6500 * time.Millisecond // starts in the next life wait for nothing
+	x := newLivesExecutor(longest)
+	x.quick["quick"], x.quick[lateTask.Job] = true, c.quick
+	x.mute(callPace, true)
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: longest, ProofLifetime: 7 * time.Second})
+	first, second := statusWith(16, 1), statusWith(16, 1)
+	second.Incarnation.StartedAt = 2
+	if err := a.StatusAnnounced(first); err != nil {
+		return nil, false, err
+	}
+	l := &livesLeader{sessions: map[int64]int{}, joined: make(chan struct{}), reported: map[int64]map[runKey]oleandervalve.RunEnd{}, neverStarted: map[runKey]bool{}, terminated: map[int64]bool{}}
+	leadAgent(t, a, l.receive)
+	awaitProvedSession(a)
+
+	// The first life has run tasks, and has an end that the leader has not acknowledged.
+	for i := range 3 {
+		l.start(oleandervalve.TaskName{Job: "quick", Index: i}, 1, dispatch.RunHints{})
+	}
+	l.start(lastingTask, 1, dispatch.RunHints{BestEffort: true, Image: "fill", SpeedLimit: 50})
+	settled := func() bool {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		return len(x.forgotten) == 3 && len(x.running) == 1
+	}
+	if !within(10*time.Second, settled) || !within(10*time.Second, func() bool { return x.heldKinds()[callPace] }) {
+		return nil, false, errors.New("the first life has not run its tasks")
+	}
+	l.setHoldAcknowledgements(true)
+	l.start(oleandervalve.TaskName{Job: "quick", Index: 3}, 1, dispatch.RunHints{})
+	within(10*time.Second, func() bool { l.mu.Lock(); defer l.mu.Unlock(); return len(l.unacknowledged) > 0 })
+	fallSilent(x, l, c.trigger)
+	l.send(&peer.StopRun{Stop: dispatch.Stop{Task: lastingTask, Run: 1}})
+	within(time.Second, func() bool { return x.heldKinds()[callStop] })
+	_ = a.StatusAnnounced(second) // is not followed, as there is no answer
+	within(time.Second, func() bool { return x.heldKinds()[callIdentify] })
+
+	l.mu.Lock()
+	sessions := l.sessions[1]
+	l.mu.Unlock()
+	if sessions != 1 {
+		return nil, false, errors.Newf("the first life has had %d sessions", sessions)
+	}
+
+	// The next life.
+	x.restart(0)
+	deliver := func() {
+		for _, k := range c.calls {
+			x.deliver(k)
+		}
+	}
+	join := func() bool {
+		within(5*time.Second, func() bool { return a.StatusAnnounced(second) == nil })
+		select {
+		case <-l.joined:
+			return true
+		case <-time.After(10 * time.Second):
+			return false
+		}
+	}
+	switch c.when {
+	case deliverFirst:
+		deliver()
+		x.setSilent(false)
+	case deliverUnannounced:
+		var polls atomic.Int64
+		x.mu.Lock()
+		x.onCall = func(k callKind, _ oleandervalve.PollRequest) {
+			if k == callPoll {
+				polls.Add(1)
+			}
+		}
+		x.mu.Unlock()
+		deliver()
+		x.setSilent(false)
+		within(3*time.Second, func() bool { return polls.Load() > 0 })
+		deliver()
+	case deliverAfterJoin, deliverLate:
+		x.setSilent(false)
+	}
+	x.mute(callPace, false)
+	x.mute(callStart, false)
+	if !join() {
+		return []string{"the leader does not learn of the next life"}, false, nil
+	}
+	switch c.when {
+	case deliverAfterJoin:
+		deliver()
+	case deliverLate:
+		time.Sleep(2 * time.Second)
+		deliver()
+	}
+	x.mu.Lock()
+	begun = x.begun[runKey{lateTask, 1}]
+	x.mu.Unlock()
+	return checkLives(a, x, l), begun, nil
+}
+
+// fallSilent makes an executor fall silent while start orders and acknowledgements are on their way.
+func fallSilent(x *livesExecutor, l *livesLeader, trigger silenceTrigger) {
+	silentAt := func(kind callKind) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.onCall = func(k callKind, p oleandervalve.PollRequest) {
+			x.silent = x.silent || k == kind && (kind != callPoll || p.AcknowledgedEnd > 3)
+		}
+	}
+	isSilent := func() bool { x.mu.Lock(); defer x.mu.Unlock(); return x.silent }
+	start := func() { l.start(lateTask, 1, dispatch.RunHints{}) }
+	switch trigger {
+	case silentAtStart:
+		silentAt(callStart)
+		start()
+		within(5*time.Second, isSilent)
+		l.setHoldAcknowledgements(false)
+	case silentAtAcknowledgement:
+		silentAt(callPoll)
+		l.setHoldAcknowledgements(false)
+		within(5*time.Second, isSilent)
+		start()
+	case silentAtUnansweredStart:
+		x.mute(callStart, true)
+		start()
+		within(5*time.Second, func() bool { return x.heldKinds()[callStart] })
+		silentAt(callPoll)
+		l.setHoldAcknowledgements(false)
+		within(time.Second, isSilent)
+		x.setSilent(true)
+	}
+	// Without a poll that fails, the agent doesn't doubt the executor.
+	within(time.Second, func() bool { return x.heldKinds()[callPoll] && x.heldKinds()[callStart] })
+}
+
+// checkLives checks the next life once its session has begun.
+func checkLives(a *Agent, x *livesExecutor, l *livesLeader) []string {
+	var problems []string
+	ended := func() bool { x.mu.Lock(); defer x.mu.Unlock(); return len(x.running) == 0 && len(x.ended) == 0 }
+	s := a.awaitSession()
+	s.mu.Lock()
+	bound := s.leaseBound.End
+	s.mu.Unlock()
+	x.mu.Lock()
+	if x.leaseEnd.After(bound) {
+		problems = append(problems, fmt.Sprintf("the lease ends %v after the agent's bound", x.leaseEnd.Sub(bound)))
+	}
+	x.mu.Unlock()
+	if !within(5*time.Second, ended) {
+		problems = append(problems, "runs of the former session go on")
+	}
+	x.mu.Lock()
+	l.mu.Lock()
+	for k := range x.begun {
+		how, ok := l.reported[2][k]
+		switch {
+		case !ok:
+			problems = append(problems, fmt.Sprintf("the leader has not been told of %v", k))
+		case how == "":
+			problems = append(problems, fmt.Sprintf("the leader has not been told of the end of %v", k))
+		}
+		if l.neverStarted[k] || l.lost[k] {
+			problems = append(problems, fmt.Sprintf("%v has begun and is reported as lost (%t) or as never started (%t)", k, l.lost[k], l.neverStarted[k]))
+		}
+	}
+	if l.terminated[2] {
+		problems = append(problems, "the next life is reported as ended")
+	}
+	l.mu.Unlock()
+	x.mu.Unlock()
+	// Later runs of the same tasks start, at full speed.
+	awaitProvedSession(a)
+	x.mu.Lock()
+	x.quick[lateTask.Job] = false
+	x.mu.Unlock()
+	for _, k := range []runKey{{lateTask, 2}, {lastingTask, 2}} {
+		l.start(k.task, k.run, dispatch.RunHints{})
+		started := func() bool {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			return x.running[k] != nil && x.running[k].pace == 100
+		}
+		if !within(5*time.Second, started) {
+			problems = append(problems, fmt.Sprintf("%v doesn't run at full speed", k))
+		}
+	}
+	return problems
+}
--- a/io/executor/orders.go
+++ b/io/executor/orders.go
@@ -143,6 +143,7 @@
 		attempt, ok := s.beginStart(k, st)
 		if !ok {
 			<-s.startSlots
+			s.awaitAcknowledgement(ctx, st)
 			continue
 		}
 		s.logLateStart(o, st.receivedAt, unanswered)
@@ -151,10 +152,11 @@
 		clock, refusal, err := s.agent.options.Executor.Start(call, s.status.Incarnation.ID, oleandervalve.StartOrder{
 			Task: o.Task, Run: o.Run, Payload: o.Payload, LeaseUntil: attempt.leaseUntil, Token: s.token, Checkpoint: o.Checkpoint, PermitToken: o.PermitToken,
 		})
-		s.startReturned()
+		replaced := err == nil && clock > 0 && clock < attempt.clock
+		s.startReturned(st, err, replaced)
 		cancel()
 		<-s.startSlots
-		if err == nil && clock > 0 && clock < attempt.clock {
+		if replaced {
 			s.endAsReplaced(ctx, k, refusal)
 			return
 		}
@@ -213,10 +215,16 @@
 	return err != nil && !errors.As(err, &unavailable) && !errors.As(err, &replaced)
 }
 
-func (s *session) startReturned() {
+// startReturned records that an attempt at a start order has had an answer or failed. Parameter
+// replaced means that another incarnation of the executor has answered.
+func (s *session) startReturned(st *pendingStart, err error, replaced bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.startsInFlight--
+	st.unanswered = st.unanswered || mayBeCarriedOut(err)
+	s.replaced = s.replaced || replaced
+	if s.startsInFlight--; s.startsInFlight == 0 && s.startsPaused != nil {
+		s.pollSoon()
+	}
 }
 
 func (s *session) setUnconfirmed() {
@@ -300,7 +308,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.agent.options.now()
-	if verdict, _ := s.decideStartWith(now, c, st); verdict != startorder.Send {
+	if verdict, _ := s.decideStartWith(now, c, st); verdict != startorder.Send || s.startsPaused != nil {
 		return startAttempt{}, false
 	}
 	s.startsInFlight++
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -58,7 +58,11 @@
 		if s.proofAt.IsZero() || s.unconfirmed {
 			wait = initialPollWait
 		}
-		request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: s.lastAcknowledgedEnd, Wait: wait}
+		acknowledged := s.beginAcknowledgement(now)
+		if acknowledged > 0 {
+			wait = 0 // start orders wait for the answer
+		}
+		request := oleandervalve.PollRequest{Token: s.token, AcknowledgedEnd: acknowledged, Wait: wait}
 		if now.Sub(s.clockAt) < s.maxSilence() && !s.replaced {
 			request.LeaseUntil = s.leaseUntil(s.agent.options.now())
 		}
@@ -109,6 +113,11 @@
 			s.agent.options.Scope.Counter("unreadable_entries").Inc(int64(unreadable))
 		}
 		s.applyPollResult(ctx, now, result)
+		if acknowledged > 0 {
+			s.mu.Lock()
+			s.resumeStarts()
+			s.mu.Unlock()
+		}
 		if len(result.Ended) > 0 || result.Unreadable > 0 {
 			// The executor answers at once while its list of ends is not empty; the
 			// delay prevents a busy loop.
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -103,9 +103,15 @@
 	acknowledgedEnds map[uint64]bool
 	// lastAcknowledgedEnd is the number up to which all ends are acknowledged.
 	lastAcknowledgedEnd uint64
-	hints               map[runKey]dispatch.RunHints
-	running             map[runKey]bool
-	pendingStarts       map[runKey]*pendingStart
+	// firstListedEnd is the lowest number of an end in the executor's last answer, or 0.
+	firstListedEnd uint64
+	// acknowledgementDueAt is since when ends are to be acknowledged, and startsPaused is closed and
+	// removed once start orders needn't wait for that any more.
+	acknowledgementDueAt time.Time
+	startsPaused         chan struct{}
+	hints                map[runKey]dispatch.RunHints
+	running              map[runKey]bool
+	pendingStarts        map[runKey]*pendingStart
 	// confirmations holds the answered starts that have not been confirmed to the leader.
 	confirmations []startConfirmation
 	// delayedStartsAt is when the delayed starts were last sent to the leader.
@@ -143,6 +149,8 @@
 	done, stopped chan struct{}
 	// void means, once done is closed, that the run has been reported as never started.
 	void bool
+	// unanswered means that an attempt has had no answer and may still take effect.
+	unanswered bool
 	// withholdingLogged means that it has been logged what withholds the order.
 	withholdingLogged bool
 	// contactSince is startorder.Circumstances.ContactSince.
@@ -503,8 +511,12 @@
 // s.mu must be held.
 func (s *session) updateListedEnds(ends []oleandervalve.EndedTask) {
 	clear(s.listedEnds)
+	s.firstListedEnd = 0
 	for i, e := range ends {
 		s.listedEnds[runKey{e.Task, e.Run}] = true
+		if i == 0 || e.Number < s.firstListedEnd {
+			s.firstListedEnd = e.Number
+		}
 		if i == 0 && e.Number > s.lastAcknowledgedEnd+1 {
 			s.lastAcknowledgedEnd = e.Number - 1
 		}
