Try late calls of a former incarnation to the agent

The table "Two lives under one id" says what heartbeats and deregistrations of a former incarnation do, without a run that tries each of them. TestAnnouncementsReachNextLife sends ready, draining and both forms of deregistration alone, in order, reversed and twice, before the agent knows of the next incarnation, beside polls of the former session, in the next session and seconds later.

--- a/io/executor/lives_test.go
+++ b/io/executor/lives_test.go
@@ -54,8 +54,10 @@
 	leaseEnd time.Time
 	maxLease time.Duration
 	silent   bool
-	muted    map[callKind]bool
-	held     []heldCall
+	// gone means that nothing listens at the executor's address.
+	gone  bool
+	muted map[callKind]bool
+	held  []heldCall
 	// onCall is called with each call before it is carried out, with the lock held.
 	onCall func(callKind, oleandervalve.PollRequest)
 	// quick holds the jobs whose runs end at once.
@@ -88,6 +90,12 @@
 	x.silent = silent
 }
 
+func (x *livesExecutor) stopListening() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.gone = true
+}
+
 func (x *livesExecutor) mute(k callKind, muted bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -105,6 +113,10 @@
 	if x.onCall != nil {
 		x.onCall(k, p)
 	}
+	if x.gone {
+		x.mu.Unlock()
+		return &oleandervalve.UnavailableError{Service: "executor", NotListening: true}
+	}
 	if !x.silent && !x.muted[k] {
 		apply()
 		x.mu.Unlock()
@@ -290,10 +302,8 @@
 	// holdAcknowledgements means that ends are not acknowledged yet.
 	holdAcknowledgements bool
 	unacknowledged       []dispatch.Acknowledge
-	// life is that of the last inventory, and joined is closed with the first one of life 2.
-	life      int64
-	joined    chan struct{}
-	hasJoined bool
+	// life is that of the last inventory.
+	life int64
 	// reported holds, by life, the runs that were listed as running or ended.
 	reported     map[int64]map[runKey]oleandervalve.RunEnd
 	neverStarted map[runKey]bool
@@ -302,6 +312,17 @@
 	terminated map[int64]bool
 }
 
+func newLivesLeader() *livesLeader {
+	return &livesLeader{sessions: map[int64]int{}, reported: map[int64]map[runKey]oleandervalve.RunEnd{}, neverStarted: map[runKey]bool{}, terminated: map[int64]bool{}}
+}
+
+// hasJoinedNextLife reports whether there has been a session with life 2.
+func (l *livesLeader) hasJoinedNextLife() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sessions[2] > 0
+}
+
 func (l *livesLeader) receive(c *peer.Conn, m peer.Message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -319,10 +340,6 @@
 			c.TrySend(&peer.StopRun{Stop: dispatch.Stop{Task: r.Task, Run: r.Run}})
 		}
 		l.acknowledge(m.Status.Incarnation, m.Ended)
-		if l.life == 2 && !l.hasJoined {
-			l.hasJoined = true
-			close(l.joined)
-		}
 	case *peer.RunsEnded:
 		l.acknowledge(m.Incarnation, m.Ends)
 	case *peer.RunNeverStarted:
@@ -538,7 +555,7 @@
 	if err := a.StatusAnnounced(first); err != nil {
 		return nil, false, err
 	}
-	l := &livesLeader{sessions: map[int64]int{}, joined: make(chan struct{}), reported: map[int64]map[runKey]oleandervalve.RunEnd{}, neverStarted: map[runKey]bool{}, terminated: map[int64]bool{}}
+	l := newLivesLeader()
 	leadAgent(t, a, l.receive)
 	awaitProvedSession(a)
 
@@ -580,12 +597,7 @@
 	}
 	join := func() bool {
 		within(5*time.Second, func() bool { return a.StatusAnnounced(second) == nil })
-		select {
-		case <-l.joined:
-			return true
-		case <-time.After(10 * time.Second):
-			return false
-		}
+		return within(10*time.Second, l.hasJoinedNextLife)
 	}
 	switch c.when {
 	case deliverFirst:
