Confirm listed runs also by a new process of the agent

Cause: a new process of an agent tells for two seconds that orders of the earlier one may be under way, so the leader doesn't take the runs that it lists for confirmed; nothing confirmed them afterwards.

Change: the agent confirms them once those orders can't be carried out any more.

Measured: TestNewProcessConfirmsListedRuns fails before and passes with the change.

--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -341,7 +341,7 @@
 	}
 	inventory := peer.ExecutorInventory{Status: s.reportable(s.status), Running: result.Running, Ended: result.Ended, Lost: s.agent.crashes.reports(), Incomplete: result.Incomplete}
 	inventory.Unanswered, inventory.UnknownFor = s.agent.unanswered.late()
-	s.confirmLater(answered, inventory.Unanswered)
+	s.confirmLater(answered, inventory.Unanswered, inventory.UnknownFor)
 	for _, m := range peer.SplitInventory(inventory) {
 		if err := s.conn.Send(m); err != nil {
 			return false, err
--- a/io/executor/unanswered.go
+++ b/io/executor/unanswered.go
@@ -106,15 +106,24 @@
 }
 
 // confirmLater confirms starts that the executor has listed once no attempt at them can be carried out
-// any more.
-func (s *session) confirmLater(now time.Time, late []dispatch.UnansweredStart) {
+// any more, of this process or of an earlier one.
+func (s *session) confirmLater(now time.Time, late []dispatch.UnansweredStart, unknownFor time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	until := map[runKey]time.Time{}
+	if unknownFor > 0 {
+		for k := range s.running {
+			until[k] = now.Add(unknownFor)
+		}
+	}
 	for _, u := range late {
 		if k := (runKey{u.Task, u.Run}); s.running[k] {
-			s.confirmations = append(s.confirmations, startConfirmation{k, now.Add(u.For)})
+			until[k] = now.Add(u.For)
 		}
 	}
+	for k, at := range until {
+		s.confirmations = append(s.confirmations, startConfirmation{k, at})
+	}
 }
 
 // maxConfirmationBytes limits the confirmed starts in one ping.
--- a/io/executor/unanswered_test.go
+++ b/io/executor/unanswered_test.go
@@ -105,6 +105,30 @@
 	is.Equal(late, nil)
 }
 
+// Guards against listed runs that a new process of the agent never confirms.
+func TestNewProcessConfirmsListedRuns(t *testing.T) {
+	is := is.New(t)
+	x := &crashingExecutor{}
+	is.NoErr(x.run(oleandervalve.StartOrder{Task: oleandervalve.TaskName{Job: "j"}, Run: 1}))
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second})
+	began := time.Now()
+	is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+	confirmed := make(chan dispatch.StartedRun, 10)
+	leadAgentWith(t, a, func(p *peer.Ping) bool {
+		for _, s := range p.Started {
+			confirmed <- s
+		}
+		return true
+	}, func(*peer.Conn, peer.Message) {})
+	select {
+	case s := <-confirmed:
+		is.Equal(s, dispatch.StartedRun{Task: oleandervalve.TaskName{Job: "j"}, Run: 1})
+		is.True(time.Since(began) >= leasebound.CallDelay)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the run is not confirmed")
+	}
+}
+
 // unresponsiveExecutor doesn't say who it is while it is silent.
 type unresponsiveExecutor struct {
 	crashingExecutor
