Expect contact before long-running starts only of agents that confirm starts

Change: the agent has to have confirmed starts in its session. Two comments are wrapped.

Measured: case "the same with an agent of an earlier release" failed before (7 s instead of 14 s with the limits of the test).

--- a/core/dispatch/confirm.go
+++ b/core/dispatch/confirm.go
@@ -40,9 +40,9 @@
 	maxNamed = 64
 )
 
-// RunsStarted records that starts are confirmed. An agent that calls it at all confirms each start. It answers the load of executors that start again
-// under their ids and are cut off: only runs that are not confirmed may have begun in an incarnation
-// that nobody has met.
+// RunsStarted records that starts are confirmed, which an agent that does so at all does for each
+// start. It answers the load of executors that start again under their ids and are cut off: only runs
+// that are not confirmed may have begun in an incarnation that nobody has met.
 func (d *Dispatcher) RunsStarted(_ time.Time, id oleandervalve.AgentID, runs []StartedRun) {
 	a := d.agents[id]
 	if a == nil || !a.connected || a.status.State == oleandervalve.ExecutorTerminated {
@@ -61,8 +61,9 @@
 	}
 }
 
-// StartsUnanswered replaces what an agent has reported of the starts without an answer. unknownFor is for how long runs may go on that an earlier process of the agent has
-// ordered; it concerns all runs that are not confirmed.
+// StartsUnanswered replaces what an agent has reported of the starts without an answer. unknownFor
+// concerns all runs that are not confirmed: it is for how long those may go on, or begin, that an
+// earlier process of the agent has ordered.
 func (d *Dispatcher) StartsUnanswered(now time.Time, id oleandervalve.AgentID, starts []UnansweredStart, unknownFor time.Duration) {
 	a := d.agents[id]
 	if a == nil {
@@ -106,9 +107,9 @@
 		return leaseEnd
 	case !r.unansweredUntil.IsZero():
 		return r.unansweredUntil
-	case r.step != nil && r.step.spec.LongRunning && !a.unheard && r.startedAt.After(a.grantedAt):
-		// The agent starts long-running tasks only after the answer to a ping that it has sent since
-		// the order, and there was none.
+	case r.step != nil && r.step.spec.LongRunning && a.reportsStarts && r.startedAt.After(a.grantedAt):
+		// An agent of this release starts long-running tasks only after the answer to a ping that it has
+		// sent since the order, and there was none.
 		return leaseEnd
 	}
 	return a.grantedAt.Add(max(d.options.TakeoverAfter, d.options.UnconfirmedAfter))
--- a/core/dispatch/confirm_test.go
+++ b/core/dispatch/confirm_test.go
@@ -81,8 +81,12 @@
 			c.dispatcher.LeaseGranted(c.now, a.id)
 		}, testUnconfirmedAfter},
 		{"long-running, no answer to the agent since the order", true, func(c *cluster, a *agent, k runKey) {
+			c.dispatcher.RunsStarted(c.now, a.id, nil)
 			a.runs[k].startedAt = c.now.Add(time.Millisecond)
 		}, testTakeoverAfter},
+		{"long-running, the same with an agent of an earlier release", true, func(c *cluster, a *agent, k runKey) {
+			a.runs[k].startedAt = c.now.Add(time.Millisecond)
+		}, testUnconfirmedAfter},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
