Add a test of silences in released rows, which fails

The row of a planned stop names silences as of the stop, but keeps the time at which the row before was sent.

Measured: TestReleasedRowDoesNotCountSilencesTwice fails (1 of 1): the task is assigned elsewhere 7.5 s after the last proof, against 7.64 s.

--- a/io/leader/loading_test.go
+++ b/io/leader/loading_test.go
@@ -91,3 +91,19 @@
 	s.advance(2 * time.Second)
 	is.Equal(s.assignedTo(), oleandervalve.AgentID("a-2"))
 }
+
+// Guards against a second run of a task whose agent's silence was counted twice: in the row of a
+// planned stop and in the age of the row before.
+func TestReleasedRowDoesNotCountSilencesTwice(t *testing.T) {
+	is := is.New(t)
+	s := newLostAgentTerms(t, 2*time.Second)
+	s.clock.Advance(4 * time.Second) // without a renewal
+	close(s.leader.done)
+	s.leader.Release(context.Background())
+	s.next()
+	s.connect("a-2")
+	s.advance(500 * time.Millisecond) // 7.5 s after the last proof
+	is.Equal(s.assignedTo(), oleandervalve.AgentID("a-1"))
+	s.advance(2 * time.Second)
+	is.Equal(s.assignedTo(), oleandervalve.AgentID("a-2"))
+}
