Tell when the row of a planned stop was sent

Cause: Release copied the row with the time at which it was sent before and named silences as of the stop.

Callers could see a task run twice (TWICE): the next leader gave up the runs of a silent agent too soon by the time between the last row and the planned stop.

Change: the row of a planned stop tells its own time.

Measured: TestReleasedRowDoesNotCountSilencesTwice fails before and passes with the change.

--- a/io/leader/handover.go
+++ b/io/leader/handover.go
@@ -121,7 +121,7 @@
 		return
 	}
 	next := l.row
-	next.Released, next.Silences = true, l.nameSilences()
+	next.Released, next.Silences, next.SentBy = true, l.nameSilences(), l.latestTableTime()
 	_, err := l.options.Table.Commit(ctx, oleandervalve.Transaction{
 		Conditions: []oleandervalve.Condition{{Key: Key, Version: l.version}},
 		Puts:       []oleandervalve.Put{{Key: Key, Value: work.Encode(next)}},
