--- a/io/leader/silence_test.go
+++ b/io/leader/silence_test.go
@@ -299,3 +299,43 @@
 	at := s.clock.Now().Add(-proofAge(s.leader))
 	is.True(!at.After(row.SentBy.Add(proofInterval)))
 }
+
+// suspendingClock suspends the process for 3 s after the given number of readings.
+type suspendingClock struct {
+	sleeplessClock
+	readings *int
+}
+
+func (c suspendingClock) Now() time.Time {
+	now := c.sleeplessClock.Now()
+	if *c.readings--; *c.readings == 0 {
+		c.Advance(3 * time.Second)
+	}
+	return now
+}
+
+// Guards against proofs of leadership that are younger than the leader's row tells the next leader,
+// because the process was suspended while the row was being written.
+func TestSuspensionDoesNotMakeProofsYoungerThanTheRowTells(t *testing.T) {
+	for readings := 1; readings <= 12; readings++ {
+		s := newTerms(t)
+		s.connect("side")
+		s.submit()
+		s.advance(time.Second)
+		s.clock.Advance(RenewInterval)
+		n := readings
+		s.leader.options.Clock = suspendingClock{s.clock, &n}
+		for range 3 {
+			if err := s.leader.commit(context.Background(), &dispatch.Batch{}); err != nil {
+				t.Fatal(err)
+			}
+			row, err := DecodeRow(s.table.rows[Key])
+			if err != nil {
+				t.Fatal(err)
+			}
+			if late := s.leader.lastProofAt.Time.Sub(row.SentBy.Add(proofInterval)); late > time.Microsecond { // rows round
+				t.Errorf("suspended after %d readings: a proof is %s younger than the row tells", readings, late)
+			}
+		}
+	}
+}
