Count proofs from before the time that the leader's row tells

Cause: commit read the time from which the row's proofs count after the time that it wrote into the row.

Callers could see a task run twice (TWICE) after a suspension of the leader's process between the two readings and the loss of the leader.

Change: the first is read before the second.

--- a/io/leader/commit.go
+++ b/io/leader/commit.go
@@ -61,6 +61,8 @@
 // commit commits a batch and repeats that until the outcome is known. A batch that
 // the table refuses goes back to the dispatcher.
 func (l *Leader) commit(ctx context.Context, b *dispatch.Batch) error {
+	// Read before the time that the row tells, as proofs count from it.
+	began := l.options.now()
 	t := b.Transaction
 	t.Conditions = append([]oleandervalve.Condition{{Key: Key, Version: l.version}}, t.Conditions...)
 	next := l.row
@@ -83,7 +85,6 @@
 	timeout := min(max(minCommitTimeout, commitTimeoutFactor*l.averageCommitTime), maxCommitTimeout)
 	// mayApply is set when an earlier attempt may still take effect.
 	mayApply := false
-	began := l.options.now()
 	for attempt := 1; ; attempt++ {
 		started := l.options.now()
 		commitCtx, cancel := context.WithTimeout(ctx, timeout)
