Add a test of proofs beside inherited silences, which fails

A new leader adds the age of the row before to the silences that it takes over, but dates proofs of the silent agents back by the silences alone. Its own row then tells a longer silence than the one its proofs are dated back by, so the leader after it counts the lease as ended too soon by that age (TWICE).

--- a/io/leader/silence_test.go
+++ b/io/leader/silence_test.go
@@ -339,3 +339,22 @@
 		}
 	}
 }
+
+// Guards against a second run of a task whose agent was named as silent by the rows of two leaders
+// and got a proof from the second one.
+func TestProofsOfInheritedSilencesAreNotYoungerThanTheRowTells(t *testing.T) {
+	is := is.New(t)
+	s := newLostAgentTerms(t, 2*time.Second)
+	s.clock.Advance(3 * time.Second) // the leader is lost
+	s.next()
+	s.advance(RenewInterval) // the row names a-1
+	s.connect("a-1", oleandervalve.RunningTask{Task: oleandervalve.TaskName{Job: "a"}, Run: 1})
+	proof := s.clock.Now().Add(-s.leader.proofAge("a-1"))
+	s.next()
+	s.connect("a-2")
+	for s.assignedTo() == "a-1" {
+		s.advance(tickInterval)
+	}
+	t.Logf("starts elsewhere %s after the last proof", s.clock.Since(proof))
+	is.True(s.clock.Since(proof) >= ProofLifetime)
+}
