Date proofs back by the same silences as the row tells

Cause: since a new leader adds the age of the row before to inherited silences, except where it dates proofs of these agents back.

Callers could see a task run twice (TWICE) if two leaders were lost and the silent agent got a proof from the second one before that wrote its row.

Change: the age of the row counts there too.

--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -209,7 +209,7 @@
 		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, rowSentAt: started, termStartedAt: started,
 		permitRequests: make(chan dispatch.RequestPermits, maxPermitRequests), ready: make(chan struct{}), commitRequests: make(chan struct{}, 1), done: make(chan struct{}), cancelled: make(chan struct{}),
 	}
-	l.silences.add(l.acquiredAt, own.Silences)
+	l.silences.add(l.acquiredAt.Add(-l.inheritedRowAge), own.Silences)
 	return l, nil
 }
 
