Add a test of runs of an earlier process of the agent, which fails

A new process of an agent tells that starts may be under way which it doesn't know, so the leader counts the runs that the executor lists as unconfirmed if they weren't confirmed before.

Measured: TestRunsOfAnEarlierProcessAreConfirmed fails: not confirmed within 4.8 s.

--- a/io/executor/unanswered_test.go
+++ b/io/executor/unanswered_test.go
@@ -198,3 +198,32 @@
 		})
 	}
 }
+
+// Guards against runs that are never confirmed because an earlier process of the agent had ordered them.
+func TestRunsOfAnEarlierProcessAreConfirmed(t *testing.T) {
+	is := is.New(t)
+	x := &crashingExecutor{}
+	is.NoErr(x.run(oleandervalve.StartOrder{Task: oleandervalve.TaskName{Job: "j"}, Run: 1}))
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 10 * time.Second, ProofLifetime: 7 * time.Second})
+	is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+	inventories, confirmed := make(chan *peer.ExecutorInventory, 10), make(chan dispatch.StartedRun, 10)
+	leadAgentWith(t, a, func(p *peer.Ping) bool {
+		for _, s := range p.Started {
+			confirmed <- s
+		}
+		return true
+	}, func(_ *peer.Conn, m peer.Message) {
+		if m, ok := m.(*peer.ExecutorInventory); ok {
+			inventories <- m
+		}
+	})
+	first := <-inventories
+	is.Equal(len(first.Running), 1)
+	is.True(first.UnknownFor > 0) // the leader counts the run as unconfirmed
+	select {
+	case s := <-confirmed:
+		is.Equal(s.Task.Job, oleandervalve.JobID("j"))
+	case <-time.After(first.UnknownFor + 4*pingInterval):
+		t.Fatal("the run is never confirmed")
+	}
+}
