Confirm the listed runs of an earlier process of the agent

Cause: the leader counts listed runs as unconfirmed while an unknown attempt may be under way (unknownFor) or the executor is recovering, and the agent confirmed only those whose start had no answer in the same process.

Callers could have a long-running task with nothing running for 14.4 s instead of 7.64 s, once the executor was lost after its agent had been started again.

Change: the agent confirms all listed runs once these times have passed.

--- a/io/executor/unanswered.go
+++ b/io/executor/unanswered.go
@@ -105,25 +105,22 @@
 	}
 }
 
-// confirmLater confirms starts that the executor has listed once no attempt at them can be carried out
-// any more, of this process or of an earlier one.
+// confirmLater confirms runs that the executor has listed once no attempt at their starts can be carried
+// out any more, and no call to an earlier incarnation can prolong their leases beyond what leaders
+// count on. The leader takes all other listed runs for confirmed.
 func (s *session) confirmLater(now time.Time, late []dispatch.UnansweredStart, unknownFor time.Duration) {
+	lateFor := make(map[runKey]time.Duration, len(late))
+	for _, u := range late {
+		lateFor[runKey{u.Task, u.Run}] = u.For
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	until := map[runKey]time.Time{}
-	if unknownFor > 0 {
-		for k := range s.running {
-			until[k] = now.Add(unknownFor)
-		}
-	}
-	for _, u := range late {
-		if k := (runKey{u.Task, u.Run}); s.running[k] {
-			until[k] = now.Add(u.For)
+	recovering := s.leaseBound.ReadyAt(s.agent.options.ProofLifetime).Sub(now)
+	for k := range s.running {
+		if wait := max(lateFor[k], unknownFor, recovering); wait > 0 {
+			s.confirmations = append(s.confirmations, startConfirmation{k, now.Add(wait)})
 		}
 	}
-	for k, at := range until {
-		s.confirmations = append(s.confirmations, startConfirmation{k, at})
-	}
 }
 
 // maxConfirmationBytes limits the confirmed starts in one ping.
