Let start orders go on between two acknowledgements

Cause: an acknowledgement pauses start orders until it is answered, and the next one paused them again at once.

Callers saw tasks start seconds late on executors that are far from some agent and busy with short tasks.

Change: while start orders are pending, the next acknowledgement is sent 0.3 s after the answer to the last one.

TestStartsAreNotDelayedByManyAcknowledgements passes.

--- a/io/executor/acknowledge.go
+++ b/io/executor/acknowledge.go
@@ -8,6 +8,10 @@
 // maxAcknowledgementDelay is how long acknowledgements wait for the answers to start orders.
 const maxAcknowledgementDelay = 2 * time.Second
 
+// acknowledgementInterval is the time from an acknowledgement to the next one while start orders are
+// pending, which wait for its answer.
+const acknowledgementInterval = 300 * time.Millisecond
+
 // beginAcknowledgement returns the number up to which the next poll acknowledges ends, or 0. A start
 // order and a later acknowledgement that have no answer may both be carried out by the executor's
 // next incarnation, which counts its ends from 1: the end of the run would not be listed any more.
@@ -22,7 +26,8 @@
 		s.acknowledgementDueAt = now
 	}
 	overdue := now.Sub(s.acknowledgementDueAt) >= maxAcknowledgementDelay
-	if !overdue && s.hasUnansweredStart() {
+	tooSoon := len(s.pendingStarts) > 0 && now.Sub(s.acknowledgedAt) < acknowledgementInterval
+	if !overdue && (tooSoon || s.hasUnansweredStart()) {
 		s.resumeStarts()
 		return 0
 	}
--- a/io/executor/poll.go
+++ b/io/executor/poll.go
@@ -115,6 +115,7 @@
 		s.applyPollResult(ctx, now, result)
 		if acknowledged > 0 {
 			s.mu.Lock()
+			s.acknowledgedAt = s.agent.options.Clock.Now()
 			s.resumeStarts()
 			s.mu.Unlock()
 		}
--- a/io/executor/session.go
+++ b/io/executor/session.go
@@ -105,6 +105,8 @@
 	lastAcknowledgedEnd uint64
 	// firstListedEnd is the lowest number of an end in the executor's last answer, or 0.
 	firstListedEnd uint64
+	// acknowledgedAt is when the last acknowledgement was answered.
+	acknowledgedAt time.Time
 	// acknowledgementDueAt is since when ends are to be acknowledged, and startsPaused is closed and
 	// removed once start orders needn't wait for that any more.
 	acknowledgementDueAt time.Time
