--- a/io/executor/acknowledge_test.go
+++ b/io/executor/acknowledge_test.go
@@ -131,3 +131,42 @@
 		})
 	}
 }
+
+// Guards against an end that is acknowledged unseen in the next incarnation, which may carry out a start
+// order of an earlier session and an acknowledgement of the present one.
+func TestNoAcknowledgementBesideUnansweredStartOfEarlierSession(t *testing.T) {
+	is := is.New(t)
+	x := newLivesExecutor(6500 * time.Millisecond)
+	x.quick["quick"] = true
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 6500 * time.Millisecond, ProofLifetime: 7 * time.Second, FirstStart: true})
+	is.NoErr(a.StatusAnnounced(statusWith(16, 1)))
+	l := newLivesLeader()
+	leadAgent(t, a, l.receive)
+	awaitProvedSession(a)
+	l.setHoldAcknowledgements(true)
+	l.start(oleandervalve.TaskName{Job: "quick"}, 1, dispatch.RunHints{})
+	is.True(within(5*time.Second, func() bool { l.mu.Lock(); defer l.mu.Unlock(); return len(l.unacknowledged) > 0 }))
+	acknowledged, beside := make(chan bool, 100), 0
+	x.mu.Lock()
+	x.onCall = func(k callKind, p oleandervalve.PollRequest) {
+		if k != callPoll || p.AcknowledgedEnd == 0 {
+			return
+		}
+		if late, _ := a.unanswered.late(); len(late) > 0 {
+			beside++
+		}
+		acknowledged <- true
+	}
+	x.mu.Unlock()
+	x.mute(callStart, true)
+	l.start(lateTask, 1, dispatch.RunHints{})
+	is.True(within(5*time.Second, func() bool { return x.heldKinds()[callStart] }))
+	l.mu.Lock()
+	l.holdAcknowledgements, l.unacknowledged = false, nil
+	l.conn.Close()
+	l.mu.Unlock()
+	<-acknowledged
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	is.Equal(beside, 0)
+}
