Keep acknowledgements from starts that may still be carried out

Cause: acknowledgements waited only for pending orders of the present session whose attempts had no answer, not for those of earlier sessions, nor for earlier attempts at an order that a later one has succeeded with.

Change: they wait for all attempts without an answer that may still be carried out (leasebound.CallDelay, 2 s), at most 2 s as before. Orders of an earlier process of the agent are not counted: an incomplete list of ends would take 2 s longer after each start of an agent.

Measured: TestNoAcknowledgementBesideUnansweredStartOfEarlierSession fails before and passes with the change; TestCallsReachNextLife (432 deliveries) and TestStartsAreNotDelayedByManyAcknowledgements pass (1 run, no race detector). Not measured: how long ends stay unacknowledged where many orders get no answer; they wait up to 2 s there after each of them.

--- a/io/executor/acknowledge.go
+++ b/io/executor/acknowledge.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
+
+	"oleandervalve/core/dispatch"
 )
 
 // maxAcknowledgementDelay is how long acknowledgements wait for the answers to start orders.
@@ -41,15 +44,18 @@
 	return s.lastAcknowledgedEnd
 }
 
-// hasUnansweredStart reports whether an attempt at a pending start order has had no answer. s.mu must
-// be held.
+// hasUnansweredStart reports whether an attempt at a pending start order has had no answer, or one at
+// another order may still be carried out. s.mu must be held.
 func (s *session) hasUnansweredStart() bool {
 	for _, st := range s.pendingStarts {
 		if st.unanswered {
 			return true
 		}
 	}
-	return false
+	late, _ := s.agent.unanswered.late()
+	return slices.ContainsFunc(late, func(u dispatch.UnansweredStart) bool {
+		return s.pendingStarts[runKey{u.Task, u.Run}] == nil
+	})
 }
 
 // resumeStarts allows start orders after an acknowledgement. s.mu must be held.
