--- a/io/executor/lives_test.go
+++ b/io/executor/lives_test.go
@@ -310,10 +310,12 @@
 	// lost holds the runs that the last inventory reports as lost.
 	lost       map[runKey]bool
 	terminated map[int64]bool
+	// endsBy holds the times at which reports of lost executors say that runs have certainly ended.
+	endsBy map[runKey]time.Time
 }
 
 func newLivesLeader() *livesLeader {
-	return &livesLeader{sessions: map[int64]int{}, reported: map[int64]map[runKey]oleandervalve.RunEnd{}, neverStarted: map[runKey]bool{}, terminated: map[int64]bool{}}
+	return &livesLeader{sessions: map[int64]int{}, reported: map[int64]map[runKey]oleandervalve.RunEnd{}, neverStarted: map[runKey]bool{}, terminated: map[int64]bool{}, endsBy: map[runKey]time.Time{}}
 }
 
 // hasJoinedNextLife reports whether there has been a session with life 2.
@@ -346,6 +348,9 @@
 		l.neverStarted[runKey{m.Task, m.Run}] = true
 	case *peer.ExecutorTerminated:
 		l.terminated[m.Incarnation.StartedAt] = true
+		for _, u := range m.Unanswered {
+			l.endsBy[runKey{u.Task, u.Run}] = time.Now().Add(u.For)
+		}
 	}
 }
 
