--- a/io/executor/unanswered_test.go
+++ b/io/executor/unanswered_test.go
@@ -227,3 +227,37 @@
 		t.Fatal("the run is never confirmed")
 	}
 }
+
+// Guards against runs that are never confirmed because their executor was recovering when it was met, and
+// against runs that are confirmed while their leases may outlast what leaders count on.
+func TestRunsOfRecoveringExecutorAreConfirmedAfterRecovery(t *testing.T) {
+	is := is.New(t)
+	x := newLivesExecutor(12 * time.Second)
+	x.restart(5 * time.Second)
+	x.running[runKey{oleandervalve.TaskName{Job: "j"}, 1}] = &livesRun{}
+	a := newAgent(Options{ID: "a-1", Clock: oleandervalve.SystemClock(), Executor: x, MaxLease: 12 * time.Second, ProofLifetime: 7 * time.Second})
+	status := statusWith(16, 1)
+	status.Incarnation.StartedAt = 2
+	is.NoErr(a.StatusAnnounced(status))
+	inventories, confirmed := make(chan *peer.ExecutorInventory, 10), make(chan dispatch.StartedRun, 10)
+	leadAgentWith(t, a, func(p *peer.Ping) bool {
+		for _, s := range p.Started {
+			confirmed <- s
+		}
+		return true
+	}, func(_ *peer.Conn, m peer.Message) {
+		if m, ok := m.(*peer.ExecutorInventory); ok {
+			inventories <- m
+		}
+	})
+	first := <-inventories
+	recovery := a.awaitSession().recovering()
+	is.Equal(first.Status.State, oleandervalve.ExecutorRecovering)
+	is.Equal(len(first.Running), 1)
+	select {
+	case <-confirmed:
+		is.True(a.awaitSession().recovering() <= 0)
+	case <-time.After(recovery + 4*pingInterval):
+		t.Fatal("the run is never confirmed")
+	}
+}
