Lose and stop leaders at any time in the random test of silent agents

TestSilentAgentIsNotGivenUpWithinItsLease replaced leaders at once, so rows were hardly older than a tick at a takeover, and no leader ended as planned.

--- a/io/leader/silence_test.go
+++ b/io/leader/silence_test.go
@@ -200,11 +200,21 @@
 		for range 200 {
 			switch n := r.IntN(20); {
 			case n < 2:
+				s.clock.Advance(time.Duration(r.IntN(3000)) * time.Millisecond) // the leader is lost
+				if r.IntN(3) == 0 {
+					s.leader.stop()
+					close(s.leader.done)
+					s.leader.Release(context.Background())
+				}
 				s.next()
 				leaders = append(leaders, s.leader)
 			case n < 4:
 				// One of the previous leaders may not know yet that it was replaced.
 				followed = leaders[max(0, len(leaders)-1-r.IntN(3))]
+				if followed.stopped {
+					followed = nil
+					break
+				}
 				s.connectTo(followed, "side", task)
 			case n < 6 && followed != nil:
 				followed.withDispatcher(func(d *dispatch.Dispatcher, now time.Time) { d.AgentDisconnected(now, "side") })
@@ -218,7 +228,7 @@
 			default:
 				s.advance(time.Duration(1+r.IntN(20)) * tickInterval)
 			}
-			if followed != nil && r.IntN(3) > 0 {
+			if followed != nil && !followed.stopped && r.IntN(3) > 0 {
 				if at := s.clock.Now().Add(-proofAge(followed)); at.After(proof) {
 					proof = at
 				}
