Take listed runs for confirmed after a restart of the agent

Three leaders and three processes of an agent followed each other within two seconds; then its executor was lost, too.

Cause: each new process tells that orders of the earlier one may be under way for 2 s, and the leader took that for a reason not to confirm any run that the executor lists. The process was replaced before it confirmed them.

Change: only runs of which the agent knows an attempt without an answer stay unconfirmed once listed. What an earlier process may have sent concerns runs that are not listed.

Ruled out: keeping it for the case that an earlier process left an attempt unanswered at a run that another attempt has begun, and the executor starts again silently within 2 s: that is rarer than processes that follow each other.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -35,6 +35,9 @@
 	// confirmed means that the executor has answered all attempts at the start order, or has listed the
 	// run, so that its lease can't outlast what the agent has requested.
 	confirmed bool
+	// late means that the agent knows of an attempt at the start order that has had no answer and may still
+	// be carried out.
+	late bool
 	// unansweredUntil is when the run has certainly ended or can't begin any more according to the agent,
 	// which has reported that the start order has had no answer from an earlier incarnation.
 	unansweredUntil time.Time
--- a/core/dispatch/confirm.go
+++ b/core/dispatch/confirm.go
@@ -77,7 +77,7 @@
 	}
 	for _, s := range starts {
 		if r := a.runs[runKey{s.Task, s.Run}]; r != nil {
-			r.confirmed, r.unansweredUntil = false, now.Add(s.For)
+			r.confirmed, r.late, r.unansweredUntil = false, true, now.Add(s.For)
 			d.note("startUnanswered", s.Task.Job, map[string]any{"task": s.Task.String(), "run": s.Run, "agent": id, "forMs": s.For.Milliseconds()})
 		}
 	}
@@ -85,7 +85,7 @@
 
 func (a *agent) forgetUnanswered() {
 	for _, r := range a.runs {
-		r.unansweredUntil = time.Time{}
+		r.late, r.unansweredUntil = false, time.Time{}
 	}
 }
 
--- a/core/dispatch/confirm_test.go
+++ b/core/dispatch/confirm_test.go
@@ -77,6 +77,14 @@
 			s.State, s.Incarnation.StartedAt = oleandervalve.ExecutorRecovering, 2
 			c.dispatcher.AgentConnected(c.now, a.id, s, oleandervalve.PollResult{Running: []oleandervalve.RunningTask{{Task: k.task, Run: k.run}}})
 		}, testUnconfirmedAfter},
+		{"listed by an executor whose agent has started again", false, func(c *cluster, a *agent, k runKey) {
+			c.dispatcher.StartsUnanswered(c.now, a.id, nil, 2*time.Second)
+			c.dispatcher.AgentConnected(c.now, a.id, a.status, oleandervalve.PollResult{Running: []oleandervalve.RunningTask{{Task: k.task, Run: k.run}}})
+		}, testTakeoverAfter},
+		{"listed, with an attempt under way", false, func(c *cluster, a *agent, k runKey) {
+			c.dispatcher.StartsUnanswered(c.now, a.id, []UnansweredStart{{k.task, k.run, time.Second}}, 0)
+			c.dispatcher.AgentConnected(c.now, a.id, a.status, oleandervalve.PollResult{Running: []oleandervalve.RunningTask{{Task: k.task, Run: k.run}}})
+		}, testUnconfirmedAfter},
 		{"long-running, not confirmed", true, func(c *cluster, a *agent, _ runKey) {
 			c.dispatcher.LeaseGranted(c.now, a.id)
 		}, testUnconfirmedAfter},
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -112,8 +112,8 @@
 		a.allocate(k, r)
 	}
 	// An executor that has started again may have begun the run for an order to its earlier incarnation.
-	a.runs[k].confirmed = wanted && a.status.State != oleandervalve.ExecutorRecovering && a.runs[k].unansweredUntil.IsZero()
-	a.runs[k].unansweredUntil = time.Time{}
+	a.runs[k].confirmed = wanted && a.status.State != oleandervalve.ExecutorRecovering && !a.runs[k].late
+	a.runs[k].late, a.runs[k].unansweredUntil = false, time.Time{}
 	if !wanted {
 		a.runs[k].stopping = true
 		d.note("unwantedRun", k.task.Job, map[string]any{"task": k.task.String(), "run": k.run, "agent": a.id})
