--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -17,8 +17,8 @@
 }
 
 // Silences returns the agents to which runs are assigned and that have been silent for a while, whether
-// their connections have ended yet or not, sorted by agent. The next leader needs them: if it waited for each such agent anew,
-// tasks would not start elsewhere as long as leaders replace one another.
+// their connections have ended yet or not, sorted by agent. The next leader needs them: if it waited for
+// each such agent anew, tasks would not start elsewhere as long as leaders replace one another.
 func (d *Dispatcher) Silences(now time.Time) []Silence {
 	var out []Silence
 	for _, a := range d.sortedAgents {
