Refuse requests without progress in a planned stop

Callers saw: an entry told to stop beside clients that stop short of the end of their bodies took 7.5 s instead of 2.5 s. The platform kills it after 6 s, which cuts the requests of others. Processes of the own product ended with exit code 4, requests were cut.

Cause: a planned stop waited for every connection with a begun request, also if the rest never comes, and for responses that nobody reads. It shut the listeners down one after the other within 5 s of its own, beyond the timeout of the stop, so that the clients of one listener took the time of the others.

Change: core/clientlimit decides what a planned stop does with a request that is being received. Without a byte for 1 s it is refused with a retry time, after one more read; likewise 0.3 s before the end of the stop. Responses of which a client takes nothing for 1 s are closed. Listeners shut down together, and a hosted process ends its whole stop 0.7 s before the kill.

Ruled out: the release of leadership and the notice end in time without such clients.

--- a/cmd/oleandervalve/platform.go
+++ b/cmd/oleandervalve/platform.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// killMargin is the time between the end of the drain timeout and the platform's
-	// kill of the process.
+	// killMargin is the time between the end of a planned stop and the platform's kill of the
+	// process.
 	killMargin = 700 * time.Millisecond
 	// maxNotice is how long listeners stay open after the entry reports that it is
 	// not ready. The load balancer checks readiness every second and stops
@@ -109,12 +109,11 @@
 		}
 	}
 	go g.Run(ctx)
-	notice := min(maxNotice, s.StopGrace/2)
-	return p.Run(signals, process.StopOptions{IgnoreRepeated: true, Timeout: s.StopGrace - killMargin, Notice: notice, Drain: func(ctx context.Context) bool {
+	timeout := stopTimeout(s)
+	notice := min(maxNotice, timeout/2)
+	return p.Run(signals, process.StopOptions{IgnoreRepeated: true, Timeout: notice, ShutdownTimeout: timeout - notice, Notice: notice, Drain: func(ctx context.Context) bool {
 		// Requests need the time after the notice. Other entries notice the end of this one
 		// even if the table doesn't answer to the release of leadership.
-		ctx, cancel := context.WithTimeout(ctx, notice)
-		defer cancel()
 		g.Stop(ctx)
 		return true
 	}})
@@ -147,7 +146,13 @@
 		}
 	}
 	go a.Run(ctx)
-	return p.Run(signals, process.StopOptions{IgnoreRepeated: true, Timeout: s.StopGrace - killMargin})
+	return p.Run(signals, process.StopOptions{IgnoreRepeated: true, ShutdownTimeout: stopTimeout(s)})
+}
+
+// stopTimeout returns the time for a planned stop, which ends before the platform kills the
+// process.
+func stopTimeout(s platform.Settings) time.Duration {
+	return max(s.StopGrace-killMargin, s.StopGrace/2)
 }
 
 func metricsAddress(s platform.Settings) string { return s.IP + ":" + strconv.Itoa(s.FirstPort) }
--- a/core/clientlimit/clientlimit_test.go
+++ b/core/clientlimit/clientlimit_test.go
@@ -179,3 +179,16 @@
 	is.True(300*HeaderCharge(10_000, true) < LimitsFor(152<<20, 4096).Budget)
 	is.Equal(HeaderCharge(FreeHeaderBytes+HandshakeBytes+10, true), oleandervalve.Bytes(HandshakeBytes+10*HeaderWeight))
 }
+
+// Guards against a planned stop that waits for a request without progress, that refuses one whose
+// bytes have arrived while the process was suspended, or that has no time left for the refusals.
+func TestActionAtStop(t *testing.T) {
+	is := is.New(t)
+	end := start.Add(3 * time.Second)
+	is.Equal(ActionAtStop(Connection{ChangedAt: start}, start.Add(StallTime-1), end), Await)
+	is.Equal(ActionAtStop(Connection{ChangedAt: start}, start.Add(StallTime), end), ReadOnce)
+	almost := end.Add(-stopRefusalTime)
+	is.Equal(ActionAtStop(Connection{ChangedAt: almost}, almost.Add(-1), end), Await)
+	is.Equal(ActionAtStop(Connection{ChangedAt: almost}, almost, end), Refuse)
+	is.Equal(ActionAtStop(Connection{ChangedAt: start}, almost, end), Refuse)
+}
--- a/core/clientlimit/connection.go
+++ b/core/clientlimit/connection.go
@@ -6,6 +6,10 @@
 	"oleandervalve"
 )
 
+// stopRefusalTime is the part of a planned stop in which requests that have not been received are
+// refused, so that their responses can still be sent.
+const stopRefusalTime = 300 * time.Millisecond
+
 // newConnectionGrace is the time for which a new connection isn't closed for a newer one, so
 // that an ordinary caller can send its request while many others connect.
 const newConnectionGrace = 500 * time.Millisecond
@@ -60,3 +64,29 @@
 	}
 	return 0, false
 }
+
+// StopAction is what a planned stop does with a request that is being received.
+type StopAction int
+
+const (
+	// Await means that the stop waits for the rest of the request.
+	Await StopAction = iota
+	// ReadOnce means that the request is refused unless bytes of it have arrived that the process
+	// has not read.
+	ReadOnce
+	// Refuse means that the request is refused.
+	Refuse
+)
+
+// ActionAtStop returns what a planned stop that ends at the given time does with the request that
+// is being received from a connection. A refused request can be served by another process
+// earlier than by one that waits for a client without progress.
+func ActionAtStop(c Connection, now, end time.Time) StopAction {
+	switch {
+	case end.Sub(now) <= stopRefusalTime:
+		return Refuse
+	case now.Sub(c.ChangedAt) >= StallTime:
+		return ReadOnce
+	}
+	return Await
+}
--- a/io/process/connection_phase.go
+++ b/io/process/connection_phase.go
@@ -185,15 +185,12 @@
 	_, _ = c.TCPConn.Write([]byte(refusalResponse)) // a client that takes nothing gets no response
 }
 
-// Write writes a part of a response. It fails if the client takes nothing for writeTimeout.
+// Write writes a part of a response. It fails if the client takes nothing for writeTimeout, or
+// for clientlimit.StallTime in a planned stop.
 func (c *connection) Write(b []byte) (n int, err error) {
 	for len(b) > 0 && err == nil {
-		piece := b[:min(len(b), writePieceBytes)]
-		if !c.limitWrite() {
-			piece = b
-		}
 		var written int
-		written, err = c.TCPConn.Write(piece)
+		written, err = c.writePiece(b)
 		n, b = n+written, b[written:]
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -202,6 +199,57 @@
 	return n, err
 }
 
+// writePiece writes the first bytes. It fails with a deadline error only if the client has taken
+// none.
+func (c *connection) writePiece(b []byte) (int, error) {
+	if !c.limitWrite() {
+		return c.TCPConn.Write(b)
+	}
+	b = b[:min(len(b), writePieceBytes)]
+	n, err := c.TCPConn.Write(b)
+	if c.endRestart() && c.mayWriteAfter(err) {
+		return n, nil
+	}
+	if n == 0 && c.mayWriteAfter(err) {
+		// A process that was suspended has not seen what the client took meanwhile.
+		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(lastAttemptTimeout)) // fails only if the connection is closed
+		n, err = c.TCPConn.Write(b)
+	}
+	if n > 0 && c.mayWriteAfter(err) {
+		err = nil
+	}
+	return n, err
+}
+
+// restartWrite ends the write in progress, so that what is left of it gets the limit of a planned
+// stop.
+func (c *connection) restartWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseHijacked {
+		return
+	}
+	c.restarted = true
+	_ = c.TCPConn.SetWriteDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+}
+
+// endRestart reports whether restartWrite has been called since the last write.
+func (c *connection) endRestart() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	restarted := c.restarted
+	c.restarted = false
+	return restarted
+}
+
+// mayWriteAfter reports whether an error is that of the deadline that limitWrite has set, and the
+// one of the server has not passed.
+func (c *connection) mayWriteAfter(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return errors.Is(err, os.ErrDeadlineExceeded) && c.phase != phaseHijacked && (c.writeDeadline.IsZero() || time.Now().Before(c.writeDeadline))
+}
+
 // limitWrite sets the deadline of the next write. It reports false for a hijacked connection,
 // whose owner sets the deadlines.
 func (c *connection) limitWrite() bool {
@@ -210,7 +258,11 @@
 	if c.phase == phaseHijacked {
 		return false
 	}
-	d := time.Now().Add(c.guard.writeTimeout)
+	timeout := c.guard.writeTimeout
+	if c.listener.draining.Load() {
+		timeout = min(timeout, clientlimit.StallTime)
+	}
+	d := time.Now().Add(timeout)
 	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(d) {
 		d = c.writeDeadline
 	}
--- a/io/process/connections.go
+++ b/io/process/connections.go
@@ -53,9 +53,10 @@
 	closeOnce sync.Once
 	closed    chan struct{}
 
-	mu       sync.Mutex
-	open     map[*connection]bool
-	draining bool
+	draining atomic.Bool
+
+	mu   sync.Mutex
+	open map[*connection]bool
 	// hijacked counts the open connections that are no longer the server's, and closing those in
 	// open that are being closed at the limit.
 	hijacked int
@@ -105,7 +106,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = true
-	if l.draining {
+	if l.draining.Load() {
 		c.closeUnlessUsed(now)
 	}
 	return c, nil
@@ -160,13 +161,19 @@
 }
 
 // drain closes the listener and waits until all requests that have arrived are answered and
-// their connections closed, or the context ends.
+// their connections closed, or the context ends. It refuses requests that make no progress while
+// they are received, and closes connections whose clients don't read their responses.
 func (l *connections) drain(ctx context.Context) {
 	now := time.Now()
+	end, hasEnd := ctx.Deadline()
+	if !hasEnd {
+		end = now.Add(defaultShutdownTimeout)
+	}
 	l.mu.Lock()
-	l.draining = true
+	l.draining.Store(true)
 	for c := range l.open {
 		c.closeUnlessUsed(now)
+		c.restartWrite()
 	}
 	l.mu.Unlock()
 	_ = l.SetDeadline(now) // fails only if the listener is closed
@@ -181,11 +188,26 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case now = <-t.C:
+		}
+		for _, c := range l.openConnections() {
+			if s := c.state(); s.Phase == clientlimit.Receiving {
+				c.stopReceiving(clientlimit.ActionAtStop(s, now, end))
+			}
 		}
 	}
 }
 
+func (l *connections) openConnections() []*connection {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*connection, 0, len(l.open))
+	for c := range l.open {
+		out = append(out, c)
+	}
+	return out
+}
+
 func (l *connections) openCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -268,7 +290,9 @@
 	// stallAt is the time at which a read without progress ends; zero means never.
 	stallAt       time.Time
 	writeDeadline time.Time
-	isClosed      bool
+	// restarted means that a planned stop has ended the write in progress.
+	restarted bool
+	isClosed  bool
 	// isNew means that the connection has had no request yet, and awaitsRequest that nothing
 	// has been read since it was opened or since the last answer.
 	isNew         bool
@@ -276,6 +300,10 @@
 	// readDeadline is the deadline that the server has set.
 	readDeadline time.Time
 	closeAt      time.Time
+	// reading means that the process waits for bytes of the client, and givenUp that a planned
+	// stop refuses the request unless bytes have arrived by now.
+	reading bool
+	givenUp bool
 }
 
 // closeUnlessUsed makes reads end soon, unless a request has begun.
@@ -298,7 +326,7 @@
 	if !c.stallAt.IsZero() && (d.IsZero() || c.stallAt.Before(d)) {
 		d = c.stallAt
 	}
-	if c.refusal != "" {
+	if c.refusal != "" || c.givenUp {
 		d = time.Unix(1, 0) // reads end at once
 	}
 	_ = c.TCPConn.SetReadDeadline(d) // fails only if the connection is closed
@@ -329,8 +357,24 @@
 	return c.SetReadDeadline(d)
 }
 
+// stopReceiving carries out what a planned stop does with the request that is being received.
+func (c *connection) stopReceiving(a clientlimit.StopAction) {
+	c.mu.Lock()
+	begun := !c.awaitsRequest
+	if begun && a == clientlimit.ReadOnce && c.reading && !c.givenUp {
+		c.givenUp = true
+		c.applyReadDeadline()
+	}
+	c.mu.Unlock()
+	if begun && a == clientlimit.Refuse {
+		c.refuse(refusedStopping)
+	}
+}
+
 // Read reads from the connection.
 func (c *connection) Read(b []byte) (int, error) {
+	c.setReading(true)
+	defer c.setReading(false)
 	n, err := c.TCPConn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendForLastRead() {
 		n, err = c.TCPConn.Read(b)
@@ -341,15 +385,31 @@
 			return 0, os.ErrDeadlineExceeded // the server closes the connection
 		}
 	}
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isGivenUp() {
+		c.refuse(refusedStopping)
+	}
 	return n, err
 }
 
+func (c *connection) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
+func (c *connection) isGivenUp() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.givenUp
+}
+
 // extendForLastRead permits one more read if the last one ended because of a planned stop.
 func (c *connection) extendForLastRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if !c.awaitsRequest || c.refusal != "" || c.closeAt.IsZero() || c.closeAt.After(now) {
+	unused := c.awaitsRequest && !c.closeAt.IsZero() && !c.closeAt.After(now)
+	if c.refusal != "" || !unused && !c.givenUp {
 		return false
 	}
 	return c.TCPConn.SetReadDeadline(now.Add(lastAttemptTimeout)) == nil
@@ -359,8 +419,8 @@
 func (c *connection) requestBegun() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.awaitsRequest {
-		c.awaitsRequest = false
+	if c.awaitsRequest || c.givenUp {
+		c.awaitsRequest, c.givenUp = false, false
 		c.applyReadDeadline()
 	}
 }
--- a/io/process/drain_test.go
+++ b/io/process/drain_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"oleandervalve"
 )
 
 // request is a whole request without a body.
@@ -144,3 +146,89 @@
 	close(s.release)
 	is.NoErr(<-s.done)
 }
+
+// Guards against a planned stop that waits for a request that its client doesn't complete, and
+// ends without an answer to it: the client isn't told that the request has no effect.
+func TestPlannedStopRefusesUnfinishedRequests(t *testing.T) {
+	for name, text := range map[string]string{
+		"header": "POST / HTTP/1.1\r\nHost: ",
+		"body":   "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n1234567",
+		"chunk":  "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n0123",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := New("x", "panic", io.Discard)
+			address, err := p.Listen("callers", "127.0.0.1:0", 0, http.HandlerFunc(bodyReader))
+			is.NoErr(err)
+			c := connect(t, address, nil)
+			c.write(text)
+			waitFor(func() bool { return p.bytesReceived() == oleandervalve.Bytes(len(text)) })
+			signals := make(chan struct{}, 1)
+			signals <- struct{}{}
+			done := make(chan error, 1)
+			go func() { done <- p.Run(signals, StopOptions{Timeout: time.Minute, ShutdownTimeout: time.Minute}) }()
+			r := c.response(t)
+			is.Equal(r.status, http.StatusServiceUnavailable)
+			is.Equal(r.header.Get("Retry-After"), "1")
+			is.True(r.closed)
+			is.NoErr(<-done)
+		})
+	}
+}
+
+// Guards against a planned stop that waits for clients that don't read their responses.
+func TestPlannedStopClosesConnectionsOfUnreadResponses(t *testing.T) {
+	is := is.New(t)
+	p := New("x", "panic", io.Discard)
+	written := make(chan struct{})
+	address, err := p.Listen("callers", "127.0.0.1:0", 0, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		defer close(written)
+		_, _ = w.Write(make([]byte, 64<<20)) // fails once the stop gives it up
+	}))
+	is.NoErr(err)
+	c := connect(t, address, nil)
+	c.write(request)
+	_, err = c.reader.ReadByte()
+	is.NoErr(err) // the response has begun
+	signals := make(chan struct{}, 1)
+	signals <- struct{}{}
+	is.NoErr(p.Run(signals, StopOptions{Timeout: time.Minute, ShutdownTimeout: time.Minute}))
+	<-written
+}
+
+// Guards against a planned stop that cuts the requests of one listener because the clients of
+// another one take all of its time.
+func TestPlannedStopOfListenersDoesNotWaitForEachOther(t *testing.T) {
+	is := is.New(t)
+	p := New("x", "panic", io.Discard)
+	release, held := make(chan struct{}), make(chan struct{}, 1)
+	hold := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		held <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, "whole answer")
+	})
+	first, err := p.Listen("callers", "127.0.0.1:0", 0, hold)
+	is.NoErr(err)
+	second, err := p.Listen("peers", "127.0.0.1:0", 0, http.HandlerFunc(bodyReader))
+	is.NoErr(err)
+	ordinary, stalled := connect(t, first, nil), connect(t, second, nil)
+	ordinary.write(request)
+	<-held
+	stalled.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n1234567")
+	signals := make(chan struct{}, 1)
+	signals <- struct{}{}
+	done := make(chan error, 1)
+	go func() { done <- p.Run(signals, StopOptions{Timeout: time.Minute, ShutdownTimeout: time.Minute}) }()
+	is.Equal(stalled.response(t).status, http.StatusServiceUnavailable) // beside the request at the other listener
+	close(release)
+	readAnswer(t, ordinary.reader)
+	is.NoErr(<-done)
+}
+
+// bytesReceived returns the bytes of the requests that are being received.
+func (p *Process) bytesReceived() (n oleandervalve.Bytes) {
+	for _, c := range p.servers[0].connections.openConnections() {
+		n += c.state().Received
+	}
+	return n
+}
--- a/io/process/guard.go
+++ b/io/process/guard.go
@@ -32,6 +32,7 @@
 	refusedConnections refusal = "connections"
 	refusedIdle        refusal = "idleConnection"
 	refusedWrite       refusal = "responseNotRead"
+	refusedStopping    refusal = "stopping"
 )
 
 // refusalKey is one kind of refusal at one listener.
@@ -172,8 +173,11 @@
 // been received as a whole.
 func refusalError(reason refusal) error {
 	e := &oleandervalve.UnavailableError{Service: "process", RetryAfter: refusalRetry, Remedy: "the memory for requests in flight is in use; send the request again"}
-	if reason == refusedStalled {
+	switch reason {
+	case refusedStalled:
 		e.Remedy = "the body made no progress; send the request again without pauses"
+	case refusedStopping:
+		e.Remedy = "the process stops and has not received the request; send it again to another one"
 	}
 	return e
 }
--- a/io/process/process.go
+++ b/io/process/process.go
@@ -24,9 +24,9 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = time.Minute
 	maxHeaderBytes    = 64 << 10
-	// shutdownGrace is the time for completed requests to write the end of their
-	// responses after the drain.
-	shutdownGrace = 5 * time.Second
+	// defaultShutdownTimeout is the time for requests that are being received, and for completed
+	// ones to write the end of their responses, after the drain.
+	defaultShutdownTimeout = 5 * time.Second
 )
 
 // ErrForcedStop is returned by Run if a second signal ends a planned stop.
@@ -191,9 +191,10 @@
 
 // StopOptions configures a planned stop.
 type StopOptions struct {
-	// Timeout limits the drain and the notice. Shutting down the listeners may
-	// take shutdownGrace longer.
+	// Timeout limits the drain and the notice.
 	Timeout time.Duration
+	// ShutdownTimeout limits shutting down the listeners afterwards; the default is 5 seconds.
+	ShutdownTimeout time.Duration
 	// Notice is how long listeners stay open after the process reports that it is not ready.
 	Notice time.Duration
 	// Drain refuses new work and waits until the work in flight has completed or
@@ -252,17 +253,33 @@
 	case <-notice.C:
 	case <-ctx.Done():
 	}
-	// Completed requests may still be writing the end of their responses.
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	timeout := options.ShutdownTimeout
+	if timeout == 0 {
+		timeout = defaultShutdownTimeout
+	}
+	shutdownCtx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	return p.shutdown(shutdownCtx) && complete
+}
+
+// shutdown shuts down all servers at the same time, so that the clients of one don't take the time
+// of the others. It reports whether no request was cut off.
+func (p *Process) shutdown(ctx context.Context) bool {
 	p.mu.Lock()
 	servers := append([]server(nil), p.servers...)
 	p.mu.Unlock()
+	var cut atomic.Bool
+	var done sync.WaitGroup
 	for _, s := range servers {
-		s.connections.drain(shutdownCtx)
-		complete = s.Shutdown(shutdownCtx) == nil && complete
+		done.Go(func() {
+			s.connections.drain(ctx)
+			if s.Shutdown(ctx) != nil {
+				cut.Store(true)
+			}
+		})
 	}
-	return complete
+	done.Wait()
+	return !cut.Load()
 }
 
 // Close closes all listeners and connections immediately, and the metrics scope.
