Close the oldest connection where all are new

Cause: at the limit of a listener no connection younger than 0.5 s was closed for a new one. The crowd connects 20,000 times a second, so that all are younger, and a new one was refused whoever it belonged to.

Change: ConnectionToClose names the oldest connection if all are new. At its limit a listener waits up to 50 ms for connections that are being closed.

Ruled out: memory, the budget (0 bytes in flight) and the rule of progress.

--- a/core/clientlimit/connection.go
+++ b/core/clientlimit/connection.go
@@ -10,7 +10,7 @@
 // refused, so that their responses can still be sent.
 const stopRefusalTime = 300 * time.Millisecond
 
-// newConnectionGrace is the time for which a new connection isn't closed for a newer one, so
+// newConnectionGrace is the time for which a new connection isn't closed before older ones, so
 // that an ordinary caller can send its request while many others connect.
 const newConnectionGrace = 500 * time.Millisecond
 
@@ -39,16 +39,22 @@
 
 // ConnectionToClose returns the index of the connection to close for a new one at the limit of a
 // listener: the one that is idle for the longest time, otherwise the one whose request has made
-// the least progress. It reports false if there is none; then the new connection is to be closed.
+// the least progress. If all are new it is the oldest of them, so that each client has the same
+// time for its request, however fast others connect. It reports false if there is none; then
+// the new connection is to be closed.
 func ConnectionToClose(open []Connection, now time.Time) (int, bool) {
-	idle, stalled, least := -1, -1, -1
+	idle, stalled, least, oldest := -1, -1, -1, -1
 	for i, c := range open {
 		switch {
 		case c.Phase == Idle:
 			if idle < 0 || c.ChangedAt.Before(open[idle].ChangedAt) {
 				idle = i
 			}
-		case c.Phase != Receiving || now.Sub(c.OpenedAt) < newConnectionGrace:
+		case c.Phase != Receiving:
+		case now.Sub(c.OpenedAt) < newConnectionGrace:
+			if oldest < 0 || c.OpenedAt.Before(open[oldest].OpenedAt) {
+				oldest = i
+			}
 		case now.Sub(c.ChangedAt) >= StallTime:
 			if stalled < 0 || c.ChangedAt.Before(open[stalled].ChangedAt) {
 				stalled = i
@@ -57,7 +63,7 @@
 			least = i
 		}
 	}
-	for _, i := range []int{idle, stalled, least} {
+	for _, i := range []int{idle, stalled, least, oldest} {
 		if i >= 0 {
 			return i, true
 		}
--- a/io/process/clients_test.go
+++ b/io/process/clients_test.go
@@ -293,6 +293,23 @@
 	}
 }
 
+// Guards against a listener that refuses ordinary callers while clients that don't complete their
+// requests connect faster than their connections grow old.
+func TestConnectionLimitWhileAllAreNew(t *testing.T) {
+	is := is.New(t)
+	const limit = 8
+	p, address := startLimited(t, nil, limit, bodyReader)
+	for range 10 {
+		for range limit {
+			connect(t, address, nil).write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nxxx")
+		}
+		c := connect(t, address, nil)
+		c.write(request)
+		is.Equal(c.response(t).status, http.StatusOK)
+	}
+	waitFor(func() bool { return p.openConnections() <= limit })
+}
+
 // Guards against clients that send requests ahead, so that each of their connections is idle for
 // moments only and is never closed at the limit.
 func TestConnectionLimitWithRequestsSentAhead(t *testing.T) {
--- a/io/process/connections.go
+++ b/io/process/connections.go
@@ -28,6 +28,9 @@
 	lastAttemptTimeout = 5 * time.Millisecond
 	// drainPollInterval is the interval at which a planned stop looks for open connections.
 	drainPollInterval = 5 * time.Millisecond
+	// closingTimeout is the longest time for which a new connection at the limit waits for one that
+	// is being closed. It takes as long as the goroutine of that connection takes to run.
+	closingTimeout = 50 * time.Millisecond
 	// closingShare is the share of the limit, one part in so many, that connections which are
 	// being closed may take beyond it.
 	// It is at least minClosing connections.
@@ -61,12 +64,14 @@
 	// open that are being closed at the limit.
 	hijacked int
 	closing  int
+	// removed gets a value once one of closing is closed.
+	removed chan struct{}
 }
 
 func newConnections(l *net.TCPListener, name string, g *guard) *connections {
 	return &connections{
 		TCPListener: l, name: name, guard: g, limit: g.connectionLimit(name),
-		grace: newConnectionGrace, closed: make(chan struct{}), open: map[*connection]bool{},
+		grace: newConnectionGrace, closed: make(chan struct{}), open: map[*connection]bool{}, removed: make(chan struct{}, 1),
 	}
 }
 
@@ -115,17 +120,16 @@
 // admit makes room for a new connection at the limit. It reports false if no other connection
 // can be closed for it.
 func (l *connections) admit(accepted *connection) bool {
-	now := time.Now()
 	l.mu.Lock()
-	total := len(l.open) + l.hijacked
-	if excess := total - l.limit; excess > max(minClosing, l.limit/closingShare) {
+	if !l.awaitClosing() {
 		l.mu.Unlock()
 		return false
 	}
-	if total-l.closing <= l.limit {
+	if l.total()-l.closing <= l.limit {
 		l.mu.Unlock()
 		return true
 	}
+	now := time.Now()
 	candidates, states := make([]*connection, 0, len(l.open)), make([]clientlimit.Connection, 0, len(l.open))
 	for c := range l.open {
 		if c != accepted && !c.closing {
@@ -137,12 +141,12 @@
 		l.mu.Unlock()
 		return false
 	}
-	victim := candidates[i]
+	victim, idle := candidates[i], states[i].Phase == clientlimit.Idle
 	victim.closing = true
-	victim.closesAfterResponse.Store(states[i].Phase == clientlimit.Idle)
+	victim.closesAfterResponse.Store(true)
 	l.closing++
 	l.mu.Unlock()
-	if states[i].Phase == clientlimit.Idle {
+	if idle {
 		l.guard.refused(l.name, refusedIdle)
 		victim.closeUnlessUsed(now)
 		return true
@@ -151,6 +155,44 @@
 	return true
 }
 
+func (l *connections) total() int { return len(l.open) + l.hijacked }
+
+// awaitClosing waits until the connections that are being closed at the limit leave room for one
+// more. It reports false if they don't, at once if all of them are being served. The lock must be
+// held.
+func (l *connections) awaitClosing() bool {
+	timeout := time.NewTimer(closingTimeout)
+	defer timeout.Stop()
+	for l.total()-l.limit > max(minClosing, l.limit/closingShare) {
+		if !l.closesSoon() {
+			return false
+		}
+		l.mu.Unlock()
+		expired := false
+		select {
+		case <-l.removed:
+		case <-timeout.C:
+			expired = true
+		}
+		l.mu.Lock()
+		if expired {
+			return false
+		}
+	}
+	return true
+}
+
+// closesSoon reports whether a connection is being closed at the limit without a request that is
+// being served. The lock must be held.
+func (l *connections) closesSoon() bool {
+	for c := range l.open {
+		if c.closing && c.state().Phase != clientlimit.Serving {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes the listener. It may be called again.
 func (l *connections) Close() (err error) {
 	l.closeOnce.Do(func() {
@@ -219,6 +261,10 @@
 	defer l.mu.Unlock()
 	if l.open[c] && c.closing {
 		l.closing--
+		select {
+		case l.removed <- struct{}{}:
+		default:
+		}
 	}
 	delete(l.open, c)
 }
@@ -251,6 +297,9 @@
 		c.mu.Lock()
 		c.isNew, c.awaitsRequest = false, true
 		c.phase, c.received, c.headerCharge, c.stallAt, c.changedAt = phaseHeader, 0, 0, time.Time{}, time.Now()
+		if c.closesAfterResponse.Load() {
+			c.closeAt = c.changedAt // its request was served while it was chosen to be closed
+		}
 		c.mu.Unlock()
 	case http.StateHijacked:
 		l.hijack(c)
