Don't run calls whose bodies are cut

Callers saw: a call of the own product runs although its client disconnected before the end of the body; the endpoint gets the part as a whole body.

Cause: io.ReadFull returns io.ErrUnexpectedEOF both for a body that is shorter than the buffer and for one that is cut. readBody took both for whole.

Change: a body is whole only if its reader returns io.EOF.

Ruled out: bodies over 16 KB, whose cut the entry passes on to the agent; jobs, announcements and operators' requests, whose JSON needs its end.

--- a/io/callerhttp/handler.go
+++ b/io/callerhttp/handler.go
@@ -216,18 +216,25 @@
 func (c *Call) readBody(r io.Reader) error {
 	p := inlineBuffers.Get().(*[]byte)
 	defer inlineBuffers.Put(p)
-	n, err := io.ReadFull(r, *p)
+	var n int
+	var err error
+	// io.ReadFull returns io.ErrUnexpectedEOF both for a short body and for a truncated one.
+	for n < len(*p) && err == nil {
+		var k int
+		k, err = r.Read((*p)[n:])
+		n += k
+	}
 	c.Inline = bytes.Clone((*p)[:n])
 	var unavailable *oleandervalve.UnavailableError
 	switch {
+	case n > MaxInlineBody:
+		c.Rest = r
+	case errors.Is(err, io.EOF):
 	case errors.As(err, &unavailable):
 		return &oleandervalve.NotRunError{Reason: "clientLimit", Remedy: unavailable.Remedy, RetryAfter: unavailable.RetryAfter}
-	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
-		return nil
-	case err != nil:
+	default:
 		return invalidError("body", "unreadable", "send the whole body within the size limit")
 	}
-	c.Rest = r
 	return nil
 }
 
