Give up bodies without progress for calls that need their slots

Callers saw: six clients of one team that stop short of the end of their calls' bodies, with the longest timeout, hold both slots of an endpoint for 10 min. Calls of other teams get 429; none was answered in a minute.

Cause: a body over 16 KB streams to the endpoint while its call holds a slot, and only the call's own timeout limits the time without progress. Fair queues share the slots that become free; these don't.

Change: when a call gets no slot at once, the call of the same service whose body has made no progress for the longest time, 1 s or more, is given up. The rule of progress moves from the budget to clientlimit.Progress, which both use. In calm a body may pause as before.

Ruled out: a limit in any case, which refuses callers within the documented times; reading whole bodies before a call gets a slot, 8 MiB each.

--- a/cmd/oleandervalve/stop_clients_test.go
+++ b/cmd/oleandervalve/stop_clients_test.go
@@ -53,13 +53,21 @@
 // startStopped starts a process of a role, and returns once it serves its metrics.
 func startStopped(t *testing.T, role string) *stoppedProcess {
 	t.Helper()
-	is := is.New(t)
-	p := &stoppedProcess{log: filepath.Join(t.TempDir(), "log"), ended: make(chan struct{})}
+	p := &stoppedProcess{}
 	if strings.HasPrefix(role, "hosted-") {
 		p.prepareHosted(t, role)
 	} else {
 		p.prepareOwn(t, role)
 	}
+	p.start(t)
+	return p
+}
+
+// start starts the process, and returns once it serves its metrics.
+func (p *stoppedProcess) start(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	p.log, p.ended = filepath.Join(t.TempDir(), "log"), make(chan struct{})
 	log, err := os.Create(p.log)
 	is.NoErr(err)
 	p.command.Stdout, p.command.Stderr = log, log
@@ -76,7 +84,7 @@
 	for {
 		if response, err := http.Get("http://" + p.listeners["metrics"] + "/healthz"); err == nil {
 			_ = response.Body.Close()
-			return p
+			return
 		}
 		select {
 		case <-p.ended:
@@ -127,7 +135,13 @@
 		args = []string{"standin", role}
 		p.listeners = map[string]string{"service": a[0], "metrics": a[1]}
 	}
-	text += fmt.Sprintf("role: %s\nid: n\ndrain: {timeout: %s, notice: 500ms}\nlisten:\n", role, stopGrace-5*time.Second)
+	p.writeSettings(t, text+"role: "+role+"\nid: n\n", args...)
+}
+
+// writeSettings writes the settings file of a process of the own product and prepares its command.
+func (p *stoppedProcess) writeSettings(t *testing.T, text string, args ...string) {
+	t.Helper()
+	text += fmt.Sprintf("drain: {timeout: %s, notice: 500ms}\nlisten:\n", stopGrace-5*time.Second)
 	for name, address := range p.listeners {
 		text += fmt.Sprintf("  %s: %s\n", name, address)
 	}
--- a/core/clientlimit/budget.go
+++ b/core/clientlimit/budget.go
@@ -6,15 +6,6 @@
 	"oleandervalve"
 )
 
-const (
-	// StallTime is the time without progress after which a request that is being received is
-	// the first to release its share. Ordinary bodies of at most 5 KB take one round trip.
-	StallTime = time.Second
-	// progressBytes is the number of bytes that count as progress, so that a client that sends
-	// single bytes has stalled too.
-	progressBytes = 1 << 10
-)
-
 // RequestID identifies a request in flight.
 type RequestID uint64
 
@@ -25,13 +16,7 @@
 	declared oleandervalve.Bytes
 	// complete means that all of the request has been received.
 	complete bool
-	// progressAt is the time of the last progress, and received counts the bytes since then.
-	progressAt time.Time
-	received   oleandervalve.Bytes
-	// reading means that the process waits for bytes of the client, and pausedAt is when it did
-	// so last. The time in which it doesn't is no lack of progress.
-	reading  bool
-	pausedAt time.Time
+	progress Progress
 }
 
 // weight is the size by which requests that make progress are compared.
@@ -59,7 +44,7 @@
 func (b *Budget) share(id RequestID, now time.Time) *share {
 	s := b.shares[id]
 	if s == nil {
-		s = &share{progressAt: now, pausedAt: now}
+		s = &share{progress: NewProgress(now)}
 		b.shares[id] = s
 	}
 	return s
@@ -78,9 +63,7 @@
 		victims = append(victims, v)
 		b.End(v)
 	}
-	if !s.reading {
-		s.reading, s.progressAt = true, s.progressAt.Add(now.Sub(s.pausedAt))
-	}
+	s.progress.Reading(now)
 	s.held += n
 	b.used += n
 	return victims, true
@@ -94,10 +77,10 @@
 	var largest, stalled RequestID
 	var largestWeight, stalledHeld oleandervalve.Bytes
 	for v, s := range b.shares {
-		if v == id || s.complete || !s.reading || s.held == 0 {
+		if v == id || s.complete || !s.progress.reading || s.held == 0 {
 			continue
 		}
-		if now.Sub(s.progressAt) >= StallTime && s.held > stalledHeld {
+		if s.progress.Stalled(now) && s.held > stalledHeld {
 			stalled, stalledHeld = v, s.held
 		}
 		if s.weight() > largestWeight {
@@ -121,13 +104,8 @@
 
 // Received records that a read has returned bytes of a request. The next one begins with Reserve.
 func (b *Budget) Received(id RequestID, n oleandervalve.Bytes, now time.Time) {
-	s := b.shares[id]
-	if s == nil {
-		return
-	}
-	s.reading, s.pausedAt = false, now
-	if s.received += n; s.received >= progressBytes {
-		s.progressAt, s.received = now, 0
+	if s := b.shares[id]; s != nil {
+		s.progress.Received(n, now)
 	}
 }
 
--- a/core/clientlimit/clientlimit_test.go
+++ b/core/clientlimit/clientlimit_test.go
@@ -197,3 +197,30 @@
 	is.Equal(ActionAtStop(Connection{ChangedAt: almost}, almost, end), Refuse)
 	is.Equal(ActionAtStop(Connection{ChangedAt: start}, almost, end), Refuse)
 }
+
+// Guards against a call that loses its slot to another one although its client makes progress, or
+// although the process doesn't read.
+func TestLongestStalled(t *testing.T) {
+	is := is.New(t)
+	later := start.Add(2 * StallTime)
+	reading := func(since time.Time) Progress {
+		p := NewProgress(since)
+		p.Reading(since)
+		return p
+	}
+	progressing, dripping, paused := reading(start), reading(start), reading(start)
+	progressing.Received(progressBytes, later)
+	progressing.Reading(later)
+	dripping.Received(1, later)
+	dripping.Reading(later)
+	paused.Received(0, start)
+	list := []Progress{reading(later), progressing, paused, reading(start.Add(StallTime)), dripping}
+	i, ok := LongestStalled(list, later)
+	is.True(ok)
+	is.Equal(i, 4)
+	i, ok = LongestStalled(list[:4], later)
+	is.True(ok)
+	is.Equal(i, 3)
+	_, ok = LongestStalled(list[:3], later)
+	is.True(!ok)
+}
--- a/io/callerhttp/body_test.go
+++ b/io/callerhttp/body_test.go
@@ -34,7 +34,7 @@
 			defer server.Close()
 			c, err := net.Dial("tcp", server.Listener.Addr().String())
 			is.NoErr(err)
-			defer c.Close()
+			defer func() { _ = c.Close() }()
 			_, err = io.WriteString(c, text)
 			is.NoErr(err)
 			is.NoErr(c.(*net.TCPConn).CloseWrite())
--- a/io/callerhttp/handler.go
+++ b/io/callerhttp/handler.go
@@ -82,6 +82,8 @@
 	// Stream, if not nil, is called before Rest is read by a reader that doesn't keep what it
 	// has read, so that this no longer counts as memory of the request.
 	Stream func()
+	// GiveUp, if not nil, makes reads of Rest fail.
+	GiveUp func()
 }
 
 // Dispatcher runs calls.
@@ -177,6 +179,9 @@
 	if b, ok := r.Body.(interface{ Stream() }); ok {
 		c.Stream = b.Stream
 	}
+	if b, ok := r.Body.(interface{ GiveUp() }); ok {
+		c.GiveUp = b.GiveUp
+	}
 	return c, c.readBody(http.MaxBytesReader(w, r.Body, h.maxBody))
 }
 
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -46,9 +46,12 @@
 
 // pendingCall is one call in flight at the entry.
 type pendingCall struct {
-	call     callerhttp.Call
-	request  caller.Request
-	w        http.ResponseWriter
+	call    callerhttp.Call
+	request caller.Request
+	w       http.ResponseWriter
+	// body is the rest of the request's body, once it is read; nil if the start of it was the
+	// whole one.
+	body     *callBody
 	attempts int
 	// lostExecutions is the number of attempts that may have run without a whole answer.
 	lostExecutions int
@@ -158,6 +161,7 @@
 	defer e.mu.Unlock()
 	now := e.clock.Now()
 	s := e.service(x.call.Service)
+	delete(s.bodies, x.body)
 	switch result {
 	case attemptNotRun:
 		return e.finishNotRun(ctx, x, slot, err, now.Sub(started))
@@ -224,6 +228,9 @@
 		e.waiting[id] = ready
 		e.assignQueued(now, x.call.Service)
 	}
+	if err != nil || e.waiting[id] != nil {
+		e.giveUpStalledBody(now, x.call.Service)
+	}
 	e.mu.Unlock()
 	if err != nil {
 		return allocatedSlot{}, err
@@ -279,7 +286,8 @@
 		q.Stream()
 	}
 	upload := c.upload
-	go func() { _, _ = upload.Copy(q.Inline, q.Rest) }()
+	rest := e.streamBody(x)
+	go func() { _, _ = upload.Copy(q.Inline, rest) }()
 	return nil
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -67,6 +67,8 @@
 	retries *caller.RetryBudget
 	// retryRatio is the configured ratio of the retry budget; 0 means the default.
 	retryRatio float64
+	// bodies are the bodies that are read while their calls hold slots.
+	bodies map[*callBody]bool
 }
 
 // allocatedSlot is an endpoint slot that is allocated to a request.
@@ -179,6 +181,9 @@
 	for name, s := range e.services {
 		e.refuseEvacuated(name, s)
 		e.assignQueued(now, name)
+		if s.queue.Len() > 0 {
+			e.giveUpStalledBody(now, name)
+		}
 	}
 }
 
@@ -239,7 +244,7 @@
 func (e *Entry) service(name oleandervalve.ServiceName) *serviceState {
 	s := e.services[name]
 	if s == nil {
-		s = &serviceState{queue: caller.NewQueue()}
+		s = &serviceState{queue: caller.NewQueue(), bodies: map[*callBody]bool{}}
 		s.queue.ConfigureTeams(e.teamWeights)
 		e.configureService(name, s)
 		e.services[name] = s
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return callerkey.Digest{}, &oleandervalve.InvalidError{Field: "body", Value: "unreadable", Remedy: "send the whole body within the size limit"}
 	}
-	c.Rest, c.Stream = bytes.NewReader(rest), nil
+	c.Rest, c.Stream, c.GiveUp = bytes.NewReader(rest), nil, nil
 	return callerkey.DigestOf(c.Method, c.Path, append(bytes.Clone(c.Inline), rest...)), nil
 }
 
--- a/io/process/body.go
+++ b/io/process/body.go
@@ -93,6 +93,10 @@
 	b.connection.guard.withBudget(func(u *clientlimit.Budget) { u.Declare(b.connection.id, 0, time.Now()) })
 }
 
+// GiveUp makes reads fail because the client makes no progress, unless the whole body has been
+// read.
+func (b *countedBody) GiveUp() { b.connection.refuse(refusedStalled) }
+
 // reserved returns the part of n bytes that counts.
 func reserved(n oleandervalve.Bytes) oleandervalve.Bytes {
 	return max(0, n-clientlimit.FreeBodyBytes)
