Don't eject endpoints whose callers cut their bodies

Callers saw: clients that disconnect within the bodies of their calls take up to a third of a service's endpoints out of use for other callers.

Cause: the endpoint can't answer a request without its end. The entry counts that as a failure of the endpoint, and ejects it after five in a row.

Change: a call whose body could not be read to its end says nothing of the endpoint's health.

Not changed: a caller that disconnects after its whole request still counts; it may have done so because the endpoint is slow.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"oleandervalve"
 	"oleandervalve/core/clientlimit"
 )
@@ -18,6 +20,7 @@
 
 	mu       sync.Mutex
 	progress clientlimit.Progress
+	failed   bool
 }
 
 // Read reads from the body and follows the progress of the client.
@@ -29,9 +32,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.progress.Received(oleandervalve.Bytes(n), b.clock.Now())
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed = true
+	}
 	return n, err
 }
 
+// hasFailed reports whether the client has not sent the whole body.
+func (b *callBody) hasFailed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failed
+}
+
 func (b *callBody) currentProgress() clientlimit.Progress {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -166,7 +166,11 @@
 	case attemptNotRun:
 		return e.finishNotRun(ctx, x, slot, err, now.Sub(started))
 	case attemptIndeterminate:
-		e.directory.RecordResult(now, slot.assignment, false, now.Sub(started))
+		if x.body != nil && x.body.hasFailed() {
+			e.directory.RecordRefusal(slot.assignment) // the endpoint can't answer without the whole body
+		} else {
+			e.directory.RecordResult(now, slot.assignment, false, now.Sub(started))
+		}
 		s.queue.Finished(now, x.call.Class, now.Sub(started))
 		x.lostExecutions++
 		if x.lostExecutions >= caller.MaxLostExecutions {
