Serve the endpoint stand-in on a listener of the process

Callers saw: the stand-in of an endpoint takes all of drain.timeout for a planned stop, and ends with exit code 4, while a client stops short of the end of a body; 5.2 s while clients hold unused connections.

Cause: it served with a server of its own, without the limits of the process and without its planned stop.

Change: the command passes the listener of the process to the stand-in.

Evidence: the cases of TestPlannedStopBesideUncontrolledClients for this role: unfinished bodies and chunks ended after 15.0 s (the whole drain.timeout) with exit code 4, now after 0.8 s with 0; unused connections 5.2 s, now 1.0 s. Tests of io/standin, io/entry, io/demo and the process tests pass.

--- a/cmd/oleandervalve/standin.go
+++ b/cmd/oleandervalve/standin.go
@@ -70,6 +70,7 @@
 		},
 		AgentURL: s.Endpoint.Agent, ServiceTime: s.Endpoint.ServiceTime, Sigma: 0.3, Seed: s.Simulation.Seed,
 		Executions: runCounts, AnnounceInterval: s.Announcement.Interval, DrainDelay: s.Drain.Notice,
+		Listen: func(address string, h http.Handler) (string, error) { return p.Listen("service", address, 0, h) },
 	})
 	if err != nil {
 		p.Close()
--- a/cmd/oleandervalve/stop_clients_test.go
+++ b/cmd/oleandervalve/stop_clients_test.go
@@ -134,6 +134,10 @@
 	case "table":
 		args = []string{"standin", role}
 		p.listeners = map[string]string{"service": a[0], "metrics": a[1]}
+	case "endpoint":
+		args = []string{"standin", role}
+		p.listeners = map[string]string{"service": a[0], "metrics": a[1]}
+		text = fmt.Sprintf("endpoint: {service: formaro, agent: 'http://%s', slots: 2, connections: 64}\n", a[2])
 	}
 	p.writeSettings(t, text+"role: "+role+"\nid: n\n", args...)
 }
@@ -220,7 +224,7 @@
 // kills the process before the stop has ended, or the stop reports that it cut requests. A request
 // that is being received when the stop begins is still answered.
 func TestPlannedStopBesideUncontrolledClients(t *testing.T) {
-	for _, role := range []string{"hosted-entry", "hosted-agent", "entry", "agent", "table"} {
+	for _, role := range []string{"hosted-entry", "hosted-agent", "entry", "agent", "table", "endpoint"} {
 		for _, shape := range stopShapes {
 			t.Run(role+"/"+shape.name, func(t *testing.T) {
 				is := is.New(t)
--- a/io/standin/endpoint.go
+++ b/io/standin/endpoint.go
@@ -37,6 +37,9 @@
 	// DrainDelay is how long Drain keeps serving after it has notified the agent, so
 	// that requests that the agent admitted earlier still complete.
 	DrainDelay time.Duration
+	// Listen serves the endpoint on an address and returns the address it is bound to. Its owner
+	// stops it after Drain. If it is nil the endpoint has a server of its own.
+	Listen func(address string, h http.Handler) (string, error)
 }
 
 // ExecutionLog counts the executions of endpoints per work ID, which the request
@@ -126,8 +129,7 @@
 // Endpoint is a running endpoint stand-in.
 type Endpoint struct {
 	config        EndpointConfig
-	listener      net.Listener
-	server        *http.Server
+	server        *http.Server // nil with config.Listen
 	client        *http.Client
 	cancel        context.CancelFunc
 	draining      chan struct{}
@@ -157,13 +159,8 @@
 // StartEndpoint starts an endpoint that announces itself to its agent until it
 // is drained or closed. Without an address it listens on a free loopback port.
 func StartEndpoint(c EndpointConfig) (*Endpoint, error) {
-	listen := c.Announcement.Address
-	if listen == "" {
-		listen = "127.0.0.1:0"
-	}
-	l, err := net.Listen("tcp", listen)
-	if err != nil {
-		return nil, err
+	if c.Announcement.Address == "" {
+		c.Announcement.Address = "127.0.0.1:0"
 	}
 	if c.Executions == nil {
 		c.Executions = NewExecutionLog()
@@ -171,21 +168,40 @@
 	if c.AnnounceInterval <= 0 {
 		c.AnnounceInterval = time.Second
 	}
-	c.Announcement.Address = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Endpoint{
-		config: c, listener: l, cancel: cancel, draining: make(chan struct{}), announcerDone: make(chan struct{}),
+		config: c, cancel: cancel, draining: make(chan struct{}), announcerDone: make(chan struct{}),
 		client: &http.Client{Timeout: time.Second},
 		random: rand.New(rand.NewPCG(c.Seed, 1)),
 	}
+	if err := x.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	x.done.Add(1)
+	go x.announce(ctx)
+	return x, nil
+}
+
+// listen serves the endpoint and sets its address.
+func (x *Endpoint) listen() (err error) {
+	address := &x.config.Announcement.Address
+	if x.config.Listen != nil {
+		*address, err = x.config.Listen(*address, http.HandlerFunc(x.serve))
+		return err
+	}
+	l, err := net.Listen("tcp", *address)
+	if err != nil {
+		return err
+	}
+	*address = l.Addr().String()
 	x.server = newServer(http.HandlerFunc(x.serve))
-	x.done.Add(2)
+	x.done.Add(1)
 	go func() {
 		defer x.done.Done()
 		_ = x.server.Serve(l)
 	}()
-	go x.announce(ctx)
-	return x, nil
+	return nil
 }
 
 // Address returns the endpoint's address.
@@ -314,8 +330,10 @@
 	case <-ctx.Done():
 	case <-time.After(x.config.DrainDelay):
 	}
-	if err := x.server.Shutdown(ctx); err != nil {
-		return err
+	if x.server != nil {
+		if err := x.server.Shutdown(ctx); err != nil {
+			return err
+		}
 	}
 	return leaveErr
 }
@@ -323,6 +341,8 @@
 // Close stops the endpoint immediately, without notifying the agent.
 func (x *Endpoint) Close() {
 	x.cancel()
-	_ = x.server.Close()
+	if x.server != nil {
+		_ = x.server.Close()
+	}
 	x.done.Wait()
 }
