Limit the memory of the jobs that a leader knows

Cause: the leader limited the number of open jobs for an assumed 10 KB each, but a job within the limits takes up to 1.2 MB, and ended ones are kept for 2 min more.

Change: the dispatcher estimates the memory of each known job. All together take a quarter of the instance's memory, at most 46 MB; jobs over 16 KB half of it, so that usual ones are accepted beside them. A single job always is. Beyond it a submission is refused at once with the reason backlog.

--- a/cmd/oleandervalve/platform.go
+++ b/cmd/oleandervalve/platform.go
@@ -88,7 +88,7 @@
 	}
 	g := gateway.New(gateway.Options{
 		Permits: permits,
-		ID:      oleandervalve.EntryID(s.Name), Process: uuid.NewString(), Address: s.PeerAddress, Seeds: s.PeerSeeds, CPUShare: s.CPUShare, Link: s.Link,
+		ID:      oleandervalve.EntryID(s.Name), Process: uuid.NewString(), Address: s.PeerAddress, Seeds: s.PeerSeeds, CPUShare: s.CPUShare, Memory: s.Memory, Link: s.Link,
 		Table: platform.NewTableClient(s.TableAddress), Clock: oleandervalve.SystemClock(), Uptime: oleandervalve.SystemUptime, Log: p.Log(), Scope: p.Scope(),
 		ConfigurationKey: platform.ConfigurationKey, Decode: platform.DecodeConfiguration,
 		Retention: s.Retention, EarlyStart: s.EarlyStart, MaxRow: s.MaxRow,
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -27,6 +27,8 @@
 	MoveInterval time.Duration
 	// MaxActive limits the jobs that have not ended; 0 means no limit.
 	MaxActive int
+	// MaxMemory limits the memory of all known jobs; 0 means no limit.
+	MaxMemory oleandervalve.Bytes
 	// MaxRow is the size of the largest row that the table accepts; 0 means 64 KiB.
 	MaxRow oleandervalve.Bytes
 }
@@ -73,7 +75,9 @@
 	nextExpiryScan time.Time
 	// activeJobs is the number of jobs that have not ended, and unsubmittedJobs that of
 	// cancelled jobs without a submission.
-	activeJobs      int
+	activeJobs int
+	// jobMemory is the memory of all known jobs.
+	jobMemory       oleandervalve.Bytes
 	unsubmittedJobs int
 	// pauses caches the paused executors of each pool from one scheduling pass to the next.
 	pauses map[pool]poolPauses
@@ -134,6 +138,7 @@
 			d.unsubmittedJobs++
 		}
 		d.jobs[j.id] = j
+		d.countMemory(j)
 		if j.rec.State.Terminal() {
 			j.retainUntil = now.Add(d.options.Retention)
 		}
@@ -246,9 +251,9 @@
 		j.submitters = append(j.submitters, s.Token)
 		return
 	}
-	if d.options.MaxActive > 0 && d.activeJobs >= d.options.MaxActive {
+	if d.options.MaxActive > 0 && d.activeJobs >= d.options.MaxActive || d.memoryFull(s.Spec) {
 		d.enqueueAction(Reply{Token: s.Token, Verdict: NotRun, Reason: "backlog", RetryAfter: backlogRetryAfter})
-		d.note("refused", s.Job, map[string]any{"reason": "backlog", "queue": s.Queue.Name, "open": d.activeJobs})
+		d.note("refused", s.Job, map[string]any{"reason": "backlog", "queue": s.Queue.Name, "open": d.activeJobs, "memoryBytes": int64(d.jobMemory)})
 		return
 	}
 	j := newJob(s.Job, s.Spec, work.Record{Queue: s.Queue, AcceptedAt: now})
@@ -264,6 +269,7 @@
 	}
 	j.submitters = []Token{s.Token}
 	d.jobs[j.id] = j
+	d.countMemory(j)
 	d.recordBestEffortImages(j)
 	d.markDirty(j)
 	for _, st := range j.steps {
@@ -355,6 +361,7 @@
 	d.activeJobs--
 	j.rec.State = s
 	j.rec.EndedAt = now
+	d.countMemory(j)
 	j.retainUntil = now.Add(d.options.Retention)
 	for _, st := range j.steps {
 		delete(d.ready, st)
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -55,6 +55,8 @@
 	speeds map[oleandervalve.AgentID]jobSpeed
 	// expired means that the rows of an ended job are to be deleted.
 	expired bool
+	// memory is what the job counts for in Dispatcher.jobMemory.
+	memory oleandervalve.Bytes
 }
 
 // step is one occurrence of a step of a job.
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -127,6 +128,45 @@
 	is.Equal(c.replies[5].Verdict, Accepted)
 }
 
+// Guards against jobs of the largest allowed size that take the memory of the leader, against
+// usual jobs that are refused because of them, and against memory that counts after its job.
+func TestMemoryOfJobsIsLimited(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	c.dispatcher.options.MaxMemory = 1 << 20
+	large := work.Spec{Repeat: work.MaxTasks, Interval: time.Hour, StartAt: c.now.Add(time.Hour), Steps: []work.Step{{Count: 1, Demand: oleandervalve.Resources{CPU: 1000}}}}
+	usual := work.Spec{Steps: []work.Step{{Count: 40, Estimate: time.Second, Demand: oleandervalve.Resources{CPU: 1}}}}
+	queue := work.Queue{Name: "q", Service: "press", MaxAttempts: 3}
+	submit := func(id oleandervalve.JobID, s work.Spec) Verdict {
+		c.submit(id, queue, s)
+		c.advanceCommit(true)
+		c.advanceCommit(true)
+		return c.replies[c.token].Verdict
+	}
+	is.Equal(submit("large", large), Accepted) // a single job has room
+	is.Equal(submit("other", large), NotRun)
+	is.Equal(submit("usual", usual), NotRun) // the single job takes all
+	c.cancel("large")
+	c.advanceCommit(true)
+	c.advanceCommit(true)
+	c.now = c.now.Add(time.Hour)
+	for c.dispatcher.HasJob("large") {
+		c.now = c.now.Add(expiryScanInterval)
+		c.dispatcher.Tick(c.now)
+		c.advanceCommit(true)
+		c.advanceCommit(true)
+	}
+	is.Equal(c.dispatcher.jobMemory, oleandervalve.Bytes(0))
+	half := work.Spec{Payload: strings.Repeat("x", 16<<10), Steps: usual.Steps}
+	accepted := 0
+	for submit(oleandervalve.JobID(fmt.Sprintf("half-%d", accepted)), half) == Accepted {
+		accepted++
+	}
+	is.True(accepted > 10)
+	is.True(c.dispatcher.jobMemory <= 512<<10)
+	is.Equal(submit("usual", usual), Accepted)
+}
+
 // Guards against a reply before the job is durable, a start before its assignment is
 // durable, and a run of a job whose commit was refused.
 func TestRepliesFollowCommits(t *testing.T) {
--- /dev/null
+++ b/core/dispatch/memory.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"oleandervalve"
+	"oleandervalve/core/work"
+)
+
+const (
+	// jobMemory, stepMemory and taskMemory are what a job, each occurrence of a step and each task
+	// take in memory, and dependencyMemory what an entry of a step's dependencies takes.
+	jobMemory        = 2 << 10
+	stepMemory       = 512
+	taskMemory       = 64
+	dependencyMemory = 16
+	// usualJobMemory is more than a usual job takes. Larger jobs leave the share of 1/usualShare of
+	// the memory to usual ones.
+	usualJobMemory = 16 << 10
+	usualShare     = 2
+)
+
+// memoryOf returns the memory that a job takes. The load that it answers is many jobs of the
+// largest allowed size, of which each takes a hundred times the memory of a usual one.
+func memoryOf(s work.Spec, state work.State) oleandervalve.Bytes {
+	n := jobMemory + len(s.Payload) + len(s.Steps)*s.Occurrences()*stepMemory
+	for _, st := range s.Steps {
+		n += len(st.Label) + len(st.DataRack) + len(st.Image) + len(st.After)*dependencyMemory
+	}
+	if state != work.Completed {
+		n += s.TaskCount() * taskMemory
+	}
+	return oleandervalve.Bytes(n)
+}
+
+// countMemory updates the memory that a known job counts for.
+func (d *Dispatcher) countMemory(j *job) {
+	n := memoryOf(j.spec, j.rec.State)
+	d.jobMemory += n - j.memory
+	j.memory = n
+}
+
+// memoryFull reports whether there is no memory for another job. A single job always has room.
+func (d *Dispatcher) memoryFull(s work.Spec) bool {
+	n, limit := memoryOf(s, work.Pending), d.options.MaxMemory
+	if n > usualJobMemory {
+		limit -= limit / usualShare
+	}
+	return d.options.MaxMemory > 0 && d.jobMemory > 0 && d.jobMemory+n > limit
+}
--- a/core/dispatch/unsubmitted.go
+++ b/core/dispatch/unsubmitted.go
@@ -31,6 +31,7 @@
 	j.retainUntil = now.Add(d.options.Retention)
 	j.cancellers = []Token{t}
 	d.jobs[id] = j
+	d.countMemory(j)
 	d.unsubmittedJobs++
 	d.markDirty(j)
 	d.note("cancelledUnsubmitted", id, map[string]any{"jobs": d.unsubmittedJobs})
@@ -58,6 +59,7 @@
 // forget removes a job without a row from memory.
 func (d *Dispatcher) forget(j *job) {
 	delete(d.jobs, j.id)
+	d.jobMemory -= j.memory
 	if j.rec.Unsubmitted {
 		d.unsubmittedJobs--
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -34,6 +34,8 @@
 	Seeds []string
 	// CPUShare is the entry's processor share, in processors.
 	CPUShare float64
+	// Memory is the memory of the instance; 0 means that it is unknown.
+	Memory oleandervalve.Bytes
 	// Link is the rate of the entry's link; 0 means that it is unknown.
 	Link  oleandervalve.BitsPerSecond
 	Table Table
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -49,8 +49,15 @@
 	commitTimeoutFactor = 8
 	// retryDelay is the pause before a refused commit or a failed read is repeated.
 	retryDelay = 100 * time.Millisecond
-	// maxActiveJobs limits the memory use of the leader: a job takes about 10 KB.
+	// maxActiveJobs limits the work of the leader.
 	maxActiveJobs = 5000
+	// maxJobMemory limits the memory of all known jobs, of which a usual one takes 7 KB. It is the
+	// same for all instances but the smallest, because each has to load the jobs that another one
+	// accepted as leader.
+	maxJobMemory = 46 << 20
+	// jobMemoryShare is the share of the instance's memory, one part in so many, that jobs may
+	// take at most.
+	jobMemoryShare = 4
 	// refuseSubmissionsAfter is how long commits may fail before new submissions are
 	// refused without an attempt to commit them.
 	refuseSubmissionsAfter = 300 * time.Millisecond
@@ -70,6 +77,8 @@
 type Options struct {
 	// CPUShare is the entry's processor share, in processors.
 	CPUShare float64
+	// Memory is the memory of the instance; 0 means that it is unknown.
+	Memory oleandervalve.Bytes
 	// Link is the rate of the entry's link; 0 means that it is unknown.
 	Link oleandervalve.BitsPerSecond
 	// DisableHandover keeps the leader from handing leadership to a stronger entry.
@@ -107,6 +116,14 @@
 // now reads the clocks.
 func (o Options) now() oleandervalve.Instant { return oleandervalve.ReadInstant(o.Clock, o.Uptime) }
 
+// maxJobMemory returns the limit of the memory of all known jobs.
+func (o Options) maxJobMemory() oleandervalve.Bytes {
+	if o.Memory > 0 {
+		return min(maxJobMemory, o.Memory/jobMemoryShare)
+	}
+	return maxJobMemory
+}
+
 // unconfirmedAfter returns dispatch.Options.UnconfirmedAfter.
 func (o Options) unconfirmedAfter() time.Duration {
 	if o.MaxLease == 0 {
@@ -215,7 +232,7 @@
 		acquiredAt: o.now(), inheritedSilences: own.Silences, inheritedRowAge: leasebound.RowAge(committed.At, previous.SentBy), grantedWhileLoading: map[oleandervalve.AgentID]time.Time{},
 		averageCommitTime: minCommitTimeout / commitTimeoutFactor,
 		dispatcher: dispatch.New(dispatch.Options{
-			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, UnconfirmedAfter: o.unconfirmedAfter(), Retention: o.Retention, EarlyStart: o.EarlyStart, MoveInterval: o.MoveInterval, MaxActive: maxActiveJobs, MaxRow: o.MaxRow,
+			TakeoverAfter: ProofLifetime*102/100 + takeoverMargin, UnconfirmedAfter: o.unconfirmedAfter(), Retention: o.Retention, EarlyStart: o.EarlyStart, MoveInterval: o.MoveInterval, MaxActive: maxActiveJobs, MaxMemory: o.maxJobMemory(), MaxRow: o.MaxRow,
 		}),
 		replies: map[dispatch.Token]func(dispatch.Reply){}, skippedRows: map[oleandervalve.Key]bool{}, compressed: map[oleandervalve.JobID][]byte{}, agents: map[oleandervalve.AgentID]*session{}, joins: map[oleandervalve.EntryID]int{},
 		followers: map[oleandervalve.EntryID]*follower{}, absenceReads: make(chan struct{}, maxAbsenceReads), lastProofAt: started, renewedAt: started, rowSentAt: started, termStartedAt: started,
