--- a/io/process/clients_test.go
+++ b/io/process/clients_test.go
@@ -109,15 +109,19 @@
 
 func (p *Process) openConnections() int { return p.servers[0].connections.openCount() }
 
+// testCertificates returns a configuration of TLS with a certificate for tests.
+func testCertificates() *tls.Config {
+	server := httptest.NewUnstartedServer(nil)
+	server.StartTLS()
+	defer server.Close()
+	return &tls.Config{Certificates: server.TLS.Certificates}
+}
+
 // Guards against clients that stop short of the end of a large body and keep the memory for it,
 // with a length or in chunks, with and without TLS, and against a connection of a refused
 // request that stays open.
 func TestStalledBodyReleasesItsMemory(t *testing.T) {
-	certificate := httptest.NewUnstartedServer(nil)
-	certificate.StartTLS()
-	certificates := certificate.TLS.Certificates
-	certificate.Close()
-	for _, config := range []*tls.Config{nil, {Certificates: certificates}} {
+	for _, config := range []*tls.Config{nil, testCertificates()} {
 		for _, head := range []string{
 			fmt.Sprintf("Content-Length: %d\r\n\r\n", largeBody),
 			fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", largeBody),
--- a/io/process/connection_phase.go
+++ b/io/process/connection_phase.go
@@ -221,27 +221,6 @@
 	return n, err
 }
 
-// restartWrite ends the write in progress, so that what is left of it gets the limit of a planned
-// stop.
-func (c *connection) restartWrite() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == phaseHijacked {
-		return
-	}
-	c.restarted = true
-	_ = c.TCPConn.SetWriteDeadline(time.Unix(1, 0)) // fails only if the connection is closed
-}
-
-// endRestart reports whether restartWrite has been called since the last write.
-func (c *connection) endRestart() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	restarted := c.restarted
-	c.restarted = false
-	return restarted
-}
-
 // mayWriteAfter reports whether an error is that of the deadline that limitWrite has set, and the
 // one of the server has not passed.
 func (c *connection) mayWriteAfter(err error) bool {
--- a/io/process/connections.go
+++ b/io/process/connections.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -20,22 +19,9 @@
 	// newConnectionGrace is the usual time for which a planned stop waits for the first request
 	// of a connection.
 	newConnectionGrace = 500 * time.Millisecond
-	// acceptGrace is the longest time for which a planned stop accepts the connections that
-	// wait for it.
-	acceptGrace = 100 * time.Millisecond
 	// lastAttemptTimeout is the timeout of the last read from a connection, and of the last
 	// accept, in a planned stop. It returns what has arrived and was not read in time.
 	lastAttemptTimeout = 5 * time.Millisecond
-	// drainPollInterval is the interval at which a planned stop looks for open connections.
-	drainPollInterval = 5 * time.Millisecond
-	// closingTimeout is the longest time for which a new connection at the limit waits for one that
-	// is being closed. It takes as long as the goroutine of that connection takes to run.
-	closingTimeout = 50 * time.Millisecond
-	// closingShare is the share of the limit, one part in so many, that connections which are
-	// being closed may take beyond it.
-	// It is at least minClosing connections.
-	closingShare = 4
-	minClosing   = 8
 )
 
 // connections is a listener that tracks its open connections. The Shutdown method of
@@ -120,83 +106,6 @@
 	return c, nil
 }
 
-// admit makes room for a new connection at the limit. It reports false if no other connection
-// can be closed for it.
-func (l *connections) admit(accepted *connection) bool {
-	l.mu.Lock()
-	if !l.awaitClosing() {
-		l.mu.Unlock()
-		return false
-	}
-	if l.total()-l.closing <= l.limit {
-		l.mu.Unlock()
-		return true
-	}
-	now := time.Now()
-	l.candidates, l.states = l.candidates[:0], l.states[:0]
-	for c := range l.open {
-		if c != accepted && !c.closing {
-			l.candidates, l.states = append(l.candidates, c), append(l.states, c.state())
-		}
-	}
-	i, ok := clientlimit.ConnectionToClose(l.states, now)
-	if !ok {
-		l.mu.Unlock()
-		return false
-	}
-	victim, idle := l.candidates[i], l.states[i].Phase == clientlimit.Idle
-	clear(l.candidates) // closed connections are not held
-	victim.closing = true
-	victim.closesAfterResponse.Store(true)
-	l.closing++
-	l.mu.Unlock()
-	if idle {
-		l.guard.refused(l.name, refusedIdle)
-		victim.closeUnlessUsed(now)
-		return true
-	}
-	victim.refuse(refusedConnections)
-	return true
-}
-
-func (l *connections) total() int { return len(l.open) + l.hijacked }
-
-// awaitClosing waits until the connections that are being closed at the limit leave room for one
-// more. It reports false if they don't, at once if all of them are being served. The lock must be
-// held.
-func (l *connections) awaitClosing() bool {
-	timeout := time.NewTimer(closingTimeout)
-	defer timeout.Stop()
-	for l.total()-l.limit > max(minClosing, l.limit/closingShare) {
-		if !l.closesSoon() {
-			return false
-		}
-		l.mu.Unlock()
-		expired := false
-		select {
-		case <-l.removed:
-		case <-timeout.C:
-			expired = true
-		}
-		l.mu.Lock()
-		if expired {
-			return false
-		}
-	}
-	return true
-}
-
-// closesSoon reports whether a connection is being closed at the limit without a request that is
-// being served. The lock must be held.
-func (l *connections) closesSoon() bool {
-	for c := range l.open {
-		if c.closing && c.state().Phase != clientlimit.Serving {
-			return true
-		}
-	}
-	return false
-}
-
 // Close closes the listener. It may be called again.
 func (l *connections) Close() (err error) {
 	l.closeOnce.Do(func() {
@@ -206,54 +115,6 @@
 	return err
 }
 
-// drain closes the listener and waits until all requests that have arrived are answered and
-// their connections closed, or the context ends. It refuses requests that make no progress while
-// they are received, and closes connections whose clients don't read their responses.
-func (l *connections) drain(ctx context.Context) {
-	now := time.Now()
-	end, hasEnd := ctx.Deadline()
-	if !hasEnd {
-		end = now.Add(defaultShutdownTimeout)
-	}
-	l.mu.Lock()
-	l.draining.Store(true)
-	for c := range l.open {
-		c.closeUnlessUsed(now)
-		c.restartWrite()
-	}
-	l.mu.Unlock()
-	_ = l.SetDeadline(now) // fails only if the listener is closed
-	select {
-	case <-l.closed:
-	case <-time.After(acceptGrace):
-		_ = l.Close() // a client that keeps connecting must not hold up the stop
-	}
-	t := time.NewTicker(drainPollInterval)
-	defer t.Stop()
-	for l.openCount() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case now = <-t.C:
-		}
-		for _, c := range l.openConnections() {
-			if s := c.state(); s.Phase == clientlimit.Receiving {
-				c.stopReceiving(clientlimit.ActionAtStop(s, now, end))
-			}
-		}
-	}
-}
-
-func (l *connections) openConnections() []*connection {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	out := make([]*connection, 0, len(l.open))
-	for c := range l.open {
-		out = append(out, c)
-	}
-	return out
-}
-
 func (l *connections) openCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -410,20 +271,6 @@
 	return c.SetReadDeadline(d)
 }
 
-// stopReceiving carries out what a planned stop does with the request that is being received.
-func (c *connection) stopReceiving(a clientlimit.StopAction) {
-	c.mu.Lock()
-	begun := !c.awaitsRequest
-	if begun && a == clientlimit.ReadOnce && c.reading && !c.givenUp {
-		c.givenUp = true
-		c.applyReadDeadline()
-	}
-	c.mu.Unlock()
-	if begun && a == clientlimit.Refuse {
-		c.refuse(refusedStopping)
-	}
-}
-
 // Read reads from the connection.
 func (c *connection) Read(b []byte) (int, error) {
 	c.setReading(true)
--- a/io/process/drain_test.go
+++ b/io/process/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -225,6 +226,22 @@
 	is.NoErr(<-done)
 }
 
+// Guards against a planned stop that waits for clients that don't complete their TLS handshake, or
+// send nothing after it.
+func TestPlannedStopClosesUnusedTLSConnections(t *testing.T) {
+	is := is.New(t)
+	p := New("x", "panic", io.Discard)
+	address, err := p.ListenTLS("peers", "127.0.0.1:0", 0, http.HandlerFunc(bodyReader), testCertificates())
+	is.NoErr(err)
+	partial := connect(t, address, nil)
+	partial.write("\x16\x03\x01\x02\x00\x01\x00")
+	unused := connect(t, address, &tls.Config{})
+	is.NoErr(unused.Conn.(*tls.Conn).HandshakeContext(t.Context()))
+	signals := make(chan struct{}, 1)
+	signals <- struct{}{}
+	is.NoErr(p.Run(signals, StopOptions{Timeout: time.Minute, ShutdownTimeout: time.Minute}))
+}
+
 // bytesReceived returns the bytes of the requests that are being received.
 func (p *Process) bytesReceived() (n oleandervalve.Bytes) {
 	for _, c := range p.servers[0].connections.openConnections() {
