Keep room for the jobs of other queues

Cause: the limit of open jobs has no share for anyone.

Change: when it is reached, queues share another quarter of it in equal parts; a queue that has its part already is refused, as before. The callers of one queue can't be told apart on the users' platform.

Evidence: TestFullQueueLeavesRoomForOthers; without the share the second queue gets 0 of 10.

Ruled out: refusing bodies with fields that a job doesn't have. New fields may come, and the clients could send the same jobs without them.

--- a/core/dispatch/memory.go
+++ b/core/dispatch/backlog.go
@@ -16,6 +16,9 @@
 	// the memory to usual ones.
 	usualJobMemory = 16 << 10
 	usualShare     = 2
+	// queueShare is the share of Options.MaxActive, one part in so many, that queues may have
+	// together beyond it.
+	queueShare = 4
 )
 
 // memoryOf returns the memory that a job takes. The load that it answers is many jobs of the
@@ -46,3 +49,27 @@
 	}
 	return d.options.MaxMemory > 0 && d.jobMemory > 0 && d.jobMemory+n > limit
 }
+
+// countActive changes the number of open jobs, of all queues and of the job's queue.
+func (d *Dispatcher) countActive(j *job, by int) {
+	d.activeJobs += by
+	q := j.rec.Queue.Name
+	d.activeByQueue[q] += by
+	if d.activeByQueue[q] == 0 {
+		delete(d.activeByQueue, q)
+	}
+}
+
+// activeFull reports whether a queue may have no further open job. When one queue fills Options.MaxActive,
+// jobs of the others are still accepted, each with the same share of a part beyond it.
+func (d *Dispatcher) activeFull(q work.QueueName) bool {
+	limit := d.options.MaxActive
+	if limit == 0 || d.activeJobs < limit {
+		return false
+	}
+	extra, queues := limit/queueShare, len(d.activeByQueue)
+	if d.activeByQueue[q] == 0 {
+		queues++
+	}
+	return d.activeJobs >= limit+extra || d.activeByQueue[q] >= extra/queues
+}
--- a/core/dispatch/commit.go
+++ b/core/dispatch/commit.go
@@ -296,7 +296,7 @@
 	d.forget(j)
 	d.overload.policy.Discard(j.id)
 	if !j.rec.State.Terminal() {
-		d.activeJobs--
+		d.countActive(j, -1)
 	}
 	j.rec.State = work.Cancelled
 	for _, s := range j.steps {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -25,7 +25,8 @@
 	// MoveInterval is how long all other tasks of a long-running step must have been running before a
 	// task is moved out of an evacuated data centre.
 	MoveInterval time.Duration
-	// MaxActive limits the jobs that have not ended; 0 means no limit.
+	// MaxActive limits the jobs that have not ended; 0 means no limit. Queues with few of them may have a
+	// few beyond it.
 	MaxActive int
 	// MaxMemory limits the memory of all known jobs; 0 means no limit.
 	MaxMemory oleandervalve.Bytes
@@ -75,10 +76,12 @@
 	nextExpiryScan time.Time
 	// activeJobs is the number of jobs that have not ended, and unsubmittedJobs that of
 	// cancelled jobs without a submission.
-	activeJobs int
-	// jobMemory is the memory of all known jobs.
-	jobMemory       oleandervalve.Bytes
+	activeJobs      int
 	unsubmittedJobs int
+	// activeByQueue is the number of jobs that have not ended of each queue that has any.
+	activeByQueue map[work.QueueName]int
+	// jobMemory is the memory of all known jobs.
+	jobMemory oleandervalve.Bytes
 	// pauses caches the paused executors of each pool from one scheduling pass to the next.
 	pauses map[pool]poolPauses
 	// isolatingExecutors is the number of executors that get no other starts because of an
@@ -110,7 +113,7 @@
 	if o.MaxRow == 0 {
 		o.MaxRow = defaultMaxRow
 	}
-	d := &Dispatcher{options: o, serviceUtilisation: map[oleandervalve.ServiceName]float64{}, placementFailures: map[placementGroup][]placementFailure{}, pauses: map[pool]poolPauses{}, jobs: map[oleandervalve.JobID]*job{}, agents: map[oleandervalve.AgentID]*agent{}, ready: map[*step]bool{}, contention: contention.New(), runTimeModels: map[work.QueueName]*runTimeModel{}, beImages: map[oleandervalve.KindName]bool{}, evacuations: map[oleandervalve.DataCentreID]*evacuation{}, overload: newOverloadState()}
+	d := &Dispatcher{options: o, serviceUtilisation: map[oleandervalve.ServiceName]float64{}, placementFailures: map[placementGroup][]placementFailure{}, pauses: map[pool]poolPauses{}, jobs: map[oleandervalve.JobID]*job{}, activeByQueue: map[work.QueueName]int{}, agents: map[oleandervalve.AgentID]*agent{}, ready: map[*step]bool{}, contention: contention.New(), runTimeModels: map[work.QueueName]*runTimeModel{}, beImages: map[oleandervalve.KindName]bool{}, evacuations: map[oleandervalve.DataCentreID]*evacuation{}, overload: newOverloadState()}
 	d.sortSteps = d.overloadOrder
 	return d
 }
@@ -151,7 +154,7 @@
 			d.loadStep(now, st)
 		}
 		if !j.rec.State.Terminal() {
-			d.activeJobs++
+			d.countActive(j, 1)
 			for _, st := range j.steps {
 				d.activate(now, st)
 			}
@@ -251,7 +254,7 @@
 		j.submitters = append(j.submitters, s.Token)
 		return
 	}
-	if d.options.MaxActive > 0 && d.activeJobs >= d.options.MaxActive || d.memoryFull(s.Spec) {
+	if d.activeFull(s.Queue.Name) || d.memoryFull(s.Spec) {
 		d.enqueueAction(Reply{Token: s.Token, Verdict: NotRun, Reason: "backlog", RetryAfter: backlogRetryAfter})
 		d.note("refused", s.Job, map[string]any{"reason": "backlog", "queue": s.Queue.Name, "open": d.activeJobs, "memoryBytes": int64(d.jobMemory)})
 		return
@@ -260,7 +263,7 @@
 	if !d.admit(now, j, s.Token) {
 		return
 	}
-	d.activeJobs++
+	d.countActive(j, 1)
 	d.lastSubmissionAt = now
 	for _, st := range j.steps {
 		for i := range st.spec.Count {
@@ -358,7 +361,7 @@
 
 // endJob moves a job to a final state and stops its runs.
 func (d *Dispatcher) endJob(now time.Time, j *job, s work.State) {
-	d.activeJobs--
+	d.countActive(j, -1)
 	j.rec.State = s
 	j.rec.EndedAt = now
 	d.countMemory(j)
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -128,6 +128,42 @@
 	is.Equal(c.replies[5].Verdict, Accepted)
 }
 
+// Guards against clients of one queue that take all room for open jobs, and against queues that have
+// more room than is left for all of them.
+func TestFullQueueLeavesRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	c.dispatcher.options.MaxActive = 80
+	spec := work.Spec{Steps: []work.Step{{Count: 1, Estimate: time.Second, Demand: oleandervalve.Resources{CPU: 1000}}}}
+	accepted := map[work.QueueName]int{}
+	fill := func(name work.QueueName) {
+		for {
+			c.submit(oleandervalve.JobID(fmt.Sprintf("%s-%d", name, accepted[name])), work.Queue{Name: name, Service: "press", MaxAttempts: 3}, spec)
+			if c.replies[c.token].Verdict == NotRun {
+				return
+			}
+			accepted[name]++
+		}
+	}
+	fill("flood")
+	is.Equal(accepted["flood"], 80)
+	fill("a")
+	is.Equal(accepted["a"], 10) // half of a quarter
+	fill("flood")
+	is.Equal(accepted["flood"], 80)
+	fill("b")
+	is.Equal(accepted["b"], 6)
+	for n := range 10 {
+		fill(work.QueueName(fmt.Sprint(n)))
+	}
+	total := 0
+	for _, n := range accepted {
+		total += n
+	}
+	is.Equal(total, c.dispatcher.activeJobs)
+	is.True(total <= 100)
+}
+
 // Guards against jobs of the largest allowed size that take the memory of the leader, against
 // usual jobs that are refused because of them, and against memory that counts after its job.
 func TestMemoryOfJobsIsLimited(t *testing.T) {
