--- a/cmd/oleandervalve/job_clients_test.go
+++ b/cmd/oleandervalve/job_clients_test.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// newSubmission returns the submission of a job to an entry.
+func newSubmission(address string, number int, body string) (*http.Request, error) {
+	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/q/%016x", address, number+1), strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Host = "x.example"
+	r.Header.Set("X-Deadline-Ms", largeJobDeadlineMs)
+	return r, nil
+}
+
 // Guards against a leader that runs out of memory because clients submit many jobs of the largest
 // allowed size, and against one that refuses usual jobs because of them.
 func TestLargestJobsBesideUsualOnes(t *testing.T) {
@@ -47,12 +58,10 @@
 			var clients sync.WaitGroup
 			for n := range crowdSize {
 				clients.Go(func() {
-					r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/q/%016x", c.address, n+1), strings.NewReader(body))
+					r, err := newSubmission(c.address, n, body)
 					if err != nil {
 						return
 					}
-					r.Host = "x.example"
-					r.Header.Set("X-Deadline-Ms", largeJobDeadlineMs)
 					if response, err := client.Do(r); err == nil { // a failure is a refusal
 						_ = response.Body.Close()
 					}
@@ -62,15 +71,8 @@
 			descriptors, resident := c.usage(t)
 			t.Logf("%d MB resident at most, %d descriptors", resident, descriptors)
 			is.New(t).True(resident <= c.memoryMb)
-			r, err := c.ordinary()
-			is.New(t).NoErr(err)
-			r.URL.Path = "/q/00000000000fffff" // not one that was accepted before
 			c.ordinary = func() (*http.Request, error) {
-				q, err := http.NewRequest(http.MethodPost, r.URL.String(), strings.NewReader(`{"spec":"x","steps":[{"count":1,"cpu":100}]}`))
-				if err == nil {
-					q.Host = r.Host
-				}
-				return q, err
+				return newSubmission(c.address, crowdSize, `{"spec":"x","steps":[{"count":1,"cpu":100}]}`)
 			}
 			c.awaitOrdinary(t, ordinaryTimeout)
 		})
--- a/cmd/oleandervalve/slot_clients_test.go
+++ b/cmd/oleandervalve/slot_clients_test.go
@@ -26,16 +26,16 @@
 
 // startCallPath starts an entry, an agent and an endpoint of the service formaro, and returns the
 // entry once a call is answered.
-func startCallPath(t *testing.T) *stoppedProcess {
+func startCallPath(t *testing.T) *servingProcess {
 	t.Helper()
 	a := freeAddresses(t, 7)
-	entry := &stoppedProcess{listeners: map[string]string{"callers": a[0], "peers": a[1], "metrics": a[2]}}
-	agent := &stoppedProcess{listeners: map[string]string{"announcements": a[3], "metrics": a[4]}}
-	endpoint := &stoppedProcess{listeners: map[string]string{"service": a[5], "metrics": a[6]}}
+	entry := &servingProcess{listeners: map[string]string{"callers": a[0], "peers": a[1], "metrics": a[2]}}
+	agent := &servingProcess{listeners: map[string]string{"announcements": a[3], "metrics": a[4]}}
+	endpoint := &servingProcess{listeners: map[string]string{"service": a[5], "metrics": a[6]}}
 	entry.writeSettings(t, "role: entry\nid: entry\nlocation: {region: r, dataCentre: d}\nauthentication: headers\n", "entry")
 	agent.writeSettings(t, fmt.Sprintf("role: agent\nid: agent\nlocation: {region: r, dataCentre: d, rack: k}\nentries: ['http://%s']\n", a[1]), "agent")
 	endpoint.writeSettings(t, fmt.Sprintf("role: endpoint\nid: x\nendpoint: {service: formaro, agent: 'http://%s', slots: %d, connections: 64, serviceTime: 1ms}\n", a[3], endpointSlots), "standin", "endpoint")
-	for _, p := range []*stoppedProcess{entry, agent, endpoint} {
+	for _, p := range []*servingProcess{entry, agent, endpoint} {
 		p.start(t)
 	}
 	awaitCall(t, entry)
@@ -43,7 +43,7 @@
 }
 
 // awaitCall sends ordinary calls until one is answered.
-func awaitCall(t *testing.T, entry *stoppedProcess) {
+func awaitCall(t *testing.T, entry *servingProcess) {
 	t.Helper()
 	client := &http.Client{Timeout: ordinaryTimeout}
 	var failure string
--- a/cmd/oleandervalve/stop_clients_test.go
+++ b/cmd/oleandervalve/stop_clients_test.go
@@ -40,9 +40,8 @@
 	sentDelay = 200 * time.Millisecond
 )
 
-// stoppedProcess is a process that is stopped while clients hold connections, with the address of
-// each of its listeners.
-type stoppedProcess struct {
+// servingProcess is a process with the address of each of its listeners.
+type servingProcess struct {
 	command   *exec.Cmd
 	listeners map[string]string
 	log       string
@@ -50,10 +49,10 @@
 	err       error
 }
 
-// startStopped starts a process of a role, and returns once it serves its metrics.
-func startStopped(t *testing.T, role string) *stoppedProcess {
+// startServing starts a process of a role, and returns once it serves its metrics.
+func startServing(t *testing.T, role string) *servingProcess {
 	t.Helper()
-	p := &stoppedProcess{}
+	p := &servingProcess{}
 	if strings.HasPrefix(role, "hosted-") {
 		p.prepareHosted(t, role)
 	} else {
@@ -64,7 +63,7 @@
 }
 
 // start starts the process, and returns once it serves its metrics.
-func (p *stoppedProcess) start(t *testing.T) {
+func (p *servingProcess) start(t *testing.T) {
 	t.Helper()
 	is := is.New(t)
 	p.log, p.ended = filepath.Join(t.TempDir(), "log"), make(chan struct{})
@@ -94,7 +93,7 @@
 	}
 }
 
-func (p *stoppedProcess) prepareHosted(t *testing.T, role string) {
+func (p *servingProcess) prepareHosted(t *testing.T, role string) {
 	t.Helper()
 	is := is.New(t)
 	table := emulator.NewTable(1)
@@ -118,7 +117,7 @@
 	}
 }
 
-func (p *stoppedProcess) prepareOwn(t *testing.T, role string) {
+func (p *servingProcess) prepareOwn(t *testing.T, role string) {
 	t.Helper()
 	a := freeAddresses(t, 4)
 	args, text := []string{role}, ""
@@ -143,7 +142,7 @@
 }
 
 // writeSettings writes the settings file of a process of the own product and prepares its command.
-func (p *stoppedProcess) writeSettings(t *testing.T, text string, args ...string) {
+func (p *servingProcess) writeSettings(t *testing.T, text string, args ...string) {
 	t.Helper()
 	text += fmt.Sprintf("drain: {timeout: %s, notice: 500ms}\nlisten:\n", stopGrace-5*time.Second)
 	for name, address := range p.listeners {
@@ -156,7 +155,7 @@
 
 // stop asks the process to stop, kills it after stopGrace, and fails the test unless the process
 // ended by itself before and says that it has cut nothing.
-func (p *stoppedProcess) stop(t *testing.T) {
+func (p *servingProcess) stop(t *testing.T) {
 	t.Helper()
 	is.New(t).NoErr(p.command.Process.Signal(syscall.SIGTERM))
 	kill := time.AfterFunc(stopGrace, func() { _ = p.command.Process.Kill() })
@@ -228,7 +227,7 @@
 		for _, shape := range stopShapes {
 			t.Run(role+"/"+shape.name, func(t *testing.T) {
 				is := is.New(t)
-				p := startStopped(t, role)
+				p := startServing(t, role)
 				var ordinary []net.Conn
 				for name, address := range p.listeners {
 					if shape.listener != "" && shape.listener != name {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -25,8 +25,8 @@
 	// MoveInterval is how long all other tasks of a long-running step must have been running before a
 	// task is moved out of an evacuated data centre.
 	MoveInterval time.Duration
-	// MaxActive limits the jobs that have not ended; 0 means no limit. Queues with few of them may have a
-	// few beyond it.
+	// MaxActive limits the jobs that have not ended; 0 means no limit. Once it is reached queues share
+	// another quarter of it.
 	MaxActive int
 	// MaxMemory limits the memory of all known jobs; 0 means no limit.
 	MaxMemory oleandervalve.Bytes
--- a/io/entry/body_test.go
+++ b/io/entry/body_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -39,7 +40,7 @@
 	const endpoints = 3
 	for n := range endpoints {
 		x, err := standin.StartEndpoint(standin.EndpointConfig{
-			Announcement: oleandervalve.Announcement{Endpoint: oleandervalve.EndpointID("x-" + string(rune('0'+n))), Service: "formaro", Slots: 2, Connections: 8},
+			Announcement: oleandervalve.Announcement{Endpoint: oleandervalve.EndpointID("x-" + strconv.Itoa(n)), Service: "formaro", Slots: 2, Connections: 8},
 			AgentURL:     announcements.URL, ServiceTime: time.Millisecond, Seed: 1, AnnounceInterval: 50 * time.Millisecond,
 		})
 		is.NoErr(err)
