--- a/core/dispatch/backlog.go
+++ b/core/dispatch/backlog.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// jobMemory, stepMemory and taskMemory are what a job, each occurrence of a step and each task
-	// take in memory, and dependencyMemory what an entry of a step's dependencies takes.
+	// jobMemory, stepMemory and taskMemory are the bytes that a job, each occurrence of a step and
+	// each task take in memory, and dependencyMemory those of an entry of a step's dependencies.
 	jobMemory        = 2 << 10
 	stepMemory       = 512
 	taskMemory       = 64
--- a/io/leader/leader.go
+++ b/io/leader/leader.go
@@ -51,7 +51,7 @@
 	retryDelay = 100 * time.Millisecond
 	// maxActiveJobs limits the work of the leader.
 	maxActiveJobs = 5000
-	// maxJobMemory limits the memory of all known jobs, of which a usual one takes 7 KB. It is the
+	// maxJobMemory limits the memory of all known jobs, of which a usual one takes 8 KB. It is the
 	// same for all instances but the smallest, because each has to load the jobs that another one
 	// accepted as leader.
 	maxJobMemory = 46 << 20
